--- /dev/null
+++ b/pkg/document/parse.go
@@ -0,0 +1,133 @@
+package document
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Text is the source of one section.
+type Text struct {
+	File  string // name shown in messages
+	Bytes []byte // TOML
+}
+
+// Texts is the source of the whole document; a missing section is empty.
+type Texts map[Section]Text
+
+// Parse reads and checks all sections together and returns every finding.
+func Parse(texts Texts) (*Document, Messages) {
+	document := &Document{}
+	locators := make(map[Section]*locator)
+	var messages Messages
+	for _, section := range Sections() {
+		text := texts[section]
+		if text.File == "" {
+			text.File = string(section) + ".toml"
+		}
+		l := newLocator(text.File, text.Bytes)
+		locators[section] = l
+		messages = append(messages, decode(l, document.part(section))...)
+	}
+	if len(messages) > 0 {
+		return nil, messages
+	}
+	document.FillDefaults()
+	c := newChecker(document, locators)
+	c.check()
+	if len(c.messages) > 0 {
+		return nil, c.messages
+	}
+	return document, nil
+}
+
+func (d *Document) part(section Section) any {
+	switch section {
+	case SectionPlaces:
+		return &d.Places
+	case SectionServices:
+		return &d.Services
+	case SectionRanks:
+		return &d.Ranks
+	default:
+		return &d.Stops
+	}
+}
+
+func decode(l *locator, target any) Messages {
+	if len(l.text) > MaxSectionBytes {
+		return Messages{l.at(span{}, "split the places or remove unused blocks", "section is larger than 32 MiB")}
+	}
+	decoder := toml.NewDecoder(bytes.NewReader(l.text))
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(target)
+	if err == nil {
+		return nil
+	}
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		return unknownKeys(l, strict, target)
+	}
+	var broken *toml.DecodeError
+	if errors.As(err, &broken) {
+		row, column := broken.Position()
+		text := strings.TrimPrefix(broken.Error(), "toml: ")
+		return Messages{l.at(l.spanAt(row, column), noteFor(text), text)}
+	}
+	return Messages{l.at(span{}, "", err.Error())}
+}
+
+func unknownKeys(l *locator, strict *toml.StrictMissingError, target any) Messages {
+	var messages Messages
+	for _, missing := range strict.Errors {
+		row, column := missing.Position()
+		place := l.spanAt(row, column)
+		key := missing.Key()
+		place.length = len(key[len(key)-1])
+		text := "key \"" + strings.Join(key, ".") + "\" does not exist"
+		note := "allowed here: " + strings.Join(allowedKeys(target, key), ", ")
+		messages = append(messages, l.at(place, note, text))
+	}
+	return messages
+}
+
+func noteFor(text string) string {
+	switch {
+	case strings.Contains(text, "cannot decode"):
+		return "the value has the wrong type for this key; see docs/operators/document.md"
+	case strings.Contains(text, "netip"):
+		return "write a block such as \"203.0.113.0/24\" or \"2001:db8::/32\""
+	default:
+		return ""
+	}
+}
+
+// spanAt turns a row and column, both from 1, into a span that runs to the end
+// of the word there.
+func (l *locator) spanAt(row, column int) span {
+	offset := 0
+	for line := 1; line < row; line++ {
+		next := bytes.IndexByte(l.text[offset:], '\n')
+		if next < 0 {
+			break
+		}
+		offset += next + 1
+	}
+	offset = min(offset+max(column-1, 0), len(l.text))
+	return span{offset: offset, length: l.wordLength(offset)}
+}
+
+func (l *locator) wordLength(offset int) int {
+	rest := l.text[offset:]
+	if len(rest) > 0 && rest[0] == '"' {
+		if closing := bytes.IndexByte(rest[1:], '"'); closing >= 0 {
+			return closing + 2
+		}
+	}
+	if end := bytes.IndexAny(rest, " \t\r\n,]}#="); end > 0 {
+		return end
+	}
+	return 1
+}
--- /dev/null
+++ b/pkg/document/sorted.go
@@ -0,0 +1,13 @@
+package document
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// sortedKeys returns the keys in rising order, so that messages are the same
+// on each run.
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/pkg/document/value.go
@@ -0,0 +1,92 @@
+package document
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Duration is a time.Duration written as "250ms" in the document.
+type Duration time.Duration
+
+// Std returns the value as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// UnmarshalText parses a Go duration that is not negative.
+func (d *Duration) UnmarshalText(text []byte) error {
+	value, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("duration %q is not a number with a unit such as \"250ms\" or \"2s\"", text)
+	}
+	if value < 0 {
+		return fmt.Errorf("duration %q is negative", text)
+	}
+	*d = Duration(value)
+	return nil
+}
+
+// MarshalText writes the duration as Go does.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.Std().String()), nil }
+
+// Percent is a share from 0 to 1 that is written as "25%" in the document.
+type Percent float64
+
+// UnmarshalText parses a percentage from 0% to 100%.
+func (p *Percent) UnmarshalText(text []byte) error {
+	number, found := strings.CutSuffix(string(text), "%")
+	value, err := strconv.ParseFloat(strings.TrimSpace(number), 64)
+	if !found || err != nil {
+		return fmt.Errorf("share %q is not a percentage such as \"25%%\"", text)
+	}
+	if !(value >= 0 && value <= 100) {
+		return fmt.Errorf("share %q is outside 0%% to 100%%", text)
+	}
+	*p = Percent(value / 100)
+	return nil
+}
+
+// MarshalText writes the share as a percentage.
+func (p Percent) MarshalText() ([]byte, error) {
+	return []byte(strconv.FormatFloat(float64(p)*100, 'g', -1, 64) + "%"), nil
+}
+
+// BitsRate is a data rate in bits per second that is written as "4Gbit/s".
+type BitsRate float64
+
+var bitsUnits = []struct {
+	suffix string
+	bits   float64
+}{
+	{"Gbit/s", 1e9},
+	{"Mbit/s", 1e6},
+	{"kbit/s", 1e3},
+	{"bit/s", 1},
+}
+
+// UnmarshalText parses a rate with one of the units bit/s, kbit/s, Mbit/s, Gbit/s.
+func (r *BitsRate) UnmarshalText(text []byte) error {
+	for _, unit := range bitsUnits {
+		number, found := strings.CutSuffix(string(text), unit.suffix)
+		if !found {
+			continue
+		}
+		value, err := strconv.ParseFloat(strings.TrimSpace(number), 64)
+		if err != nil || !(value > 0) {
+			return fmt.Errorf("rate %q is not a number above 0 with a unit", text)
+		}
+		*r = BitsRate(value * unit.bits)
+		return nil
+	}
+	return fmt.Errorf("rate %q has no unit; use bit/s, kbit/s, Mbit/s or Gbit/s", text)
+}
+
+// MarshalText writes the rate with the largest fitting unit.
+func (r BitsRate) MarshalText() ([]byte, error) {
+	for _, unit := range bitsUnits {
+		if float64(r) >= unit.bits {
+			return []byte(strconv.FormatFloat(float64(r)/unit.bits, 'g', -1, 64) + unit.suffix), nil
+		}
+	}
+	return []byte("0bit/s"), nil
+}
