Add the pure parts of decisions: routing, admission, leases, plan, relay

Cause: requests need a decision at every step before a shell can carry it. Change: routing (servers, ejection, ramp), admission (ranks, floors, early refusal), quarantine, dispatch (owner of a service in a failure domain, loans between domains), member (gossip), plan (weights, blocks), relay (one request).

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,112 @@
+package admission
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const (
+	pay    = 0
+	browse = 1
+)
+
+func queue(payFloor, browseFloor float64) *Queue {
+	return New([]Rank{{Worth: 10, Floor: payFloor}, {Worth: 1, Floor: browseFloor}}, 1000)
+}
+
+func push(q *Queue, id uint64, rank int, deadline time.Duration) Verdict {
+	verdict, _ := q.Push(&Item{ID: id, Rank: rank, Deadline: start.Add(deadline)}, start, 4)
+	return verdict
+}
+
+func TestUrgentRankFirst(t *testing.T) {
+	q := queue(0, 0)
+	push(q, 1, browse, time.Second)
+	push(q, 2, pay, time.Second)
+	if item := q.Next(4); item.ID != 2 {
+		t.Errorf("next is %d, want the payment", item.ID)
+	}
+}
+
+func TestEarliestDeadlineFirstWithinRank(t *testing.T) {
+	q := queue(0, 0)
+	push(q, 1, pay, 2*time.Second)
+	push(q, 2, pay, time.Second)
+	if item := q.Next(4); item.ID != 2 {
+		t.Errorf("next is %d, want the earlier deadline", item.ID)
+	}
+}
+
+func TestFullQueueRefuses(t *testing.T) {
+	q := queue(0, 0)
+	q.Limit = 1
+	push(q, 1, pay, time.Second)
+	if verdict := push(q, 2, pay, time.Second); verdict != Full {
+		t.Errorf("verdict %d, want Full", verdict)
+	}
+}
+
+func TestWorkThatCannotFinishIsRefused(t *testing.T) {
+	q := queue(0, 0)
+	if verdict := push(q, 1, pay, time.Millisecond); verdict != TooLate {
+		t.Errorf("verdict %d, want TooLate", verdict)
+	}
+}
+
+func TestCancelledWorkLeaves(t *testing.T) {
+	q := queue(0, 0)
+	push(q, 1, pay, time.Second)
+	if !q.Cancel(1) || q.Next(4) != nil {
+		t.Error("cancelled request still waits")
+	}
+}
+
+// A flood of payments keeps all slots wanted; browsing must get its floor of
+// the slot time, and payments the rest.
+func TestFloorIsKeptInAFlood(t *testing.T) {
+	const (
+		slots   = 5
+		service = 50 * time.Millisecond
+		step    = 10 * time.Millisecond
+		length  = 20 * time.Second
+	)
+	q := queue(0.3, 0.2)
+	type running struct {
+		rank int
+		end  time.Time
+	}
+	var active []running
+	var served [2]int
+	id := uint64(0)
+	for now := start; now.Before(start.Add(length)); now = now.Add(step) {
+		kept := active[:0]
+		for _, r := range active {
+			if now.Before(r.end) {
+				kept = append(kept, r)
+				continue
+			}
+			q.End(r.rank, service)
+			served[r.rank]++
+		}
+		active = kept
+		q.Tick(now, slots)
+		for _, rank := range []int{pay, pay, pay, browse} {
+			id++
+			q.Push(&Item{ID: id, Rank: rank, Deadline: now.Add(time.Second)}, now, slots)
+		}
+		for len(active) < slots {
+			item := q.Next(slots)
+			if item == nil {
+				break
+			}
+			q.Begin(item.Rank)
+			active = append(active, running{item.Rank, now.Add(service)})
+		}
+	}
+	share := float64(served[browse]) / float64(served[browse]+served[pay])
+	if share < 0.19 || share > 0.25 {
+		t.Errorf("browsing got %.3f of the slots, want its floor of 0.2", share)
+	}
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,405 @@
+package member
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/heatherwood/heatherwood/internal/dispatch"
+	"github.com/heatherwood/heatherwood/internal/quarantine"
+)
+
+// VM describes one VM of the system; a higher incarnation, then a higher
+// counter, is newer.
+type VM struct {
+	ID          string
+	Peer        string // host:port for calls between VMs
+	Entry       string // host:port for callers
+	Domain      string
+	Region      string
+	Incarnation uint64
+	Counter     uint64 // heartbeats since the start
+	Control     bool   // holds a control replica
+	Stopping    bool   // takes no new callers
+	Document    uint64 // log index of its steering document
+	Services    []dispatch.Summary
+}
+
+func (v VM) newer(other VM) bool {
+	if v.Incarnation != other.Incarnation {
+		return v.Incarnation > other.Incarnation
+	}
+	return v.Counter > other.Counter
+}
+
+// Domain summarises a failure domain for the others.
+type Domain struct {
+	Name     string
+	Region   string
+	Version  uint64 // higher is newer
+	VMs      int
+	Entries  []EntryRef
+	Services []dispatch.Summary
+	Barred   []quarantine.Entry
+	Document uint64
+}
+
+// EntryRef is how to reach an entry VM.
+type EntryRef struct {
+	ID    string
+	Peer  string // host:port for calls between VMs
+	Entry string // host:port for callers
+}
+
+// Beat is the newest heartbeat heard of a VM.
+type Beat struct {
+	ID          string
+	Incarnation uint64
+	Counter     uint64
+}
+
+// Gossip is a message between VMs.
+type Gossip struct {
+	From    VM
+	Greet   bool     // the sender wants a reply with all that is known
+	Beats   []Beat   // of all live VMs of the sender's failure domain
+	VMs     []VM     // a few of them in full
+	Domains []Domain // of all failure domains
+}
+
+// Send tells the shell to send a Gossip to a peer address.
+type Send struct {
+	Address string
+	Gossip  Gossip
+}
+
+// Timings and bounds.
+const (
+	Interval         = 250 * time.Millisecond
+	domainInterval   = 500 * time.Millisecond
+	fanout           = 2
+	fullRecords      = 2  // VMs in full in one message
+	greetRecords     = 64 // VMs in full in the reply to a greeting
+	maxEntryRefs     = 8  // entries in a summary
+	maxBarred        = 32 // quarantine entries in a summary
+	unreachableAfter = 1 * time.Second
+	deadAfter        = 3 * time.Second
+	forgetAfter      = 10 * time.Minute
+	returnHeartbeats = 3 // that a VM thought dead must send to count again
+	DomainSilent     = 6 * time.Second
+)
+
+// record is what is known of one VM of the own failure domain.
+type record struct {
+	VM
+	beat        Beat // newest heartbeat; the VM in full may be older
+	heardAt     time.Time
+	unreachable bool
+	dead        bool
+	returns     int
+}
+
+type domainRecord struct {
+	Domain
+	heardAt time.Time
+}
+
+// State is the membership as one VM sees it.
+type State struct {
+	Self  VM
+	Seeds []string // peer addresses to begin with
+
+	records   []record // by id, without the VM itself
+	domains   []domainRecord
+	random    *rand.Rand
+	due       time.Time
+	domainDue time.Time
+	died      []string
+}
+
+// New returns the membership of a VM that knows only its seeds.
+func New(self VM, seeds []string) *State {
+	return &State{
+		Self:   self,
+		Seeds:  seeds,
+		random: rand.New(rand.NewPCG(xxhash.Sum64String(self.ID), self.Incarnation)),
+	}
+}
+
+func compareRecord(r record, id string) int { return strings.Compare(r.ID, id) }
+
+func compareDomain(d domainRecord, name string) int { return strings.Compare(d.Name, name) }
+
+// Tick sends gossip when due and marks VMs that went silent.
+func (s *State) Tick(now time.Time) []Send {
+	s.judge(now)
+	var sends []Send
+	if !now.Before(s.due) {
+		s.due = now.Add(Interval)
+		s.Self.Counter++
+		sends = s.gossip(now)
+	}
+	if !now.Before(s.domainDue) {
+		s.domainDue = now.Add(domainInterval)
+		sends = append(sends, s.gossipDomains(now)...)
+	}
+	return sends
+}
+
+func (s *State) judge(now time.Time) {
+	for i := range s.records {
+		r := &s.records[i]
+		silent := now.Sub(r.heardAt)
+		limit := deadAfter
+		if r.unreachable {
+			limit = unreachableAfter
+		}
+		if !r.dead && silent >= limit {
+			r.dead = true
+			r.returns = 0
+			s.died = append(s.died, r.ID)
+		}
+	}
+	s.records = slices.DeleteFunc(s.records, func(r record) bool { return now.Sub(r.heardAt) > forgetAfter })
+}
+
+// TakeDied returns the VMs that were found dead since the last call.
+func (s *State) TakeDied() []string {
+	died := s.died
+	s.died = nil
+	return died
+}
+
+func (s *State) gossip(now time.Time) []Send {
+	alive := s.alive()
+	message := Gossip{From: s.Self, Beats: s.beats(), VMs: s.some(alive, fullRecords)}
+	var sends []Send
+	for _, vm := range s.targets(alive) {
+		sends = append(sends, Send{Address: vm.Peer, Gossip: message})
+	}
+	if address := s.greeted(alive); address != "" {
+		greeting := Gossip{From: s.Self, Greet: true, Domains: s.known(now)}
+		sends = append(sends, Send{Address: address, Gossip: greeting})
+	}
+	return sends
+}
+
+func (s *State) beats() []Beat {
+	list := make([]Beat, 0, len(s.records))
+	for _, r := range s.records {
+		if !r.dead {
+			list = append(list, r.beat)
+		}
+	}
+	return list
+}
+
+// some returns a random choice of the VMs.
+func (s *State) some(vms []VM, most int) []VM {
+	chosen := make([]VM, 0, most)
+	for _, at := range s.random.Perm(len(vms)) {
+		if len(chosen) == most {
+			break
+		}
+		chosen = append(chosen, vms[at])
+	}
+	return chosen
+}
+
+// targets are the VMs that get this round's gossip; an owner of services also
+// tells the first relay, which sums them up.
+func (s *State) targets(alive []VM) []VM {
+	chosen := s.some(alive, fanout)
+	if len(s.Self.Services) == 0 || len(alive) == 0 {
+		return chosen
+	}
+	relay := slices.MinFunc(alive, func(a, b VM) int { return strings.Compare(a.ID, b.ID) })
+	if relay.ID < s.Self.ID && !slices.ContainsFunc(chosen, func(vm VM) bool { return vm.ID == relay.ID }) {
+		chosen = append(chosen, relay)
+	}
+	return chosen
+}
+
+// greeted returns an address to greet: often while the VM is alone, now and
+// then later, so that parts which formed apart find each other. An entry of the
+// own failure domain that a summary names and that is not known comes first.
+func (s *State) greeted(alive []VM) string {
+	if address := s.unknownNeighbour(); address != "" {
+		return address
+	}
+	const aloneEvery, laterEvery = 2, 40
+	every := laterEvery
+	if len(alive) == 0 || len(s.domains) < 2 {
+		every = aloneEvery
+	}
+	if len(s.Seeds) == 0 || s.random.IntN(every) != 0 {
+		return ""
+	}
+	return s.Seeds[s.random.IntN(len(s.Seeds))]
+}
+
+func (s *State) unknownNeighbour() string {
+	at, found := slices.BinarySearchFunc(s.domains, s.Self.Domain, compareDomain)
+	if !found {
+		return ""
+	}
+	for _, entry := range s.domains[at].Entries {
+		if entry.ID == s.Self.ID {
+			continue
+		}
+		if _, known := slices.BinarySearchFunc(s.records, entry.ID, compareRecord); !known {
+			return entry.Peer
+		}
+	}
+	return ""
+}
+
+func (s *State) alive() []VM {
+	var vms []VM
+	for _, r := range s.records {
+		if !r.dead {
+			vms = append(vms, r.VM)
+		}
+	}
+	return vms
+}
+
+// Alive returns the live VMs of the own failure domain by id, the VM itself
+// included.
+func (s *State) Alive() []VM {
+	vms := append(s.alive(), s.Self)
+	slices.SortFunc(vms, func(a, b VM) int { return strings.Compare(a.ID, b.ID) })
+	return vms
+}
+
+// Receive takes over what a peer knows, and replies to a greeting.
+func (s *State) Receive(g Gossip, now time.Time) []Send {
+	news := s.merge(g.From, now)
+	for _, vm := range g.VMs {
+		s.merge(vm, now)
+	}
+	if g.From.Domain == s.Self.Domain {
+		s.mergeBeats(g.Beats, now)
+	}
+	for _, domain := range g.Domains {
+		s.mergeDomain(domain, now)
+	}
+	if !g.Greet && !news {
+		return nil
+	}
+	reply := Gossip{From: s.Self, Domains: s.known(now)}
+	if g.From.Domain == s.Self.Domain {
+		reply.VMs = s.some(s.alive(), greetRecords)
+	}
+	return []Send{{Address: g.From.Peer, Gossip: reply}}
+}
+
+// merge takes over one VM and returns true when nothing was known of it.
+func (s *State) merge(vm VM, now time.Time) bool {
+	if vm.Domain != s.Self.Domain {
+		return s.mergeStranger(vm, now)
+	}
+	beat := Beat{ID: vm.ID, Incarnation: vm.Incarnation, Counter: vm.Counter}
+	if vm.ID == s.Self.ID {
+		s.refute(beat)
+		return false
+	}
+	at, found := slices.BinarySearchFunc(s.records, vm.ID, compareRecord)
+	if !found {
+		s.records = slices.Insert(s.records, at, record{VM: vm, beat: beat, heardAt: now})
+		return true
+	}
+	if vm.newer(s.records[at].VM) {
+		s.records[at].VM = vm
+	}
+	s.heard(&s.records[at], beat, now)
+	return false
+}
+
+// mergeBeats takes over heartbeats of VMs that are known in full.
+func (s *State) mergeBeats(beats []Beat, now time.Time) {
+	for _, beat := range beats {
+		if beat.ID == s.Self.ID {
+			s.refute(beat)
+			continue
+		}
+		at, found := slices.BinarySearchFunc(s.records, beat.ID, compareRecord)
+		if found {
+			s.heard(&s.records[at], beat, now)
+		}
+	}
+}
+
+// heard notes a new heartbeat. A VM thought dead must send a few before it
+// counts again, so that one that comes and goes does not move work each time.
+func (s *State) heard(r *record, beat Beat, now time.Time) {
+	restarted := beat.Incarnation > r.beat.Incarnation
+	if !restarted && (beat.Incarnation < r.beat.Incarnation || beat.Counter <= r.beat.Counter) {
+		return
+	}
+	r.beat = beat
+	r.heardAt = now
+	r.unreachable = false
+	if !r.dead {
+		if restarted {
+			s.died = append(s.died, r.ID)
+		}
+		return
+	}
+	r.returns++
+	if restarted || r.returns >= returnHeartbeats {
+		r.dead = false
+	}
+}
+
+// mergeStranger notes an entry of a failure domain of which no summary came
+// yet, so that two domains can meet through their seeds.
+func (s *State) mergeStranger(vm VM, now time.Time) bool {
+	at, found := slices.BinarySearchFunc(s.domains, vm.Domain, compareDomain)
+	if found {
+		return false
+	}
+	s.domains = slices.Insert(s.domains, at, domainRecord{
+		Domain: Domain{
+			Name:    vm.Domain,
+			Region:  vm.Region,
+			VMs:     1,
+			Entries: []EntryRef{{ID: vm.ID, Peer: vm.Peer, Entry: vm.Entry}},
+		},
+		heardAt: now,
+	})
+	return true
+}
+
+// refute outlives a newer record of itself, left by an earlier start whose
+// clock was ahead.
+func (s *State) refute(beat Beat) {
+	newer := beat.Incarnation == s.Self.Incarnation && beat.Counter > s.Self.Counter
+	if newer || beat.Incarnation > s.Self.Incarnation {
+		s.Self.Incarnation = beat.Incarnation + 1
+	}
+}
+
+// Unreachable notes that a connection to the VM was refused.
+func (s *State) Unreachable(id string) {
+	at, found := slices.BinarySearchFunc(s.records, id, compareRecord)
+	if found {
+		s.records[at].unreachable = true
+	}
+}
+
+// Relay reports whether this VM speaks for its failure domain: the two live
+// VMs with the lowest ids do.
+func (s *State) Relay() bool {
+	const relays = 2
+	lower := 0
+	for _, r := range s.records {
+		if !r.dead && r.ID < s.Self.ID {
+			lower++
+		}
+	}
+	return lower < relays
+}
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,148 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// group is a few VMs whose gossip arrives at once unless a cut stops it.
+type group struct {
+	states  map[string]*State
+	order   []string
+	now     time.Time
+	cut     func(from, to string) bool
+	sent    int
+	stopped map[string]bool
+}
+
+func newGroup(domains, perDomain int) *group {
+	g := &group{states: make(map[string]*State), now: start, stopped: make(map[string]bool)}
+	var seeds []string
+	for d := range domains {
+		for i := range perDomain {
+			id := fmt.Sprintf("d%02d-vm%02d", d, i)
+			g.order = append(g.order, id)
+			if i == 0 {
+				seeds = append(seeds, id)
+			}
+		}
+	}
+	for _, id := range g.order {
+		self := VM{ID: id, Peer: id, Entry: "e" + id, Domain: id[:3], Region: "r", Incarnation: 1}
+		g.states[id] = New(self, seeds)
+	}
+	return g
+}
+
+func (g *group) run(length time.Duration) {
+	end := g.now.Add(length)
+	for ; g.now.Before(end); g.now = g.now.Add(50 * time.Millisecond) {
+		for _, id := range g.order {
+			if !g.stopped[id] {
+				g.deliver(id, g.states[id].Tick(g.now))
+			}
+		}
+	}
+}
+
+func (g *group) deliver(from string, sends []Send) {
+	for _, send := range sends {
+		g.sent++
+		if g.stopped[send.Address] || g.cut != nil && g.cut(from, send.Address) {
+			continue
+		}
+		g.deliver(send.Address, g.states[send.Address].Receive(send.Gossip, g.now))
+	}
+}
+
+func (g *group) alive(id string) int { return len(g.states[id].Alive()) }
+
+func TestAllVMsFindEachOther(t *testing.T) {
+	tests := map[string]struct{ domains, perDomain int }{
+		"two domains of two": {2, 2},
+		"six domains of two": {6, 2},
+		"one domain of 50":   {1, 50},
+		"ten domains of ten": {10, 10},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := newGroup(test.domains, test.perDomain)
+			g.run(15 * time.Second)
+			for _, id := range g.order {
+				if got := g.alive(id); got != test.perDomain {
+					t.Errorf("%s sees %d VMs of its domain, want %d", id, got, test.perDomain)
+				}
+				if got := len(g.states[id].known(g.now)); got != test.domains {
+					t.Errorf("%s knows %d domains, want %d", id, got, test.domains)
+				}
+			}
+		})
+	}
+}
+
+func TestDeadVMIsFoundAndReturns(t *testing.T) {
+	g := newGroup(1, 5)
+	g.run(5 * time.Second)
+	g.stopped["d00-vm03"] = true
+	g.run(4 * time.Second)
+	if got := g.alive("d00-vm00"); got != 4 {
+		t.Fatalf("%d VMs alive after one died, want 4", got)
+	}
+	g.stopped["d00-vm03"] = false
+	g.run(4 * time.Second)
+	if got := g.alive("d00-vm00"); got != 5 {
+		t.Errorf("%d VMs alive after the return, want 5", got)
+	}
+}
+
+// A VM whose messages reach only one other is not thought dead by the rest.
+func TestOneWayCutsDoNotKill(t *testing.T) {
+	g := newGroup(1, 5)
+	g.run(5 * time.Second)
+	g.cut = func(from, to string) bool { return from == "d00-vm01" && to != "d00-vm02" }
+	g.run(20 * time.Second)
+	for _, id := range g.order {
+		if died := g.states[id].TakeDied(); len(died) > 0 {
+			t.Errorf("%s thinks %v dead", id, died)
+		}
+	}
+}
+
+func TestCutDomainIsSilent(t *testing.T) {
+	g := newGroup(3, 2)
+	g.run(5 * time.Second)
+	g.cut = func(from, to string) bool { return (from[:3] == "d01") != (to[:3] == "d01") }
+	g.run(10 * time.Second)
+	for _, view := range g.states["d00-vm00"].Domains(g.now) {
+		if silent := view.Silent > DomainSilent; silent != (view.Name == "d01") {
+			t.Errorf("domain %s silent for %s", view.Name, view.Silent)
+		}
+	}
+	if got := g.alive("d01-vm00"); got != 2 {
+		t.Errorf("the cut domain sees %d of its VMs, want 2", got)
+	}
+	g.cut = nil
+	g.run(10 * time.Second)
+	for _, view := range g.states["d00-vm00"].Domains(g.now) {
+		if view.Silent > DomainSilent {
+			t.Errorf("domain %s still silent after the cut", view.Name)
+		}
+	}
+}
+
+func TestOwnersAgree(t *testing.T) {
+	g := newGroup(1, 8)
+	g.run(5 * time.Second)
+	for i := range 20 {
+		service := fmt.Sprint("service", i)
+		want := g.states[g.order[0]].Owner(service).ID
+		for _, id := range g.order {
+			if got := g.states[id].Owner(service).ID; got != want {
+				t.Errorf("%s thinks %s owns %s, others %s", id, got, service, want)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/plan/blocks.go
@@ -0,0 +1,215 @@
+package plan
+
+import (
+	"cmp"
+	"encoding/binary"
+	"net/netip"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/heatherwood/heatherwood/pkg/document"
+)
+
+// NoPlace is the place of an address outside all blocks.
+const NoPlace = -1
+
+// Blocks maps addresses to places. Nested blocks are flattened into intervals:
+// the interval i runs from starts[i] to starts[i+1]. Example: 10.0.0.0/8 in A
+// with 10.1.0.0/16 in B becomes 10.0.0.0 A, 10.1.0.0 B, 10.2.0.0 A, 11.0.0.0
+// none.
+type Blocks struct {
+	starts4 []uint32
+	places4 []int16
+	index4  []uint32 // first interval at or before each upper half of an address
+	starts6 []wide
+	places6 []int16
+}
+
+// wide is an IPv6 address as two numbers.
+type wide struct{ hi, lo uint64 }
+
+func (w wide) compare(other wide) int {
+	return cmp.Or(cmp.Compare(w.hi, other.hi), cmp.Compare(w.lo, other.lo))
+}
+
+func (w wide) next() wide {
+	w.lo++
+	if w.lo == 0 {
+		w.hi++
+	}
+	return w
+}
+
+func toWide(address netip.Addr) wide {
+	bytes := address.As16()
+	return wide{hi: binary.BigEndian.Uint64(bytes[:8]), lo: binary.BigEndian.Uint64(bytes[8:])}
+}
+
+type ownedBlock struct {
+	first, last wide
+	bits        int
+	place       int16
+}
+
+// NewBlocks builds the table; places are numbered as in the document.
+func NewBlocks(places []document.Place) *Blocks {
+	var v4, v6 []ownedBlock
+	for number, place := range places {
+		for _, block := range place.Blocks {
+			owned := ownedBlock{
+				first: toWide(block.Addr()),
+				last:  toWide(lastAddress(block)),
+				bits:  block.Bits(),
+				place: int16(number),
+			}
+			if block.Addr().Is4() {
+				v4 = append(v4, owned)
+			} else {
+				v6 = append(v6, owned)
+			}
+		}
+	}
+	b := &Blocks{}
+	for _, interval := range flatten(v4) {
+		if interval.start.compare(endOf4) >= 0 {
+			break
+		}
+		b.starts4 = append(b.starts4, uint32(interval.start.lo))
+		b.places4 = append(b.places4, interval.place)
+	}
+	for _, interval := range flatten(v6) {
+		b.starts6 = append(b.starts6, interval.start)
+		b.places6 = append(b.places6, interval.place)
+	}
+	b.starts4, b.places4 = slices.Clip(b.starts4), slices.Clip(b.places4)
+	b.starts6, b.places6 = slices.Clip(b.starts6), slices.Clip(b.places6)
+	b.buildIndex()
+	return b
+}
+
+// endOf4 follows the last IPv4 address in its 16-byte form.
+var endOf4 = toWide(netip.AddrFrom4([4]byte{255, 255, 255, 255})).next()
+
+func lastAddress(block netip.Prefix) netip.Addr {
+	bytes := block.Addr().As16()
+	offset := 0
+	if block.Addr().Is4() {
+		offset = 96 // bits before an IPv4 address in its 16-byte form
+	}
+	for bit := offset + block.Bits(); bit < 128; bit++ {
+		bytes[bit/8] |= 1 << (7 - bit%8)
+	}
+	return netip.AddrFrom16(bytes)
+}
+
+type interval struct {
+	start wide
+	place int16
+}
+
+// flatten sweeps the blocks by start, outer before inner, with a stack of the
+// blocks that are open.
+func flatten(blocks []ownedBlock) []interval {
+	slices.SortFunc(blocks, func(a, b ownedBlock) int {
+		return cmp.Or(a.first.compare(b.first), cmp.Compare(a.bits, b.bits))
+	})
+	var intervals []interval
+	var open []ownedBlock
+	place := func() int16 {
+		if len(open) == 0 {
+			return NoPlace
+		}
+		return open[len(open)-1].place
+	}
+	closeBefore := func(next *wide) {
+		for len(open) > 0 && (next == nil || open[len(open)-1].last.compare(*next) < 0) {
+			after := open[len(open)-1].last.next()
+			open = open[:len(open)-1]
+			intervals = appendInterval(intervals, interval{start: after, place: place()})
+		}
+	}
+	for i := range blocks {
+		closeBefore(&blocks[i].first)
+		open = append(open, blocks[i])
+		intervals = appendInterval(intervals, interval{start: blocks[i].first, place: place()})
+	}
+	closeBefore(nil)
+	return intervals
+}
+
+// appendInterval replaces an interval of no length.
+func appendInterval(intervals []interval, next interval) []interval {
+	if last := len(intervals) - 1; last >= 0 && intervals[last].start == next.start {
+		intervals[last] = next
+		return intervals
+	}
+	return append(intervals, next)
+}
+
+const index4Size = 1<<16 + 1
+
+func (b *Blocks) buildIndex() {
+	b.index4 = make([]uint32, index4Size)
+	at := 0
+	for upper := range index4Size {
+		for at < len(b.starts4) && uint64(b.starts4[at]) < uint64(upper)<<16 {
+			at++
+		}
+		b.index4[upper] = uint32(at)
+	}
+}
+
+// Find returns the place of an address and a hash of its block, which stays the
+// same while the block does.
+func (b *Blocks) Find(address netip.Addr) (place int, hash uint64) {
+	address = address.Unmap()
+	if address.Is4() {
+		return b.find4(address)
+	}
+	w := toWide(address)
+	at, found := slices.BinarySearchFunc(b.starts6, w, wide.compare)
+	if !found {
+		at--
+	}
+	if at < 0 || b.places6[at] == NoPlace {
+		const clientBits = 56 // of an address outside all blocks
+		return NoPlace, hashWide(wide{hi: w.hi >> (64 - clientBits)})
+	}
+	return int(b.places6[at]), hashWide(b.starts6[at])
+}
+
+func (b *Blocks) find4(address netip.Addr) (int, uint64) {
+	bytes := address.As4()
+	value := binary.BigEndian.Uint32(bytes[:])
+	low, high := b.index4[value>>16], b.index4[value>>16+1]
+	for low < high {
+		middle := (low + high) / 2
+		if b.starts4[middle] <= value {
+			low = middle + 1
+		} else {
+			high = middle
+		}
+	}
+	if low == 0 || b.places4[low-1] == NoPlace {
+		const clientBits = 8 // ignored at the end of an address outside all blocks
+		return NoPlace, hashWide(wide{lo: uint64(value >> clientBits)})
+	}
+	return int(b.places4[low-1]), hashWide(wide{lo: uint64(b.starts4[low-1])})
+}
+
+func hashWide(w wide) uint64 {
+	var bytes [16]byte
+	binary.LittleEndian.PutUint64(bytes[:8], w.hi)
+	binary.LittleEndian.PutUint64(bytes[8:], w.lo)
+	return xxhash.Sum64(bytes[:])
+}
+
+// Bytes returns the memory that the table takes.
+func (b *Blocks) Bytes() int {
+	const bytes4, bytes6, indexBytes = 4 + 2, 16 + 2, 4
+	return len(b.starts4)*bytes4 + len(b.starts6)*bytes6 + len(b.index4)*indexBytes
+}
+
+// Len returns the number of intervals.
+func (b *Blocks) Len() int { return len(b.starts4) + len(b.starts6) }
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,83 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestSecondDeathQuarantines(t *testing.T) {
+	var table Table
+	const killer = 7
+	deaths := 0
+	for ticket := uint64(1); ticket <= 20; ticket++ {
+		switch table.Check(killer, start) {
+		case Barred, Wait:
+			continue
+		}
+		table.Begin(killer, ticket)
+		table.Died(killer, ticket, start)
+		deaths++
+	}
+	if deaths != 2 {
+		t.Errorf("%d servers died, want 2", deaths)
+	}
+}
+
+// A popular page runs on every server when a failure domain dies; it must not
+// be quarantined for that.
+func TestDeathsAtOnceOnlySuspect(t *testing.T) {
+	var table Table
+	const page = 9
+	for ticket := uint64(1); ticket <= 10; ticket++ {
+		table.Died(page, ticket, start)
+	}
+	if verdict := table.Check(page, start); verdict != Trial {
+		t.Fatalf("verdict %d, want Trial", verdict)
+	}
+	table.Begin(page, 11)
+	if verdict := table.Check(page, start); verdict != Wait {
+		t.Errorf("verdict %d during the trial, want Wait", verdict)
+	}
+	table.Survived(page)
+	if verdict := table.Check(page, start); verdict != Allowed {
+		t.Errorf("verdict %d after a good run, want Allowed", verdict)
+	}
+}
+
+func TestLiftAndExpiry(t *testing.T) {
+	tests := map[string]func(*Table) time.Time{
+		"lifted":  func(table *Table) time.Time { table.Lift(1); return start },
+		"expired": func(*Table) time.Time { return start.Add(quarantineFor) },
+	}
+	for name, act := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := Table{Entries: []Entry{{Fingerprint: 1, Phase: Quarantined, Until: start.Add(quarantineFor)}}}
+			if verdict := table.Check(1, act(&table)); verdict != Allowed {
+				t.Errorf("verdict %d, want Allowed", verdict)
+			}
+		})
+	}
+}
+
+func TestTableIsBounded(t *testing.T) {
+	var table Table
+	for i := range uint64(MaxEntries + 10) {
+		table.Died(i, 1, start)
+	}
+	if len(table.Entries) != MaxEntries {
+		t.Errorf("%d entries, want %d", len(table.Entries), MaxEntries)
+	}
+}
+
+func TestProvenRequestIsNotSuspected(t *testing.T) {
+	var table Table
+	const page = 5
+	table.Survived(page)
+	table.Died(page, 1, start)
+	table.Died(page, 2, start)
+	if verdict := table.Check(page, start); verdict != Allowed {
+		t.Errorf("verdict %d, want Allowed", verdict)
+	}
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,141 @@
+package relay
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/heatherwood/heatherwood/internal/dispatch"
+	"github.com/heatherwood/heatherwood/internal/ledger"
+	"github.com/heatherwood/heatherwood/internal/quarantine"
+	"github.com/heatherwood/heatherwood/internal/routing"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func request(once bool) *Request {
+	return &Request{
+		ID:         "r1",
+		Service:    "pay",
+		Once:       once,
+		Key:        ledger.Key{Service: "pay", Key: "k"},
+		Deadline:   start.Add(time.Second),
+		Hold:       6 * time.Second,
+		Replayable: true,
+	}
+}
+
+func granted() dispatch.Answer {
+	return dispatch.Answer{Grant: &dispatch.Grant{Ticket: 1, Server: "s1"}}
+}
+
+func TestOnceIsClaimedBeforeItIsSent(t *testing.T) {
+	r := request(true)
+	step := r.Start(start, &Budget{})
+	if step.Claim == nil {
+		t.Fatalf("first step %+v, want a claim", step)
+	}
+	step = r.Claimed(&ledger.ClaimResult{Code: ledger.ClaimGranted}, nil, start)
+	if step.Ask == nil {
+		t.Fatalf("step %+v after the claim, want an ask", step)
+	}
+	if step = r.Asked(granted(), nil, start); step.Send == nil {
+		t.Fatalf("step %+v after the grant, want a send", step)
+	}
+}
+
+func TestClaimAnswers(t *testing.T) {
+	tests := map[string]struct {
+		result ledger.ClaimResult
+		err    error
+		at     time.Duration
+		run    Run
+		frees  bool
+	}{
+		"unknown for good":   {result: ledger.ClaimResult{Code: ledger.ClaimLost}, run: RunUnknown},
+		"other request":      {result: ledger.ClaimResult{Code: ledger.ClaimMismatch}, run: RunNo},
+		"table full":         {result: ledger.ClaimResult{Code: ledger.ClaimFull}, run: RunNo},
+		"running to the end": {result: ledger.ClaimResult{Code: ledger.ClaimRunning}, at: 950 * time.Millisecond, run: RunUnknown},
+		"no leader":          {err: errors.New("no leader"), at: 990 * time.Millisecond, run: RunNo, frees: true},
+		"granted too late":   {result: ledger.ClaimResult{Code: ledger.ClaimGranted}, at: 2 * time.Second, run: RunNo, frees: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := request(true)
+			r.Start(start, &Budget{})
+			step := r.Claimed(&test.result, test.err, start.Add(test.at))
+			if step.Refuse == nil || step.Refuse.Run != test.run || (step.Free != nil) != test.frees {
+				t.Errorf("step %+v, problem %+v", step, step.Refuse)
+			}
+		})
+	}
+}
+
+func TestResults(t *testing.T) {
+	tests := map[string]struct {
+		once      bool
+		result    routing.Result
+		suspicion quarantine.Phase
+		again     bool
+		run       Run
+	}{
+		"shed goes elsewhere":             {result: routing.ResultShed, again: true},
+		"shed once goes elsewhere":        {once: true, result: routing.ResultShed, again: true},
+		"no connection goes elsewhere":    {once: true, result: routing.ResultNoDial, again: true},
+		"broken once is unknown":          {once: true, result: routing.ResultBroken, run: RunUnknown},
+		"broken and suspected stays":      {result: routing.ResultBroken, suspicion: quarantine.Suspected, run: RunUnknown},
+		"broken and proven goes on":       {result: routing.ResultBroken, again: true},
+		"late is unknown":                 {result: routing.ResultLate, run: RunUnknown},
+		"broken once though proven stays": {once: true, result: routing.ResultBroken, run: RunUnknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := request(test.once)
+			budget := &Budget{}
+			r.Start(start, budget)
+			r.Asked(granted(), nil, start)
+			step := r.Sent(test.result, "s1", test.suspicion, start, budget)
+			if test.again {
+				if step.Ask == nil {
+					t.Errorf("step %+v, want another ask", step)
+				}
+				return
+			}
+			if step.Refuse == nil || step.Refuse.Run != test.run {
+				t.Errorf("step %+v, want a refusal with run %q", step, test.run)
+			}
+		})
+	}
+}
+
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	budget := &Budget{}
+	const requests = 1000
+	sends := 0
+	for range requests {
+		r := request(false)
+		r.Start(start, budget)
+		step := r.Asked(granted(), nil, start)
+		for step.Send != nil {
+			sends++
+			if step = r.Sent(routing.ResultShed, "s1", quarantine.Clear, start, budget); step.Ask != nil {
+				step = r.Asked(granted(), nil, start)
+			}
+		}
+	}
+	if limit := requests + requests/10 + budgetStart; sends > limit {
+		t.Errorf("%d sends for %d requests, want at most %d", sends, requests, limit)
+	}
+}
+
+func TestNothingRunIsSaidOnlyWhenTrue(t *testing.T) {
+	r := request(false)
+	budget := &Budget{}
+	r.Start(start, budget)
+	r.Asked(granted(), nil, start)
+	r.Sent(routing.ResultBroken, "s1", quarantine.Clear, start, budget)
+	step := r.Asked(dispatch.Answer{Denial: &dispatch.Denial{Reason: dispatch.ReasonFull}}, nil, start)
+	if step.Refuse.Run != RunUnknown {
+		t.Errorf("run %q after a broken try, want unknown", step.Refuse.Run)
+	}
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,117 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func pool(servers, slots int) *Pool {
+	p := &Pool{Domain: "a"}
+	for i := range servers {
+		p.Announce(Announcement{
+			ID:      fmt.Sprintf("s%03d", i),
+			Address: "127.0.0.1:1",
+			Slots:   slots,
+			State:   StateServing,
+		}, start, start)
+	}
+	return p
+}
+
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	p := pool(3, 2)
+	granted := 0
+	for {
+		s := p.Choose(nil, true)
+		if s == nil {
+			break
+		}
+		p.Begin(s)
+		granted++
+	}
+	if granted != 6 {
+		t.Errorf("granted %d, want 6", granted)
+	}
+}
+
+func TestServerThatFailsFastIsEjected(t *testing.T) {
+	p := pool(4, 4)
+	now := start
+	bad := 0
+	for range 400 {
+		now = now.Add(time.Millisecond)
+		s := p.Choose(nil, true)
+		p.Begin(s)
+		if s.ID == "s000" {
+			bad++
+			p.End(s, ResultError, time.Microsecond, now)
+			continue
+		}
+		p.End(s, ResultOK, 20*time.Millisecond, now)
+	}
+	if bad > failuresToEject {
+		t.Errorf("%d requests went to the failing server, want at most %d", bad, failuresToEject)
+	}
+}
+
+func TestEjectionKeepsHalfThePool(t *testing.T) {
+	p := pool(4, 1)
+	for _, s := range p.Servers {
+		for range failuresToEject {
+			p.Begin(s)
+			p.End(s, ResultError, 0, start)
+		}
+	}
+	if free := p.FreeSlots(); free < 2 {
+		t.Errorf("%d servers left, want at least 2", free)
+	}
+}
+
+func TestReportOfNoLoadAttractsNothing(t *testing.T) {
+	p := pool(2, 10)
+	p.Servers[0].Load = 0
+	p.Servers[1].Load = 5
+	p.Servers[0].latency, p.Servers[1].latency = 0.2, 0.02
+	p.Refresh(start)
+	if s := p.Choose(nil, true); s.ID != "s001" {
+		t.Errorf("chose %s, want the faster s001", s.ID)
+	}
+}
+
+func TestExpiredServerGetsNothing(t *testing.T) {
+	p := pool(1, 1)
+	p.Refresh(start.Add(AnnounceLifetime))
+	if s := p.Choose(nil, true); s != nil {
+		t.Errorf("chose %s after its announcement expired", s.ID)
+	}
+}
+
+func TestNewServerIsRamped(t *testing.T) {
+	p := pool(1, 8)
+	p.Warm = 10 * time.Second
+	s := p.Servers[0]
+	if got := s.Effective(start, p.Warm); got != 2 {
+		t.Errorf("slots at the start: %d, want 2", got)
+	}
+	s.Expires = start.Add(time.Hour)
+	if got := s.Effective(start.Add(10*time.Second), p.Warm); got != 8 {
+		t.Errorf("slots after the ramp: %d, want 8", got)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, servers := range []int{20, 500} {
+		b.Run(fmt.Sprint(servers), func(b *testing.B) {
+			p := pool(servers, 5)
+			b.ReportAllocs()
+			for b.Loop() {
+				s := p.Choose(nil, true)
+				p.Begin(s)
+				p.End(s, ResultOK, time.Millisecond, start)
+			}
+		})
+	}
+}
