--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,28 @@
+package examples
+
+import (
+	"embed"
+	"fmt"
+
+	"github.com/heatherwood/heatherwood/pkg/document"
+)
+
+//go:embed plaques/*.toml pottery/*.toml
+var files embed.FS
+
+// Sites lists the names of the example sites.
+func Sites() []string { return []string{"plaques", "pottery"} }
+
+// Texts returns the sections of an example site.
+func Texts(site string) (document.Texts, error) {
+	texts := make(document.Texts)
+	for _, section := range document.Sections() {
+		name := fmt.Sprintf("%s/%s.toml", site, section)
+		text, err := files.ReadFile(name)
+		if err != nil {
+			return nil, fmt.Errorf("read example: %w", err)
+		}
+		texts[section] = document.Text{File: name, Bytes: text}
+	}
+	return texts, nil
+}
--- /dev/null
+++ b/examples/examples_test.go
@@ -0,0 +1,19 @@
+package examples
+
+import (
+	"testing"
+
+	"github.com/heatherwood/heatherwood/pkg/document"
+)
+
+func TestExamplesAreValid(t *testing.T) {
+	for _, site := range Sites() {
+		texts, err := Texts(site)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, messages := document.Parse(texts); len(messages) > 0 {
+			t.Errorf("%s:\n%s", site, messages.Error())
+		}
+	}
+}
--- /dev/null
+++ b/internal/backendhttp/backendhttp.go
@@ -0,0 +1,109 @@
+package backendhttp
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/heatherwood/heatherwood/internal/node"
+	"github.com/heatherwood/heatherwood/internal/problem"
+	"github.com/heatherwood/heatherwood/internal/routing"
+)
+
+// Prefix is the path under which servers announce themselves.
+const Prefix = "/v1/backends/"
+
+const maxAnnouncementBytes = 4 << 10
+
+// body is what a server sends.
+type body struct {
+	Address     string  `json:"address"`
+	Service     string  `json:"service"`
+	Slots       int     `json:"slots"`
+	Connections int     `json:"connections"`
+	Load        float64 `json:"load"`
+	State       string  `json:"state"`
+}
+
+// answer tells when to renew.
+type answer struct {
+	RenewAfter string `json:"renewAfter"`
+	Lifetime   string `json:"lifetime"`
+}
+
+// Handler serves PUT and DELETE /v1/backends/{id}.
+type Handler struct{ Node *node.Node }
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := strings.TrimPrefix(r.URL.Path, Prefix)
+	if len(id) == 0 || len(id) > routing.MaxIDBytes {
+		refuse(w, http.StatusBadRequest, "bad-id", "the id must be 1 to 128 bytes")
+		return
+	}
+	switch r.Method {
+	case http.MethodPut:
+		h.put(w, r, id)
+	case http.MethodDelete:
+		h.announce(w, r, routing.Announcement{ID: id, Service: r.URL.Query().Get("service")}, true)
+	default:
+		w.Header().Set("Allow", "PUT, DELETE")
+		refuse(w, http.StatusMethodNotAllowed, "bad-method", "use PUT or DELETE")
+	}
+}
+
+func refuse(w http.ResponseWriter, status int, reason, detail string) {
+	problem.Write(w, problem.Problem{Status: status, Reason: reason, Detail: detail})
+}
+
+func (h *Handler) put(w http.ResponseWriter, r *http.Request, id string) {
+	announcement, err := Decode(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "bad-announcement", err.Error())
+		return
+	}
+	announcement.ID = id
+	h.announce(w, r, announcement, false)
+}
+
+func (h *Handler) announce(w http.ResponseWriter, r *http.Request, announcement routing.Announcement, gone bool) {
+	if gone && announcement.Service == "" {
+		announcement.Service = h.serviceOf(r, announcement.ID)
+	}
+	result, err := h.Node.Announce(r.Context(), announcement, gone)
+	if err != nil {
+		problem.Write(w, problem.Problem{
+			Status:     http.StatusServiceUnavailable,
+			Reason:     "owner-unreachable",
+			Detail:     "the VM that owns the service was not reached; announce again",
+			RetryAfter: routing.AnnounceLifetime / 4,
+		})
+		return
+	}
+	if result.Refused != "" {
+		refuse(w, http.StatusUnprocessableEntity, "announcement-refused", result.Refused)
+		return
+	}
+	if gone {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(answer{RenewAfter: result.RenewAfter.String(), Lifetime: routing.AnnounceLifetime.String()})
+}
+
+// serviceOf finds the service of a server that did not name it when it left.
+func (h *Handler) serviceOf(r *http.Request, id string) string {
+	status, err := h.Node.Status(r.Context())
+	if err != nil {
+		return ""
+	}
+	for _, service := range status.Services {
+		for _, server := range service.Servers {
+			if server.ID == id {
+				return service.Service
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/backendhttp/doc.go
@@ -0,0 +1,2 @@
+// Package backendhttp takes the announcements of backend servers.
+package backendhttp
--- /dev/null
+++ b/internal/callerhttp/lookup.go
@@ -0,0 +1,99 @@
+package callerhttp
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"github.com/heatherwood/heatherwood/internal/node"
+	"github.com/heatherwood/heatherwood/internal/plan"
+	"github.com/heatherwood/heatherwood/internal/problem"
+	"github.com/heatherwood/heatherwood/internal/reducer"
+)
+
+// Entries is the answer to a look-up.
+type Entries struct {
+	Entries []string `json:"entries"` // host:port, best first
+	TTL     string   `json:"ttl"`     // how long the answer may be kept
+	Version uint64   `json:"version"` // log index of the document behind it
+}
+
+// Lookup answers GET /v1/entries.
+type Lookup struct{ Node *node.Node }
+
+const (
+	perDomain  = 2 // entries of one failure domain in an answer
+	maxEntries = 6
+)
+
+// ServeHTTP implements http.Handler.
+func (l *Lookup) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	view := l.Node.View()
+	if view == nil || !view.Ready {
+		problem.Write(w, problem.Problem{Status: http.StatusServiceUnavailable, Reason: "starting", Detail: "no steering document is in force yet", RetryAfter: retryWhenStarting})
+		return
+	}
+	query := r.URL.Query()
+	service := view.Table.Service(query.Get("service"))
+	if service < 0 {
+		problem.Write(w, problem.Problem{Status: http.StatusNotFound, Reason: "unknown-service", Detail: "no service has the name in ?service="})
+		return
+	}
+	client, err := clientAddress(query.Get("client"), r.RemoteAddr)
+	if err != nil {
+		problem.Write(w, problem.Problem{Status: http.StatusBadRequest, Reason: "bad-client", Detail: "?client= must be an IP number"})
+		return
+	}
+	l.Node.Metrics.Lookups.Inc()
+	answer := Entries{
+		Entries: choose(view, view.Table.Look(service, client)),
+		TTL:     reducer.LookupTTL.String(),
+		Version: view.Position.Index,
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(answer)
+}
+
+func clientAddress(given, remote string) (netip.Addr, error) {
+	if given != "" {
+		return netip.ParseAddr(given)
+	}
+	host, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return netip.Addr{}, err
+	}
+	return netip.ParseAddr(host)
+}
+
+// choose lists entries of the chosen failure domains, the client's hash
+// deciding among those of one domain, and adds others until two domains are
+// named.
+func choose(view *reducer.View, choice plan.Choice) []string {
+	entries := make([]string, 0, maxEntries)
+	domains := 0
+	add := func(domain reducer.ViewDomain) {
+		n := len(domain.Entries)
+		if n == 0 || !domain.Alive || len(entries) >= maxEntries {
+			return
+		}
+		domains++
+		for i := range min(n, perDomain) {
+			entries = append(entries, domain.Entries[(int(choice.Hash%uint64(n))+i)%n])
+		}
+	}
+	used := make([]bool, len(view.Domains))
+	for _, number := range choice.Domains[:choice.Count] {
+		used[number] = true
+		add(view.Domains[number])
+	}
+	for number, domain := range view.Domains {
+		if domains >= 2 {
+			break
+		}
+		if !used[number] {
+			add(domain)
+		}
+	}
+	return entries
+}
--- /dev/null
+++ b/internal/callerhttp/relay.go
@@ -0,0 +1,423 @@
+package callerhttp
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/heatherwood/heatherwood/internal/ledger"
+	"github.com/heatherwood/heatherwood/internal/node"
+	"github.com/heatherwood/heatherwood/internal/plan"
+	"github.com/heatherwood/heatherwood/internal/problem"
+	"github.com/heatherwood/heatherwood/internal/reducer"
+	"github.com/heatherwood/heatherwood/internal/relay"
+	"github.com/heatherwood/heatherwood/internal/routing"
+	"github.com/heatherwood/heatherwood/pkg/document"
+)
+
+// Bounds on what a caller may send.
+const (
+	prefixBytes       = 64 << 10  // of a body, kept for further tries
+	maxOnceBytes      = 1 << 20   // of the body of a `once` request
+	maxBodyBytes      = 256 << 20 // of any body
+	maxTimeout        = 10 * time.Minute
+	holdAfterDeadline = 5 * time.Second // a claim stays held after the deadline
+	writeGrace        = 30 * time.Second
+	retryWhenStarting = time.Second
+)
+
+// Relay answers callers' requests from backend servers.
+type Relay struct {
+	Node      *node.Node
+	Transport *http.Transport
+}
+
+// NewRelay returns a Relay with a connection pool for each backend server.
+func NewRelay(n *node.Node) *Relay {
+	const (
+		dialTimeout = 2 * time.Second
+		idlePerHost = 64
+	)
+	return &Relay{
+		Node: n,
+		Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: idlePerHost,
+			IdleConnTimeout:     90 * time.Second,
+			DisableCompression:  true,
+		},
+	}
+}
+
+// inbound is a caller's request while it is served.
+type inbound struct {
+	relay    *Relay
+	writer   http.ResponseWriter
+	request  *http.Request
+	base     context.Context // ends when the work is to be cancelled
+	view     *reducer.View
+	service  *document.Service
+	rule     document.Rule
+	id       string
+	deadline time.Time
+	began    time.Time
+	prefix   []byte // first bytes of the body
+	rest     io.Reader
+	whole    bool // prefix is the whole body
+	exchange *node.Exchange
+	outcome  string // for the metrics
+	server   string
+	domain   string
+}
+
+// ServeHTTP implements http.Handler.
+func (l *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	in := &inbound{
+		relay:   l,
+		writer:  w,
+		request: r,
+		view:    l.Node.View(),
+		id:      uuid.NewString(),
+		began:   l.Node.Clock.Now(),
+	}
+	w.Header().Set(problem.HeaderRequest, in.id)
+	if !in.recognise() || !in.readBody() {
+		return
+	}
+	in.base = r.Context()
+	if in.rule.Once {
+		// The operation goes on when its caller hangs up, so that its outcome
+		// is known to the resend.
+		in.base = context.WithoutCancel(in.base)
+	}
+	ctx, cancel := context.WithDeadline(in.base, in.deadline)
+	defer cancel()
+	in.limitTime()
+	in.serve(ctx)
+	in.count()
+}
+
+// limitTime keeps slow callers from holding a connection for ever.
+func (in *inbound) limitTime() {
+	control := http.NewResponseController(in.writer)
+	control.SetReadDeadline(in.deadline)
+	control.SetWriteDeadline(in.deadline.Add(writeGrace))
+}
+
+// Recognises reports whether the request is for a service and not for the
+// system itself.
+func (l *Relay) Recognises(r *http.Request) bool {
+	if r.Header.Get(problem.HeaderService) != "" {
+		return true
+	}
+	view := l.Node.View()
+	return view != nil && view.Document != nil && view.Document.Services.ByHost(r.Host) != nil
+}
+
+func (in *inbound) refuse(status int, reason, detail string, retryAfter time.Duration) {
+	in.outcome = reason
+	problem.Write(in.writer, problem.Problem{
+		Status:     status,
+		Reason:     reason,
+		Detail:     detail,
+		Run:        string(relay.RunNo),
+		RetryAfter: retryAfter,
+	})
+}
+
+// recognise finds the service, the rule and the deadline.
+func (in *inbound) recognise() bool {
+	if in.view == nil || !in.view.Ready {
+		in.refuse(http.StatusServiceUnavailable, "starting", "no steering document is in force yet", retryWhenStarting)
+		return false
+	}
+	services := in.view.Document.Services
+	if name := in.request.Header.Get(problem.HeaderService); name != "" {
+		in.service = services.ByName(name)
+	} else {
+		in.service = services.ByHost(in.request.Host)
+	}
+	if in.service == nil {
+		in.refuse(http.StatusNotFound, "unknown-service", "no service has this name or host", 0)
+		return false
+	}
+	var matched bool
+	in.rule, matched = in.service.Match(in.request.Method, in.request.URL.Path)
+	if !matched {
+		in.refuse(http.StatusNotFound, "no-rule", "no rule of the service fits the method and path", 0)
+		return false
+	}
+	if in.request.Header.Get("Upgrade") != "" {
+		in.refuse(http.StatusNotImplemented, "upgrade", "protocol upgrades are not relayed", 0)
+		return false
+	}
+	return in.findDeadline() && in.checkKey()
+}
+
+func (in *inbound) findDeadline() bool {
+	timeout := in.service.Target.Std()
+	for _, rank := range in.view.Document.Ranks.Ranks {
+		if rank.Name == in.rule.Rank && rank.Target > 0 {
+			timeout = rank.Target.Std()
+		}
+	}
+	if text := in.request.Header.Get(problem.HeaderTimeout); text != "" {
+		given, err := time.ParseDuration(text)
+		if err != nil || given <= 0 || given > maxTimeout {
+			in.refuse(http.StatusBadRequest, "bad-timeout", "Heatherwood-Timeout must be a duration such as 800ms, at most 10m", 0)
+			return false
+		}
+		timeout = given
+	}
+	in.deadline = in.began.Add(timeout)
+	return true
+}
+
+func (in *inbound) checkKey() bool {
+	key := in.request.Header.Get(problem.HeaderKey)
+	switch {
+	case !in.rule.Once:
+		return true
+	case key == "":
+		in.refuse(http.StatusBadRequest, "key-missing", "this operation must not be repeated and needs an Idempotency-Key", 0)
+		return false
+	case len(key) > ledger.MaxKeyBytes || len(in.request.Header.Values(problem.HeaderKey)) > 1:
+		in.refuse(http.StatusBadRequest, "key-invalid", "send one Idempotency-Key of at most 256 bytes", 0)
+		return false
+	}
+	return true
+}
+
+var errTooLarge = errors.New("body is too large")
+
+// readBody reads the start of the body, all of it for a `once` request, whose
+// digest covers the whole.
+func (in *inbound) readBody() bool {
+	limit := int64(prefixBytes)
+	if in.rule.Once {
+		limit = maxOnceBytes
+	}
+	if in.request.ContentLength > maxBodyBytes || (in.rule.Once && in.request.ContentLength > maxOnceBytes) {
+		in.refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body is larger than allowed", 0)
+		return false
+	}
+	if in.request.Body == nil || in.request.ContentLength == 0 {
+		in.whole = true
+		return true
+	}
+	http.NewResponseController(in.writer).SetReadDeadline(in.deadline)
+	prefix, err := io.ReadAll(io.LimitReader(in.request.Body, limit+1))
+	switch {
+	case err != nil:
+		in.refuse(http.StatusBadRequest, "body-cut", "the body ended early", 0)
+		return false
+	case int64(len(prefix)) <= limit:
+		in.prefix, in.whole = prefix, true
+	case in.rule.Once:
+		in.refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body is larger than allowed", 0)
+		return false
+	default:
+		in.prefix, in.rest = prefix, http.MaxBytesReader(in.writer, in.request.Body, maxBodyBytes)
+	}
+	return true
+}
+
+func (in *inbound) relayRequest() *relay.Request {
+	fingerprint := in.digest()
+	request := &relay.Request{
+		ID:          in.id,
+		Service:     in.service.Name,
+		Rank:        in.rankNumber(),
+		Once:        in.rule.Once,
+		Digest:      fingerprint,
+		Fingerprint: fingerprint,
+		Deadline:    in.deadline,
+		Hold:        in.deadline.Sub(in.began) + holdAfterDeadline,
+		Keep:        in.service.Keep.Std(),
+		Holder:      in.relay.Node.Settings.ID,
+		Replayable:  in.whole,
+	}
+	if in.rule.Once {
+		request.Key = ledger.Key{Service: in.service.Name, Key: in.request.Header.Get(problem.HeaderKey)}
+	}
+	return request
+}
+
+func (in *inbound) digest() uint64 {
+	digest := xxhash.New()
+	for _, part := range []string{in.service.Name, in.request.Method, in.request.URL.RequestURI()} {
+		io.WriteString(digest, part)
+		digest.Write([]byte{0})
+	}
+	digest.Write(in.prefix)
+	return digest.Sum64()
+}
+
+func (in *inbound) rankNumber() int {
+	for i, rank := range in.view.Document.Ranks.Order() {
+		if rank.Name == in.rule.Rank {
+			return i
+		}
+	}
+	return len(in.view.Document.Ranks.Ranks) - 1
+}
+
+// foreign reports whether the client's block is placed in another failure
+// domain; addresses outside all blocks are at home everywhere.
+func (in *inbound) foreign() bool {
+	client, err := clientAddress("", in.request.RemoteAddr)
+	if err != nil {
+		return false
+	}
+	table := in.view.Table
+	service := table.Service(in.service.Name)
+	if service < 0 {
+		return false
+	}
+	if place, _ := table.Blocks.Find(client); place == plan.NoPlace {
+		return false
+	}
+	choice := table.Look(service, client)
+	return choice.Count > 0 && table.Domains[choice.Domains[0]] != in.view.Domain
+}
+
+// serve follows the reducer's steps until the caller has an answer.
+func (in *inbound) serve(ctx context.Context) {
+	exchange, step, err := in.relay.Node.Begin(ctx, in.relayRequest(), in.foreign())
+	in.exchange = exchange
+	ended := false
+	defer func() {
+		if !ended {
+			exchange.End(routing.ResultUnused, 0)
+		}
+	}()
+	for err == nil {
+		in.recordClaim(step)
+		switch {
+		case step.Claim != nil:
+			step, err = exchange.Claim(ctx, step.Claim)
+		case step.Wait > 0:
+			step, err = exchange.Wait(ctx, step.Wait)
+		case step.Ask != nil:
+			step, err = exchange.Ask(ctx, *step.Ask)
+		case step.Send != nil:
+			in.server, in.domain = step.Send.Server, step.Send.Domain
+			step, err, ended = in.send(ctx, step.Send)
+			if ended {
+				return
+			}
+		case step.Replay != nil:
+			in.replay(step.Replay)
+			return
+		default:
+			in.fail(step.Refuse)
+			return
+		}
+	}
+	in.abandon(ctx)
+}
+
+// recordClaim settles or releases the claim beside the answer.
+func (in *inbound) recordClaim(step relay.Step) {
+	if step.Settle != nil {
+		in.relay.Node.Record(ledger.Command{Settle: step.Settle})
+	}
+	if step.Free != nil {
+		in.relay.Node.Record(ledger.Command{Release: step.Free})
+	}
+}
+
+// abandon answers a request whose caller hung up or whose deadline passed while
+// nothing was sent.
+func (in *inbound) abandon(ctx context.Context) {
+	if in.rule.Once {
+		key := ledger.Key{Service: in.service.Name, Key: in.request.Header.Get(problem.HeaderKey)}
+		in.relay.Node.Record(ledger.Command{Release: &ledger.Release{Key: key, Attempt: in.id}})
+	}
+	reason, detail := "deadline", "the deadline passed before a slot was free"
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		reason, detail = "cancelled", "the request was cancelled"
+	}
+	in.refuse(http.StatusServiceUnavailable, reason, detail, time.Second)
+}
+
+func (in *inbound) fail(p *relay.Problem) {
+	if p == nil {
+		in.refuse(http.StatusInternalServerError, "internal", "no next step", 0)
+		return
+	}
+	in.outcome = p.Reason
+	problem.Write(in.writer, problem.Problem{
+		Status:     p.Status,
+		Reason:     p.Reason,
+		Detail:     p.Detail,
+		Run:        string(p.Run),
+		RetryAfter: p.RetryAfter,
+	})
+}
+
+func (in *inbound) replay(outcome *ledger.Outcome) {
+	in.outcome = "replayed"
+	header := in.writer.Header()
+	if outcome.ContentType != "" {
+		header.Set("Content-Type", outcome.ContentType)
+	}
+	if outcome.Location != "" {
+		header.Set("Location", outcome.Location)
+	}
+	header.Set("Heatherwood-Replayed", "true")
+	in.writer.WriteHeader(outcome.Status)
+	in.writer.Write(outcome.Body)
+}
+
+func (in *inbound) count() {
+	if in.outcome == "" {
+		in.outcome = "answered"
+	}
+	took := in.relay.Node.Clock.Now().Sub(in.began)
+	in.relay.Node.Metrics.Request(in.service.Name, in.rule.Rank, in.outcome, took)
+	in.relay.Node.Tally(node.TallyKey{
+		Service: in.service.Name,
+		Rank:    in.rule.Rank,
+		Version: in.view.Position.Index,
+		To:      in.domain,
+		Outcome: in.outcome,
+	})
+}
+
+// body returns a reader over the request's body that hides its type: net/http
+// then never sends a request a second time on its own.
+func (in *inbound) body() io.ReadCloser {
+	if in.whole {
+		return io.NopCloser(struct{ io.Reader }{bytes.NewReader(in.prefix)})
+	}
+	return io.NopCloser(struct{ io.Reader }{io.MultiReader(bytes.NewReader(in.prefix), in.rest)})
+}
+
+// hopHeaders are meant for one connection only and not relayed.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = append([]string(nil), values...)
+	}
+	for _, listed := range from.Values("Connection") {
+		for _, name := range strings.Split(listed, ",") {
+			to.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		to.Del(name)
+	}
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,404 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/heatherwood/heatherwood/examples"
+	"github.com/heatherwood/heatherwood/internal/clock"
+	"github.com/heatherwood/heatherwood/internal/entry"
+	"github.com/heatherwood/heatherwood/internal/node"
+	"github.com/heatherwood/heatherwood/internal/settings"
+	"github.com/heatherwood/heatherwood/internal/standin"
+	"github.com/heatherwood/heatherwood/pkg/document"
+	"github.com/heatherwood/heatherwood/pkg/operator"
+)
+
+// Options choose what the demo runs.
+type Options struct {
+	Site    string
+	IP      string // loopback address to listen on
+	Data    string // folder for the control replicas; empty makes one and removes it
+	Servers bool   // start the stand-in backend servers
+	Logger  zerolog.Logger
+}
+
+// Demo is a running site.
+type Demo struct {
+	Options  Options
+	Settings []settings.Settings
+	Entries  []*entry.Server // by VM; nil once killed
+	Backends []*standin.Server
+	Tokens   []Token
+
+	remove string
+}
+
+// Token is the token of a team.
+type Token struct {
+	Team  string `json:"team"`
+	Token string `json:"token"`
+}
+
+// Info describes a running demo for programs.
+type Info struct {
+	Site     string        `json:"site"`
+	Entries  []string      `json:"entries"`
+	Domains  []DomainInfo  `json:"domains"`
+	Tokens   []Token       `json:"tokens"`
+	Backends []BackendInfo `json:"backends"`
+	Services []ServiceInfo `json:"services"`
+	Data     string        `json:"data"`
+}
+
+// DomainInfo names the entries of a failure domain.
+type DomainInfo struct {
+	Name    string   `json:"name"`
+	Region  string   `json:"region"`
+	Entries []string `json:"entries"`
+}
+
+// BackendInfo names a backend server.
+type BackendInfo struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+	Slots   int    `json:"slots"`
+}
+
+// ServiceInfo names a service and its hosts.
+type ServiceInfo struct {
+	Name  string   `json:"name"`
+	Hosts []string `json:"hosts"`
+}
+
+// vmsPerDomain spreads ten VMs over six failure domains.
+var vmsPerDomain = []int{2, 2, 2, 2, 1, 1}
+
+// controlVMs are the VMs with disks: two, two and one in the three regions.
+var controlVMs = map[string]bool{"0-0": true, "1-0": true, "2-0": true, "3-0": true, "4-0": true}
+
+const (
+	siteKey      = "demo key, not a secret"
+	startLimit   = 30 * time.Second
+	pollInterval = 50 * time.Millisecond
+)
+
+// Start runs a site and returns once its document is in force everywhere.
+func Start(ctx context.Context, options Options) (*Demo, error) {
+	d := &Demo{Options: options}
+	texts, err := examples.Texts(options.Site)
+	if err != nil {
+		return nil, fmt.Errorf("site %q: use one of %s", options.Site, strings.Join(examples.Sites(), ", "))
+	}
+	parsed, messages := document.Parse(texts)
+	if err := messages.Err(); err != nil {
+		return nil, err
+	}
+	if err := d.dataFolder(); err != nil {
+		return nil, err
+	}
+	if err := d.makeSettings(parsed); err != nil {
+		return nil, err
+	}
+	for _, own := range d.Settings {
+		vm, err := d.startVM(own)
+		if err != nil {
+			d.Stop()
+			return nil, err
+		}
+		d.Entries = append(d.Entries, vm)
+	}
+	if err := d.load(ctx, texts); err != nil {
+		d.Stop()
+		return nil, err
+	}
+	if options.Servers {
+		if err := d.startServers(parsed); err != nil {
+			d.Stop()
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+func (d *Demo) dataFolder() error {
+	if d.Options.Data != "" {
+		return nil
+	}
+	folder, err := os.MkdirTemp("", "heatherwood-demo-")
+	if err != nil {
+		return fmt.Errorf("make data folder: %w", err)
+	}
+	d.Options.Data, d.remove = folder, folder
+	return nil
+}
+
+// makeSettings lays out the VMs on free ports.
+func (d *Demo) makeSettings(parsed *document.Document) error {
+	if d.Options.IP == "" {
+		d.Options.IP = "127.0.0.1"
+	}
+	var replicas []settings.Replica
+	var seeds []string
+	for i, domain := range parsed.Places.Domains {
+		for j := range vmsPerDomain[i%len(vmsPerDomain)] {
+			ports, err := freePorts(d.Options.IP, 2)
+			if err != nil {
+				return err
+			}
+			own := settings.Settings{
+				ID:     fmt.Sprintf("%s-%d", domain.Name, j+1),
+				Domain: domain.Name,
+				Region: domain.Region,
+				Entry:  ports[0],
+				Peer:   ports[1],
+				Key:    siteKey,
+			}
+			if controlVMs[fmt.Sprintf("%d-%d", i, j)] {
+				own.Data = filepath.Join(d.Options.Data, own.ID)
+				replicas = append(replicas, settings.Replica{ID: own.ID, Peer: own.Peer})
+			}
+			seeds = append(seeds, own.Peer)
+			d.Settings = append(d.Settings, own)
+		}
+	}
+	operators := d.operators()
+	for i := range d.Settings {
+		d.Settings[i].Seeds = seeds
+		d.Settings[i].Replicas = replicas
+		d.Settings[i].Operators = operators
+		if err := d.Settings[i].Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Demo) operators() []settings.Operator {
+	var operators []settings.Operator
+	for _, section := range document.Sections() {
+		team := string(section) + "-team"
+		token := "demo-token-of-" + team
+		d.Tokens = append(d.Tokens, Token{Team: team, Token: token})
+		operators = append(operators, settings.Operator{Team: team, Token: token, Sections: []string{string(section)}})
+	}
+	return operators
+}
+
+// freePorts finds ports that are free now.
+func freePorts(ip string, n int) ([]string, error) {
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, fmt.Errorf("find a free port: %w", err)
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+func (d *Demo) startVM(own settings.Settings) (*entry.Server, error) {
+	n, err := node.New(own, clock.System{}, d.Options.Logger)
+	if err != nil {
+		return nil, err
+	}
+	if err := n.Start(); err != nil {
+		return nil, err
+	}
+	server := entry.New(n)
+	go server.Serve()
+	return server, nil
+}
+
+// Kill ends a VM at once; Restart starts it again.
+func (d *Demo) Kill(vm int) {
+	d.Entries[vm].Kill()
+	d.Entries[vm] = nil
+}
+
+// Restart starts a killed VM again on its old data folder.
+func (d *Demo) Restart(vm int) error {
+	server, err := d.startVM(d.Settings[vm])
+	if err != nil {
+		return err
+	}
+	d.Entries[vm] = server
+	return nil
+}
+
+// load writes the example sections and waits until all VMs have them.
+func (d *Demo) load(ctx context.Context, texts document.Texts) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	order := []document.Section{document.SectionPlaces, document.SectionRanks, document.SectionServices, document.SectionStops}
+	for _, section := range order {
+		client := operator.Client{Address: d.Settings[0].Entry, Token: d.Token(section)}
+		if err := putUntilAccepted(ctx, client, section, texts[section].Bytes); err != nil {
+			return fmt.Errorf("write section %s: %w", section, err)
+		}
+	}
+	for _, vm := range d.Entries {
+		for {
+			view := vm.Node.View()
+			if view != nil && view.Ready && view.Versions.Stops > 0 {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("document not in force on %s: %w", vm.Node.Settings.ID, ctx.Err())
+			case <-time.After(pollInterval):
+			}
+		}
+	}
+	return nil
+}
+
+func putUntilAccepted(ctx context.Context, client operator.Client, section document.Section, text []byte) error {
+	for {
+		_, err := client.Put(ctx, section, operator.Change{Base: 0, ID: "demo-" + string(section), Text: text})
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		if problem, found := operator.AsProblem(err); found && !problem.Temporary() {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// Token returns the token of the team that owns a section.
+func (d *Demo) Token(section document.Section) string {
+	for _, token := range d.Tokens {
+		if token.Team == string(section)+"-team" {
+			return token.Token
+		}
+	}
+	return ""
+}
+
+// fleet is how many backend servers a service of the brief has.
+type fleet struct {
+	servers int
+	slots   int
+	delay   time.Duration
+}
+
+var fleets = map[string]fleet{
+	"proofs":       {servers: 16, slots: 6, delay: 30 * time.Millisecond},
+	"approvals":    {servers: 12, slots: 4, delay: 40 * time.Millisecond},
+	"catalogue":    {servers: 20, slots: 5, delay: 40 * time.Millisecond},
+	"reservations": {servers: 12, slots: 3, delay: 50 * time.Millisecond},
+	"payments":     {servers: 12, slots: 3, delay: 60 * time.Millisecond},
+}
+
+func (d *Demo) startServers(parsed *document.Document) error {
+	domains := parsed.Places.Domains
+	for _, service := range parsed.Services.Services {
+		size := fleets[service.Name]
+		for i := range size.servers {
+			domain := domains[i%len(domains)]
+			server, err := standin.Start(d.Options.IP, standin.Settings{
+				ID:      fmt.Sprintf("%s-%02d", service.Name, i+1),
+				Service: service.Name,
+				Slots:   size.slots,
+				Delay:   size.delay,
+				Entries: d.entriesOf(domain.Name),
+			})
+			if err != nil {
+				return err
+			}
+			d.Backends = append(d.Backends, server)
+		}
+	}
+	return nil
+}
+
+func (d *Demo) entriesOf(domain string) []string {
+	var entries []string
+	for _, own := range d.Settings {
+		if own.Domain == domain {
+			entries = append(entries, own.Entry)
+		}
+	}
+	return entries
+}
+
+// Info describes the running demo.
+func (d *Demo) Info() Info {
+	info := Info{Site: d.Options.Site, Tokens: d.Tokens, Data: d.Options.Data}
+	for _, own := range d.Settings {
+		info.Entries = append(info.Entries, own.Entry)
+		if last := len(info.Domains) - 1; last >= 0 && info.Domains[last].Name == own.Domain {
+			info.Domains[last].Entries = append(info.Domains[last].Entries, own.Entry)
+			continue
+		}
+		info.Domains = append(info.Domains, DomainInfo{Name: own.Domain, Region: own.Region, Entries: []string{own.Entry}})
+	}
+	for i, server := range d.Backends {
+		info.Backends = append(info.Backends, BackendInfo{
+			ID:      server.Settings.ID,
+			Service: server.Settings.Service,
+			Address: server.Address,
+			Domain:  d.domainOf(server.Settings.Entries),
+			Slots:   d.Backends[i].Settings.Slots,
+		})
+	}
+	for _, vm := range d.Entries {
+		if view := vm.Node.View(); view != nil && view.Document != nil {
+			for _, service := range view.Document.Services.Services {
+				info.Services = append(info.Services, ServiceInfo{Name: service.Name, Hosts: service.Hosts})
+			}
+			break
+		}
+	}
+	return info
+}
+
+func (d *Demo) domainOf(entries []string) string {
+	for _, own := range d.Settings {
+		if len(entries) > 0 && own.Entry == entries[0] {
+			return own.Domain
+		}
+	}
+	return ""
+}
+
+// Stop ends all servers and VMs.
+func (d *Demo) Stop() {
+	for _, server := range d.Backends {
+		server.Kill()
+	}
+	done := make(chan struct{})
+	running := 0
+	for _, vm := range d.Entries {
+		if vm == nil {
+			continue
+		}
+		running++
+		go func() {
+			vm.Kill()
+			done <- struct{}{}
+		}()
+	}
+	for range running {
+		<-done
+	}
+	if d.remove != "" {
+		os.RemoveAll(d.remove)
+	}
+}
--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -105,6 +105,7 @@
 	want := Want{
 		Service: p.Policy.Service,
 		Lessee:  p.VM,
+		Peer:    p.Peer,
 		Domain:  p.Domain,
 		Region:  p.Region,
 		Sent:    b.sent,
--- a/internal/dispatch/loan.go
+++ b/internal/dispatch/loan.go
@@ -20,6 +20,7 @@
 // loan is what one lessee may use of this pool.
 type loan struct {
 	lessee   string
+	peer     string
 	domain   string
 	sequence uint64
 	until    time.Time // end of the reservation
@@ -46,7 +47,7 @@
 // nor part of the headroom, server by server.
 func (p *Pool) Lend(want Want, limit int, now time.Time) []Effect {
 	l := p.loanOf(want.Lessee)
-	l.domain = want.Domain
+	l.domain, l.peer = want.Domain, want.Peer
 	p.confirm(l, want)
 	before := l.grantedSlots()
 	p.regrant(l, min(want.Slots, limit), now)
@@ -54,7 +55,7 @@
 	reserve := time.Duration(float64(loanTTL)*reserveFactor) + p.Policy.Target
 	l.until = now.Add(reserve)
 	p.countLent()
-	p.emit(SendLoan{To: want.Lessee, Loan: p.loanMessage(l, want)})
+	p.emit(SendLoan{Peer: want.Peer, Loan: p.loanMessage(l, want)})
 	if after := l.grantedSlots(); after != before {
 		p.noteLease(l, after)
 	}
@@ -241,7 +242,7 @@
 			}
 			l.slots[j].granted = 0
 			l.sequence++
-			p.emit(SendLoan{To: l.lessee, Loan: p.loanMessage(l, Want{})})
+			p.emit(SendLoan{Peer: l.peer, Loan: p.loanMessage(l, Want{})})
 		}
 	}
 }
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -68,6 +68,7 @@
 type Want struct {
 	Service string
 	Lessee  string // VM that will use the slots
+	Peer    string // its host:port for calls between VMs
 	Domain  string // its failure domain
 	Region  string
 	Sent    uint64 // sequence of this message
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -12,16 +12,16 @@
 
 // Policy is what the steering document says about one service.
 type Policy struct {
-	Service     string
-	Ranks       []admission.Rank
-	QueuePerAll int     // waiting requests per slot and rank
-	Headroom    float64 // share of the own slots that is never lent
-	Cap         float64 // share of the traffic that may move per Interval
-	Interval    time.Duration
-	Warm        time.Duration
-	Target      time.Duration // longest time of one request
-	Shed        []int
-	Bytes       int64 // of a typical answer
+	Service      string
+	Ranks        []admission.Rank
+	QueuePerSlot int     // waiting requests per slot and rank
+	Headroom     float64 // share of the own slots that is never lent
+	Cap          float64 // share of the traffic that may move per Interval
+	Interval     time.Duration
+	Warm         time.Duration
+	Target       time.Duration // longest time of one request
+	Shed         []int
+	Bytes        int64 // of a typical answer
 }
 
 // Effect is what must follow from an event.
@@ -42,7 +42,7 @@
 
 // SendLoan answers a Want.
 type SendLoan struct {
-	To   string // VM
+	Peer string // host:port
 	Loan Loan
 }
 
@@ -98,10 +98,8 @@
 
 // Pool is the owner's state for one service.
 type Pool struct {
+	Place
 	Policy     Policy
-	VM         string
-	Domain     string
-	Region     string
 	Routing    routing.Pool
 	Queue      *admission.Queue
 	Quarantine *quarantine.Table // shared by the pools of a VM
@@ -143,13 +141,19 @@
 	Spare  int // slots it says it could lend
 }
 
+// Place is where a pool runs.
+type Place struct {
+	VM     string
+	Peer   string // host:port for calls between VMs
+	Domain string
+	Region string
+}
+
 // NewPool returns the pool of a service; ticketBase makes tickets unique over
 // restarts.
-func NewPool(policy Policy, vm, domain, region string, table *quarantine.Table, ticketBase uint64) *Pool {
+func NewPool(policy Policy, place Place, table *quarantine.Table, ticketBase uint64) *Pool {
 	p := &Pool{
-		VM:         vm,
-		Domain:     domain,
-		Region:     region,
+		Place:      place,
 		Quarantine: table,
 		Queue:      admission.New(policy.Ranks, 1),
 		asks:       make(map[uint64]waiting),
@@ -157,7 +161,7 @@
 		tickets:    make(map[uint64]*ticket),
 		nextTicket: ticketBase,
 	}
-	p.Routing.Domain = domain
+	p.Routing.Domain = place.Domain
 	p.Configure(policy)
 	return p
 }
@@ -174,7 +178,7 @@
 }
 
 func (p *Pool) limitQueue() {
-	limit := max(minQueue, p.Policy.QueuePerAll*p.Routing.Capacity())
+	limit := max(minQueue, p.Policy.QueuePerSlot*p.Routing.Capacity())
 	p.Queue.Configure(p.Policy.Ranks, limit)
 }
 
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"github.com/heatherwood/heatherwood/internal/backendhttp"
+	"github.com/heatherwood/heatherwood/internal/callerhttp"
+	"github.com/heatherwood/heatherwood/internal/node"
+	"github.com/heatherwood/heatherwood/internal/operatorhttp"
+)
+
+// Bounds on connections and headers.
+const (
+	maxHeaderBytes = 32 << 10
+	headerTimeout  = 5 * time.Second
+	idleTimeout    = 90 * time.Second
+	maxConnections = 20_000
+)
+
+// Server is the HTTP side of a VM.
+type Server struct {
+	Node  *node.Node
+	http  *http.Server
+	relay *callerhttp.Relay
+}
+
+// New returns the HTTP side of a VM.
+func New(n *node.Node) *Server {
+	s := &Server{Node: n, relay: callerhttp.NewRelay(n)}
+	s.http = &http.Server{
+		Handler:           s.handler(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	return s
+}
+
+// handler sends a request for a service to the relay, and all else to the
+// system's own paths.
+func (s *Server) handler() http.Handler {
+	lookup := &callerhttp.Lookup{Node: s.Node}
+	backends := &backendhttp.Handler{Node: s.Node}
+	operators := operatorhttp.New(s.Node)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch path := r.URL.Path; {
+		case s.relay.Recognises(r):
+			s.relay.ServeHTTP(w, r)
+		case path == "/v1/entries" && r.Method == http.MethodGet:
+			lookup.ServeHTTP(w, r)
+		case strings.HasPrefix(path, backendhttp.Prefix):
+			backends.ServeHTTP(w, r)
+		case strings.HasPrefix(path, "/v1/") || path == "/metrics":
+			operators.ServeHTTP(w, r)
+		default:
+			s.relay.ServeHTTP(w, r)
+		}
+	})
+}
+
+// Serve listens and answers until Stop; it returns nil after Stop.
+func (s *Server) Serve() error {
+	listener, err := net.Listen("tcp", s.Node.Settings.Entry)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	err = s.http.Serve(netutil.LimitListener(listener, maxConnections))
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Stop ends the VM: it waits for running requests as long as the context lasts.
+func (s *Server) Stop(ctx context.Context) {
+	s.http.Shutdown(ctx)
+	s.http.Close()
+	s.relay.Transport.CloseIdleConnections()
+	s.Node.Stop()
+}
+
+// Kill ends the VM at once, cutting off whatever runs.
+func (s *Server) Kill() {
+	s.http.Close()
+	s.Node.Stop()
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -383,11 +383,12 @@
 	}
 }
 
-// Unreachable notes that a connection to the VM was refused.
-func (s *State) Unreachable(id string) {
-	at, found := slices.BinarySearchFunc(s.records, id, compareRecord)
-	if found {
-		s.records[at].unreachable = true
+// Unreachable notes that a peer address refused a connection.
+func (s *State) Unreachable(peer string) {
+	for i := range s.records {
+		if s.records[i].Peer == peer {
+			s.records[i].unreachable = true
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/node/exchange.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/heatherwood/heatherwood/internal/dispatch"
+	"github.com/heatherwood/heatherwood/internal/ledger"
+	"github.com/heatherwood/heatherwood/internal/peerrpc"
+	"github.com/heatherwood/heatherwood/internal/reducer"
+	"github.com/heatherwood/heatherwood/internal/relay"
+	"github.com/heatherwood/heatherwood/internal/routing"
+)
+
+// Exchange is one caller's request in the hands of the shell: each report
+// returns the next step.
+type Exchange struct {
+	node    *Node
+	call    uint64
+	channel chan any
+}
+
+// Begin hands a request to the reducer.
+func (n *Node) Begin(ctx context.Context, request *relay.Request, foreign bool) (*Exchange, relay.Step, error) {
+	x := &Exchange{node: n}
+	x.call, x.channel = n.calls.open()
+	step, err := x.report(ctx, reducer.RequestBegan{Call: x.call, Request: request, Foreign: foreign})
+	return x, step, err
+}
+
+func (x *Exchange) report(ctx context.Context, event reducer.Event) (relay.Step, error) {
+	x.node.Apply(event)
+	return await[relay.Step](ctx, x.node, x.channel)
+}
+
+// Claim proposes the claim and reports the answer.
+func (x *Exchange) Claim(ctx context.Context, claim *ledger.Claim) (relay.Step, error) {
+	answer, err := x.node.Propose(ctx, ledger.Command{Claim: claim})
+	event := reducer.RequestClaimed{Call: x.call, Err: err}
+	if err == nil {
+		event.Result = answer.Result.Claim
+	}
+	return x.report(context.WithoutCancel(ctx), event)
+}
+
+// Wait lets time pass.
+func (x *Exchange) Wait(ctx context.Context, wait time.Duration) (relay.Step, error) {
+	select {
+	case <-x.node.Clock.After(wait):
+	case <-ctx.Done():
+		return relay.Step{}, ctx.Err()
+	}
+	return x.report(ctx, reducer.RequestWaited{Call: x.call})
+}
+
+// Ask asks the owner of the service on another VM.
+func (x *Exchange) Ask(ctx context.Context, request dispatch.Ask) (relay.Step, error) {
+	owner := reducer.Owner{}
+	if view := x.node.View(); view != nil {
+		owner, _ = view.OwnerOf(request.Service)
+	}
+	event := reducer.RequestAsked{Call: x.call}
+	switch {
+	case owner.VM == "":
+		event.Answer.Denial = &dispatch.Denial{Reason: dispatch.ReasonNoService}
+	case owner.Peer == "":
+		event.Answer.Denial = &dispatch.Denial{Reason: dispatch.ReasonNotOwner}
+	default:
+		event.Err = x.node.Network.Call(ctx, owner.Peer, "Ask", &peerrpc.AskArgs{Ask: request}, &event.Answer)
+	}
+	if event.Err != nil && ctx.Err() != nil {
+		x.node.Network.Send(owner.Peer, reducer.Message{Cancel: &reducer.CancelAsk{
+			Service: request.Service,
+			From:    request.From,
+			Ask:     request.ID,
+		}})
+		return relay.Step{}, ctx.Err()
+	}
+	return x.report(ctx, event)
+}
+
+// Sent reports the head of an answer or a failed send.
+func (x *Exchange) Sent(ctx context.Context, result routing.Result, latency time.Duration) (relay.Step, error) {
+	return x.report(ctx, reducer.RequestSent{Call: x.call, Result: result, Latency: latency})
+}
+
+// End tells that the exchange is over; the result counts when an answer was
+// streamed.
+func (x *Exchange) End(result routing.Result, latency time.Duration) {
+	x.node.Apply(reducer.RequestEnded{Call: x.call, Result: result, Latency: latency})
+	x.node.calls.close(x.call)
+}
+
+const settleLimit = 30 * time.Second
+
+// Record settles or releases a claim in the background, trying until it is
+// replicated or the claim would be unknown anyway.
+func (n *Node) Record(command ledger.Command) {
+	n.run(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleLimit)
+		defer cancel()
+		if _, err := n.Propose(ctx, command); err != nil {
+			n.logEvent(reducer.Log{Code: reducer.CodeClaimLeftOver, Detail: err.Error()})
+		}
+	})
+}
+
+// Announce takes a backend server's announcement and passes it on to the owner
+// of the service where that is another VM.
+func (n *Node) Announce(ctx context.Context, announcement routing.Announcement, gone bool) (reducer.Announcement, error) {
+	answer, err := ask[reducer.Announcement](ctx, n, func(call uint64) reducer.Event {
+		return reducer.Announced{Call: call, Announcement: announcement, Gone: gone}
+	})
+	if err != nil || answer.Forward == "" {
+		return answer, err
+	}
+	args := &peerrpc.AnnounceArgs{Announcement: announcement, Gone: gone}
+	var forwarded reducer.Announcement
+	if err := n.Network.Call(ctx, answer.Forward, "Announce", args, &forwarded); err != nil {
+		return reducer.Announcement{}, err
+	}
+	return forwarded, nil
+}
+
+// Status returns the status of this VM.
+func (n *Node) Status(ctx context.Context) (reducer.Status, error) {
+	return ask[reducer.Status](ctx, n, func(call uint64) reducer.Event { return reducer.StatusAsked{Call: call} })
+}
--- /dev/null
+++ b/internal/node/tally.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/heatherwood/heatherwood/internal/reducer"
+)
+
+// TallyKey groups finished requests for the audit trail.
+type TallyKey struct {
+	Service string
+	Rank    string
+	Version uint64 // log index of the document that was used
+	To      string // failure domain of the backend server, or empty
+	Outcome string
+}
+
+// tallies counts finished requests of the present second.
+type tallies struct {
+	mutex  sync.Mutex
+	counts map[TallyKey]int64
+}
+
+func (t *tallies) add(key TallyKey) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.counts == nil {
+		t.counts = make(map[TallyKey]int64)
+	}
+	t.counts[key]++
+}
+
+// take returns the counts as audit records in a fixed order, and starts anew.
+func (t *tallies) take(from string) []reducer.Audit {
+	t.mutex.Lock()
+	counts := t.counts
+	t.counts = nil
+	t.mutex.Unlock()
+	records := make([]reducer.Audit, 0, len(counts))
+	for key, count := range counts {
+		records = append(records, reducer.Audit{
+			Kind:     reducer.AuditTally,
+			Service:  key.Service,
+			Rank:     key.Rank,
+			Position: key.Version,
+			From:     from,
+			To:       key.To,
+			Outcome:  key.Outcome,
+			Count:    count,
+		})
+	}
+	slices.SortFunc(records, func(a, b reducer.Audit) int {
+		return cmp.Or(
+			cmp.Compare(a.Service, b.Service),
+			cmp.Compare(a.Rank, b.Rank),
+			cmp.Compare(a.To, b.To),
+			cmp.Compare(a.Outcome, b.Outcome),
+			cmp.Compare(a.Position, b.Position),
+		)
+	})
+	return records
+}
+
+// Tally counts a finished request.
+func (n *Node) Tally(key TallyKey) { n.tallies.add(key) }
--- /dev/null
+++ b/internal/problem/doc.go
@@ -0,0 +1,2 @@
+// Package problem writes refusals as application/problem+json.
+package problem
--- /dev/null
+++ b/internal/reducer/code.go
@@ -0,0 +1,83 @@
+package reducer
+
+// Code numbers a log event; docs/EVENTS.md is the catalogue.
+type Code int
+
+// The log events.
+const (
+	CodeStarted          Code = 1001
+	CodeStopping         Code = 1002
+	CodeRoleChanged      Code = 1003
+	CodeDocumentInForce  Code = 1004
+	CodeDocumentInvalid  Code = 1005
+	CodeDocumentStale    Code = 1006
+	CodeDocumentFresh    Code = 1007
+	CodeVMDied           Code = 1008
+	CodeOwnerChanged     Code = 1009
+	CodeDiskFailed       Code = 1010
+	CodeServerNew        Code = 1011
+	CodeServerDrained    Code = 1012
+	CodeFingerprint      Code = 1013
+	CodeStalled          Code = 1014
+	CodeChangeAccepted   Code = 1015
+	CodeChangeRefused    Code = 1016
+	CodeSnapshot         Code = 1017
+	CodeReplicaChanged   Code = 1018
+	CodePeerRefused      Code = 1019
+	CodeListenerFailed   Code = 1020
+	CodeAuditFailed      Code = 1021
+	CodeAuditShipped     Code = 1022
+	CodeDomainSilent     Code = 1023
+	CodeDomainHeard      Code = 1024
+	CodeClaimLeftOver    Code = 1025
+	CodePanicRecovered   Code = 1026
+	CodeSettingsRejected Code = 1027
+)
+
+// CodeInfo is the catalogue entry of a code.
+type CodeInfo struct {
+	Code  Code
+	Level string
+	Text  string
+}
+
+// Codes is the catalogue in rising order.
+var Codes = []CodeInfo{
+	{CodeStarted, "info", "VM started"},
+	{CodeStopping, "info", "VM is stopping"},
+	{CodeRoleChanged, "info", "control replica changed its role"},
+	{CodeDocumentInForce, "info", "steering document is in force"},
+	{CodeDocumentInvalid, "error", "steering document does not parse here"},
+	{CodeDocumentStale, "warn", "steering document may be old: no word from the control leader"},
+	{CodeDocumentFresh, "info", "word from the control leader again"},
+	{CodeVMDied, "warn", "VM of this failure domain is dead or restarted"},
+	{CodeOwnerChanged, "info", "service has a new owner in this failure domain"},
+	{CodeDiskFailed, "error", "data folder failed; this replica acknowledges nothing more"},
+	{CodeServerNew, "info", "backend server announced itself"},
+	{CodeServerDrained, "info", "backend server that stopped taking work runs nothing"},
+	{CodeFingerprint, "warn", "request is suspected or quarantined for crashing backend servers"},
+	{CodeStalled, "warn", "VM stood still; its servers must announce themselves again"},
+	{CodeChangeAccepted, "info", "change of a section accepted"},
+	{CodeChangeRefused, "warn", "change of a section refused"},
+	{CodeSnapshot, "info", "snapshot of the control state taken or installed"},
+	{CodeReplicaChanged, "info", "set of control replicas changed"},
+	{CodePeerRefused, "warn", "call of a peer refused"},
+	{CodeListenerFailed, "error", "listener failed"},
+	{CodeAuditFailed, "error", "audit trail could not be written"},
+	{CodeAuditShipped, "warn", "audit records were dropped before they could be shipped"},
+	{CodeDomainSilent, "warn", "no word from a failure domain"},
+	{CodeDomainHeard, "info", "word from a failure domain again"},
+	{CodeClaimLeftOver, "warn", "claim could not be settled or released"},
+	{CodePanicRecovered, "error", "handler failed unexpectedly"},
+	{CodeSettingsRejected, "error", "settings do not fit"},
+}
+
+// Info returns the catalogue entry of a code.
+func (c Code) Info() CodeInfo {
+	for _, info := range Codes {
+		if info.Code == c {
+			return info
+		}
+	}
+	return CodeInfo{Code: c, Level: "error", Text: "event without a catalogue entry"}
+}
--- /dev/null
+++ b/internal/reducer/control.go
@@ -0,0 +1,313 @@
+package reducer
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/heatherwood/heatherwood/internal/ledger"
+	"github.com/heatherwood/heatherwood/internal/quorum"
+)
+
+// Snapshots are taken when the log outgrows both of these.
+const (
+	minLogBytes      = 8 << 20
+	snapshotMultiple = 2 // times the size of the last snapshot
+	entryOverhead    = 64
+)
+
+const beatInterval = time.Second
+
+func (s *State) propose(e Propose) {
+	if s.quorum == nil {
+		s.emit(Answer{Call: e.Call, Value: Proposed{Refused: quorum.RefuseNotLeader, Leader: s.leader}})
+		return
+	}
+	e.Command.At = s.now
+	data, err := ledger.Encode(e.Command)
+	if err != nil {
+		s.emit(Answer{Call: e.Call, Value: Proposed{Refused: quorum.RefuseConfigInvalid}})
+		return
+	}
+	s.fromQuorum(s.quorum.Propose(e.Call, data, s.now))
+}
+
+func (s *State) changeReplica(e ChangeReplica) {
+	if s.quorum == nil {
+		s.emit(Answer{Call: e.Call, Value: Proposed{Refused: quorum.RefuseNotLeader, Leader: s.leader}})
+		return
+	}
+	s.fromQuorum(s.quorum.ProposeChange(e.Call, e.Change, s.now))
+}
+
+func (s *State) readSection(e ReadSection) {
+	if s.quorum == nil {
+		s.emit(Answer{Call: e.Call, Value: SectionRead{Refused: quorum.RefuseNotLeader, Leader: s.leader}})
+		return
+	}
+	s.reads[e.Call] = pendingRead{call: e.Call, section: e.Section}
+	s.fromQuorum(s.quorum.Read(e.Call, s.now))
+}
+
+// fromQuorum turns the quorum's effects into the VM's.
+func (s *State) fromQuorum(effects []quorum.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case quorum.Save:
+			s.emit(SaveLog{Save: e})
+		case quorum.Send:
+			s.sendQuorum(e.Message)
+		case quorum.Apply:
+			s.applyEntry(e.Entry)
+		case quorum.Restore:
+			s.restore(e.Snapshot)
+		case quorum.Appended:
+			s.pending[e.Index] = pendingProposal{call: e.Proposal, term: e.Term}
+		case quorum.Refused:
+			s.refused(e)
+		case quorum.ReadReady:
+			s.readReady(e)
+		case quorum.RoleChanged:
+			s.roleChanged(e)
+		}
+	}
+}
+
+// PeerOf returns the peer address of a control replica.
+func (s *State) PeerOf(id quorum.ID) string {
+	for _, book := range [][]quorum.Replica{s.quorum.Config().Members(), s.leader.Replicas, s.Settings.Replicas} {
+		for _, replica := range book {
+			if replica.ID == id {
+				return replica.Address
+			}
+		}
+	}
+	return ""
+}
+
+func (s *State) sendQuorum(m quorum.Message) {
+	s.transmit(s.PeerOf(m.To), Message{Quorum: &m})
+}
+
+func (s *State) applyEntry(entry quorum.Entry) {
+	s.logBytes += len(entry.Data) + entryOverhead
+	position := ledger.Position{Term: entry.Term, Index: entry.Index}
+	var result ledger.Result
+	switch entry.Kind {
+	case quorum.EntryData:
+		result = s.applyCommand(position, entry.Data)
+	case quorum.EntryConfig:
+		s.log(CodeReplicaChanged, replicaNames(entry.Config), int64(len(entry.Config.Voters)))
+		s.record(Audit{Kind: AuditMember, Outcome: "replicas", To: replicaNames(entry.Config), Position: entry.Index})
+	}
+	s.answerProposal(position, result)
+	s.maybeCompact()
+}
+
+func replicaNames(config quorum.Config) string {
+	text := ""
+	for _, replica := range config.Voters {
+		text += string(replica.ID) + " "
+	}
+	for _, replica := range config.Learners {
+		text += string(replica.ID) + "(learner) "
+	}
+	return text
+}
+
+func (s *State) applyCommand(position ledger.Position, data []byte) ledger.Result {
+	command, err := ledger.Decode(data)
+	if err != nil {
+		// Only a leader of another version could have written it.
+		s.log(CodeDocumentInvalid, err.Error(), 0)
+		return ledger.Result{}
+	}
+	result := s.ledger.Apply(position, command)
+	if command.Put != nil {
+		s.noteChange(command.Put, result.Put, position)
+		if result.Put.Code == ledger.PutAccepted && !result.Put.Replayed {
+			s.changed(command.Put.Section)
+		}
+	}
+	if command.Anchor != nil {
+		s.record(Audit{
+			Kind:     AuditAnchor,
+			From:     command.Anchor.VM,
+			Version:  command.Anchor.Sequence,
+			Hash:     command.Anchor.Hash,
+			Position: position.Index,
+			Term:     position.Term,
+		})
+	}
+	s.noteClaim(command, result, position)
+	return result
+}
+
+func (s *State) noteChange(put *ledger.Put, result *ledger.PutResult, position ledger.Position) {
+	outcomes := map[ledger.PutCode]string{
+		ledger.PutAccepted: "accepted",
+		ledger.PutConflict: "version-conflict",
+		ledger.PutReused:   "change-id-reused",
+		ledger.PutRecheck:  "recheck",
+	}
+	outcome := outcomes[result.Code]
+	if result.Replayed {
+		outcome = "replayed"
+	}
+	s.record(Audit{
+		Kind:     AuditChange,
+		Team:     put.Team,
+		Section:  string(put.Section),
+		Version:  result.Version,
+		ChangeID: put.ChangeID,
+		Outcome:  outcome,
+		Position: position.Index,
+		Term:     position.Term,
+	})
+	if result.Code == ledger.PutAccepted {
+		s.log(CodeChangeAccepted, string(put.Section), int64(result.Version))
+		return
+	}
+	s.log(CodeChangeRefused, string(put.Section)+" "+outcome, int64(result.Version))
+}
+
+func (s *State) noteClaim(command ledger.Command, result ledger.Result, position ledger.Position) {
+	entry := Audit{Kind: AuditClaim, Position: position.Index, Term: position.Term}
+	switch {
+	case command.Claim != nil:
+		if result.Claim.Code == ledger.ClaimRunning {
+			return
+		}
+		entry.Service, entry.Key = command.Claim.Key.Service, command.Claim.Key.Key
+		entry.Request, entry.From = command.Claim.Attempt, command.Claim.Holder
+		entry.Outcome = claimOutcome(result.Claim.Code)
+	case command.Release != nil:
+		entry.Service, entry.Key = command.Release.Key.Service, command.Release.Key.Key
+		entry.Request, entry.Outcome = command.Release.Attempt, "released"
+	case command.Settle != nil:
+		entry.Service, entry.Key = command.Settle.Key.Service, command.Settle.Key.Key
+		entry.Request, entry.Outcome = command.Settle.Attempt, "settled"
+		entry.Count = int64(command.Settle.Outcome.Status)
+		if command.Settle.Outcome.Unknown {
+			entry.Outcome = "unknown"
+		}
+	default:
+		return
+	}
+	s.record(entry)
+}
+
+func claimOutcome(code ledger.ClaimCode) string {
+	switch code {
+	case ledger.ClaimGranted:
+		return "granted"
+	case ledger.ClaimStored:
+		return "stored"
+	case ledger.ClaimLost:
+		return "lost"
+	case ledger.ClaimMismatch:
+		return "mismatch"
+	case ledger.ClaimFull:
+		return "full"
+	default:
+		return "stale"
+	}
+}
+
+func (s *State) answerProposal(position ledger.Position, result ledger.Result) {
+	waiting, found := s.pending[position.Index]
+	if !found {
+		return
+	}
+	delete(s.pending, position.Index)
+	answer := Proposed{Result: result, Position: position, Leader: s.leader}
+	answer.Lost = waiting.term != position.Term
+	s.emit(Answer{Call: waiting.call, Value: answer})
+}
+
+func (s *State) refused(e quorum.Refused) {
+	if read, found := s.reads[e.Proposal]; found {
+		delete(s.reads, e.Proposal)
+		s.emit(Answer{Call: read.call, Value: SectionRead{Refused: e.Reason, Leader: s.leader}})
+		return
+	}
+	s.emit(Answer{Call: e.Proposal, Value: Proposed{Refused: e.Reason, Leader: s.leader}})
+}
+
+func (s *State) readReady(e quorum.ReadReady) {
+	read, found := s.reads[e.Read]
+	if !found {
+		return
+	}
+	delete(s.reads, e.Read)
+	section, _ := s.ledger.Section(read.section)
+	s.emit(Answer{Call: read.call, Value: SectionRead{Section: section, Document: s.ledger.Document, Leader: s.leader}})
+}
+
+// roleChanged answers what was proposed under a lost leadership: it may still
+// commit under another leader, so the caller must ask again.
+func (s *State) roleChanged(e quorum.RoleChanged) {
+	s.log(CodeRoleChanged, e.Role.String(), int64(e.Term))
+	if e.Role == quorum.RoleLeader {
+		s.beatDue = s.now
+		return
+	}
+	for _, index := range slices.Sorted(maps.Keys(s.pending)) {
+		s.emit(Answer{Call: s.pending[index].call, Value: Proposed{Lost: true, Leader: s.leader}})
+	}
+	s.pending = make(map[uint64]pendingProposal)
+}
+
+// beat tells all VMs through gossip that the leader has its quorum.
+func (s *State) beat() {
+	if s.quorum.Role != quorum.RoleLeader || s.now.Before(s.beatDue) {
+		return
+	}
+	s.beatDue = s.now.Add(beatInterval)
+	s.takeLeader(Leader{
+		ID:       s.Settings.VM,
+		Peer:     s.Settings.Peer,
+		Term:     s.quorum.Hard.Term,
+		Beat:     s.leader.Beat + 1,
+		Replicas: s.quorum.Config().Members(),
+	})
+}
+
+func (s *State) takeLeader(leader Leader) {
+	if leader.newer(s.leader) {
+		changed := leader.ID != s.leader.ID
+		s.leader = leader
+		s.leaderHeard = s.now
+		if changed {
+			s.publish()
+		}
+	}
+}
+
+func (s *State) maybeCompact() {
+	if s.logBytes < minLogBytes || s.logBytes < snapshotMultiple*s.snapBytes {
+		return
+	}
+	data, err := s.ledger.Snapshot()
+	if err != nil {
+		s.log(CodeDocumentInvalid, fmt.Sprint("snapshot: ", err), 0)
+		return
+	}
+	s.logBytes, s.snapBytes = 0, len(data)
+	s.log(CodeSnapshot, "taken", int64(len(data)))
+	s.fromQuorum(s.quorum.Compact(data, s.now))
+}
+
+func (s *State) restore(snapshot quorum.Snapshot) {
+	restored, err := ledger.Restore(snapshot.Data)
+	if err != nil {
+		s.log(CodeDiskFailed, err.Error(), 0)
+		s.fromQuorum(s.quorum.DiskFailed(s.now))
+		return
+	}
+	s.ledger = restored
+	s.logBytes, s.snapBytes = 0, len(snapshot.Data)
+	s.log(CodeSnapshot, "installed", int64(snapshot.Index))
+	s.adopt(s.ledger.Document, s.ledger.Sections)
+}
--- /dev/null
+++ b/internal/reducer/effect.go
@@ -0,0 +1,177 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/heatherwood/heatherwood/internal/dispatch"
+	"github.com/heatherwood/heatherwood/internal/ledger"
+	"github.com/heatherwood/heatherwood/internal/plan"
+	"github.com/heatherwood/heatherwood/internal/quorum"
+	"github.com/heatherwood/heatherwood/pkg/document"
+)
+
+// Effect is something the shell must do, in the order returned.
+type Effect interface{ reducerEffect() }
+
+// Transmit sends a one-way message to a peer address; it may be lost.
+type Transmit struct {
+	Peer    string
+	Message Message
+}
+
+// SaveLog writes to the data folder, syncs, transmits what waits for it, and
+// reports LogSaved or LogFailed.
+type SaveLog struct{ Save quorum.Save }
+
+// Answer ends a call of the shell.
+type Answer struct {
+	Call  uint64
+	Value any
+}
+
+// LoadDocument parses the sections and reports DocumentLoaded.
+type LoadDocument struct {
+	Position ledger.Position
+	Sections []ledger.Section
+}
+
+// PublishView replaces the snapshot that look-ups and requests read.
+type PublishView struct{ View *View }
+
+// Record is one entry of the audit trail.
+type Record struct{ Entry Audit }
+
+// Log is one numbered log event.
+type Log struct {
+	Code   Code
+	Detail string
+	Count  int64
+}
+
+func (Transmit) reducerEffect()     {}
+func (SaveLog) reducerEffect()      {}
+func (Answer) reducerEffect()       {}
+func (LoadDocument) reducerEffect() {}
+func (PublishView) reducerEffect()  {}
+func (Record) reducerEffect()       {}
+func (Log) reducerEffect()          {}
+
+// View is what the shell reads without a lock: the document, the plan and the
+// entries of each failure domain.
+type View struct {
+	Document *document.Document
+	Position ledger.Position
+	Versions ledger.Versions
+	Sections []ledger.Section // newest known, perhaps not parsed yet
+	HeldAt   ledger.Position  // of Sections
+	Table    *plan.Table
+	Domains  []ViewDomain // by the numbers of Table.Domains
+	Owners   []Owner
+	Leader   Leader
+	Domain   string
+	Stale    bool // the document may be old
+	Ready    bool
+}
+
+// ViewDomain is a failure domain in a look-up.
+type ViewDomain struct {
+	Name    string
+	Region  string
+	Alive   bool
+	Entries []string // host:port for callers
+}
+
+// Owner is the VM that grants the slots of a service.
+type Owner struct {
+	Service string
+	VM      string
+	Peer    string // host:port; empty for this VM
+}
+
+// OwnerOf returns the owner of a service.
+func (v *View) OwnerOf(service string) (Owner, bool) {
+	for _, owner := range v.Owners {
+		if owner.Service == service {
+			return owner, true
+		}
+	}
+	return Owner{}, false
+}
+
+// Proposed answers Propose and ChangeReplica.
+type Proposed struct {
+	Result   ledger.Result
+	Position ledger.Position
+	Refused  quorum.RefuseReason // 0 when committed
+	Lost     bool                // the leader changed; it may or may not commit
+	Leader   Leader
+}
+
+// SectionRead answers ReadSection.
+type SectionRead struct {
+	Section  ledger.Section
+	Document ledger.Position // last accepted change of any section
+	Refused quorum.RefuseReason
+	Leader  Leader
+}
+
+// Announcement answers Announced.
+type Announcement struct {
+	RenewAfter time.Duration
+	Forward    string // peer address of the owner that should get it, if any
+	Refused    string // why the announcement was refused
+}
+
+// Status answers StatusAsked.
+type Status struct {
+	VM        string           `json:"vm"`
+	Domain    string           `json:"domain"`
+	Region    string           `json:"region"`
+	Role      string           `json:"role"`
+	Term      uint64           `json:"term"`
+	Commit    uint64           `json:"commit"`
+	Leader    string           `json:"leader"`
+	Document  ledger.Position  `json:"document"`
+	Versions  ledger.Versions  `json:"versions"`
+	Stale     bool             `json:"stale"`
+	Claims    int              `json:"claims"`
+	Replicas  []quorum.Replica `json:"replicas"`
+	Learners  []quorum.Replica `json:"learners"`
+	DiskOK    bool             `json:"diskOk"`
+	VMs       []VMStatus       `json:"vms"`
+	Domains   []DomainStatus   `json:"domains"`
+	Services  []ServiceStatus  `json:"services"`
+	Barred    []BarredStatus   `json:"barred"`
+	LogLength uint64           `json:"logLength"`
+}
+
+// VMStatus is a VM of the own failure domain.
+type VMStatus struct {
+	ID       string `json:"id"`
+	Entry    string `json:"entry"`
+	Document uint64 `json:"document"`
+}
+
+// DomainStatus is a failure domain.
+type DomainStatus struct {
+	Name   string        `json:"name"`
+	Region string        `json:"region"`
+	VMs    int           `json:"vms"`
+	Silent time.Duration `json:"silent"`
+}
+
+// ServiceStatus is a service that this VM owns in its failure domain.
+type ServiceStatus struct {
+	Service string                `json:"service"`
+	Owner   string                `json:"owner"`
+	Summary dispatch.Summary      `json:"summary"`
+	Servers []dispatch.ServerView `json:"servers"`
+}
+
+// BarredStatus is a suspected or quarantined fingerprint.
+type BarredStatus struct {
+	Fingerprint string    `json:"fingerprint"`
+	Phase       string    `json:"phase"`
+	Deaths      int       `json:"deaths"`
+	Until       time.Time `json:"until"`
+}
--- /dev/null
+++ b/internal/reducer/event.go
@@ -0,0 +1,210 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/heatherwood/heatherwood/internal/dispatch"
+	"github.com/heatherwood/heatherwood/internal/ledger"
+	"github.com/heatherwood/heatherwood/internal/member"
+	"github.com/heatherwood/heatherwood/internal/plan"
+	"github.com/heatherwood/heatherwood/internal/quorum"
+	"github.com/heatherwood/heatherwood/internal/relay"
+	"github.com/heatherwood/heatherwood/internal/routing"
+	"github.com/heatherwood/heatherwood/pkg/document"
+)
+
+// Event is something that happened; the time comes beside it.
+type Event interface{ reducerEvent() }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Received is a message from another VM.
+type Received struct{ Message Message }
+
+// LogSaved tells that saves up to the sequence are synced.
+type LogSaved struct{ Sequence uint64 }
+
+// LogFailed tells that the disk failed.
+type LogFailed struct{}
+
+// Propose asks the leader to replicate a command; answered by Proposed.
+type Propose struct {
+	Call    uint64
+	Command ledger.Command
+}
+
+// ReadSection asks for a linearizable read; answered by SectionRead.
+type ReadSection struct {
+	Call    uint64
+	Section document.Section
+}
+
+// ChangeReplica asks the leader for a replica change; answered by Proposed.
+type ChangeReplica struct {
+	Call   uint64
+	Change quorum.Change
+}
+
+// DocumentLoaded brings a parsed document back after LoadDocument.
+type DocumentLoaded struct {
+	Position ledger.Position
+	Document *document.Document
+	Blocks   *plan.Blocks
+}
+
+// Announced is a backend server's announcement; answered by Announcement.
+type Announced struct {
+	Call         uint64
+	Announcement routing.Announcement
+	Gone         bool
+	Forwarded    bool // by another VM, which took this one for the owner
+}
+
+// Asked asks for a slot; answered by dispatch.Answer.
+type Asked struct {
+	Call uint64
+	Ask  dispatch.Ask
+}
+
+// RequestBegan brings a caller's request; answered by relay.Step.
+type RequestBegan struct {
+	Call    uint64
+	Request *relay.Request
+	Foreign bool // the client's block is placed in another failure domain
+}
+
+// RequestClaimed reports a claim; answered by relay.Step.
+type RequestClaimed struct {
+	Call   uint64
+	Result *ledger.ClaimResult
+	Err    error
+}
+
+// RequestWaited reports the end of a wait; answered by relay.Step.
+type RequestWaited struct{ Call uint64 }
+
+// RequestAsked reports the owner's answer; answered by relay.Step.
+type RequestAsked struct {
+	Call   uint64
+	Answer dispatch.Answer
+	Err    error
+}
+
+// RequestSent reports the head of an answer or a failed send; answered by
+// relay.Step.
+type RequestSent struct {
+	Call    uint64
+	Result  routing.Result
+	Latency time.Duration
+}
+
+// RequestEnded tells that the shell is done with a request; after a Stream step
+// it carries how the body ended.
+type RequestEnded struct {
+	Call    uint64
+	Result  routing.Result
+	Latency time.Duration
+}
+
+// PeerUnreachable tells that a peer address refused a connection.
+type PeerUnreachable struct{ Peer string }
+
+// LiftQuarantine clears a fingerprint at an operator's request.
+type LiftQuarantine struct{ Fingerprint uint64 }
+
+// StatusAsked asks for the status; answered by Status.
+type StatusAsked struct{ Call uint64 }
+
+// HistoryAsked asks for the versions of a section; answered by []ledger.Version.
+type HistoryAsked struct {
+	Call    uint64
+	Section document.Section
+}
+
+func (Tick) reducerEvent()            {}
+func (Received) reducerEvent()        {}
+func (LogSaved) reducerEvent()        {}
+func (LogFailed) reducerEvent()       {}
+func (Propose) reducerEvent()         {}
+func (ReadSection) reducerEvent()     {}
+func (ChangeReplica) reducerEvent()   {}
+func (DocumentLoaded) reducerEvent()  {}
+func (Announced) reducerEvent()       {}
+func (Asked) reducerEvent()           {}
+func (RequestBegan) reducerEvent()    {}
+func (RequestClaimed) reducerEvent()  {}
+func (RequestWaited) reducerEvent()   {}
+func (RequestAsked) reducerEvent()    {}
+func (RequestSent) reducerEvent()     {}
+func (RequestEnded) reducerEvent()    {}
+func (PeerUnreachable) reducerEvent() {}
+func (LiftQuarantine) reducerEvent()  {}
+func (StatusAsked) reducerEvent()     {}
+func (HistoryAsked) reducerEvent()    {}
+
+// Message is a one-way message between VMs; exactly one field is set.
+type Message struct {
+	Hops     int // times that the message was forwarded
+	Quorum   *quorum.Message
+	Gossip   *member.Gossip
+	Leader   *Leader // rides with Gossip
+	Spread   *Spread
+	Fetch    *Fetch
+	Want     *dispatch.Want
+	Loan     *dispatch.Loan
+	Handover *dispatch.Handover
+	Finish   *dispatch.Finish
+	Cancel   *CancelAsk
+	Lift     *LiftQuarantine
+}
+
+// Leader is the newest word of who leads the control replicas.
+type Leader struct {
+	ID       string
+	Peer     string // host:port for calls between VMs
+	Term     uint64
+	Beat     uint64 // rises every second while the leader has its quorum
+	Replicas []quorum.Replica
+}
+
+func (l Leader) newer(other Leader) bool {
+	if l.Term != other.Term {
+		return l.Term > other.Term
+	}
+	return l.Beat > other.Beat
+}
+
+// Spread carries a document, whole or as the part that changed.
+type Spread struct {
+	Position ledger.Position
+	Before   ledger.Position // document that a part changes
+	Sections []SectionPatch
+	Relay    bool // hand it on to the other VMs of the failure domain
+}
+
+// SectionPatch turns version Base of a section into Version: it keeps Prefix
+// bytes at the start and Suffix bytes at the end around Middle. Base 0 replaces
+// the whole text.
+type SectionPatch struct {
+	Name     document.Section
+	Base     uint64
+	Version  uint64
+	Position ledger.Position
+	Prefix   int
+	Suffix   int
+	Middle   []byte
+}
+
+// Fetch asks for a whole document later than Have.
+type Fetch struct {
+	Peer string // where to send the Spread
+	Have ledger.Position
+}
+
+// CancelAsk withdraws an Ask at the owner.
+type CancelAsk struct {
+	Service string
+	From    string
+	Ask     uint64
+}
--- /dev/null
+++ b/internal/reducer/reducer.go
@@ -0,0 +1,276 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/heatherwood/heatherwood/internal/dispatch"
+	"github.com/heatherwood/heatherwood/internal/ledger"
+	"github.com/heatherwood/heatherwood/internal/member"
+	"github.com/heatherwood/heatherwood/internal/plan"
+	"github.com/heatherwood/heatherwood/internal/quarantine"
+	"github.com/heatherwood/heatherwood/internal/quorum"
+	"github.com/heatherwood/heatherwood/internal/relay"
+	"github.com/heatherwood/heatherwood/internal/shift"
+	"github.com/heatherwood/heatherwood/pkg/document"
+)
+
+// Settings is what a VM knows of itself at the start.
+type Settings struct {
+	VM          string
+	Peer        string // host:port for calls between VMs
+	Entry       string // host:port for callers
+	Domain      string
+	Region      string
+	Seeds       []string         // peer addresses of other VMs
+	Replicas    []quorum.Replica // control replicas at the first start
+	Incarnation uint64           // rises with each start of the VM
+	Control     bool             // this VM holds a control replica
+}
+
+// State is everything one VM decides from.
+type State struct {
+	Settings Settings
+
+	quorum  *quorum.State
+	ledger  *ledger.State
+	members *member.State
+	planner plan.State
+
+	copyAt   ledger.Position
+	copies   []ledger.Section
+	document *document.Document
+	loadedAt ledger.Position
+	blocks   *plan.Blocks
+
+	pools      []*dispatch.Pool
+	owners     []Owner
+	quarantine quarantine.Table
+	requests   map[uint64]*relay.Request
+	budgets    map[budgetKey]*relay.Budget
+	arrivals   map[string]*shift.Limiter
+	asks       map[askKey]askTarget
+
+	pending     map[uint64]pendingProposal
+	reads       map[uint64]pendingRead
+	leader      Leader
+	leaderHeard time.Time
+	beatDue     time.Time
+	stale       bool
+	silent      map[string]bool
+
+	now       time.Time
+	started   time.Time
+	lastTick  time.Time
+	planDue   time.Time
+	fetchDue  time.Time
+	logBytes  int
+	snapBytes int
+	sequence  uint64
+	effects   []Effect
+}
+
+type budgetKey struct {
+	service string
+	rank    int
+}
+
+type askKey struct {
+	from string
+	id   uint64
+}
+
+// askTarget is who waits for the answer to an ask.
+type askTarget struct {
+	call  uint64
+	local bool // a request of this VM
+}
+
+type pendingProposal struct {
+	call uint64
+	term uint64
+}
+
+type pendingRead struct {
+	call    uint64
+	section document.Section
+}
+
+// New returns the state of a VM that starts now; restart is nil on a VM without
+// a data folder.
+func New(settings Settings, restart *quorum.Restart, now time.Time) (*State, error) {
+	self := member.VM{
+		ID:          settings.VM,
+		Peer:        settings.Peer,
+		Entry:       settings.Entry,
+		Domain:      settings.Domain,
+		Region:      settings.Region,
+		Incarnation: settings.Incarnation,
+		Control:     settings.Control,
+	}
+	s := &State{
+		Settings: settings,
+		members:  member.New(self, settings.Seeds),
+		requests: make(map[uint64]*relay.Request),
+		budgets:  make(map[budgetKey]*relay.Budget),
+		arrivals: make(map[string]*shift.Limiter),
+		asks:     make(map[askKey]askTarget),
+		pending:  make(map[uint64]pendingProposal),
+		reads:    make(map[uint64]pendingRead),
+		silent:   make(map[string]bool),
+		started:  now,
+		now:      now,
+	}
+	if restart == nil {
+		return s, nil
+	}
+	restored, err := ledger.Restore(restart.Snapshot.Data)
+	if err != nil {
+		return nil, err
+	}
+	s.ledger = restored
+	s.snapBytes = len(restart.Snapshot.Data)
+	s.quorum = quorum.New(quorum.DefaultSettings(quorum.ID(settings.VM)), *restart, now)
+	s.adopt(s.ledger.Document, s.ledger.Sections)
+	return s, nil
+}
+
+// Apply handles one event and returns what must follow. The returned effects
+// are the caller's; the state keeps no reference to them.
+func (s *State) Apply(now time.Time, event Event) []Effect {
+	s.now = now
+	switch e := event.(type) {
+	case Tick:
+		s.tick()
+	case Received:
+		s.receive(e.Message)
+	case LogSaved:
+		s.fromQuorum(s.quorum.Saved(e.Sequence, now))
+	case LogFailed:
+		s.log(CodeDiskFailed, "", 0)
+		s.fromQuorum(s.quorum.DiskFailed(now))
+	case Propose:
+		s.propose(e)
+	case ReadSection:
+		s.readSection(e)
+	case ChangeReplica:
+		s.changeReplica(e)
+	case DocumentLoaded:
+		s.documentLoaded(e)
+	case Announced:
+		s.announced(e)
+	case Asked:
+		s.asked(e)
+	case PeerUnreachable:
+		s.members.Unreachable(e.Peer)
+	case LiftQuarantine:
+		s.lift(e)
+	case StatusAsked:
+		s.emit(Answer{Call: e.Call, Value: s.status()})
+	case HistoryAsked:
+		s.history(e)
+	default:
+		s.request(event)
+	}
+	return s.take()
+}
+
+func (s *State) take() []Effect {
+	effects := s.effects
+	s.effects = nil
+	return effects
+}
+
+func (s *State) emit(effect Effect) { s.effects = append(s.effects, effect) }
+
+func (s *State) log(code Code, detail string, count int64) {
+	s.emit(Log{Code: code, Detail: detail, Count: count})
+}
+
+func (s *State) record(entry Audit) {
+	entry.At = s.now
+	s.emit(Record{Entry: entry})
+}
+
+func (s *State) transmit(peer string, message Message) {
+	if peer != "" {
+		s.emit(Transmit{Peer: peer, Message: message})
+	}
+}
+
+const (
+	stallAfter   = time.Second // without a tick: the VM stood still
+	planInterval = time.Second
+)
+
+func (s *State) tick() {
+	elapsed := s.now.Sub(s.lastTick)
+	if !s.lastTick.IsZero() && elapsed > stallAfter {
+		s.stalled(elapsed)
+	}
+	s.lastTick = s.now
+	if s.quorum != nil {
+		s.fromQuorum(s.quorum.Tick(s.now))
+		s.beat()
+	}
+	s.tickMembers()
+	s.tickOwners()
+	for _, pool := range s.pools {
+		s.fromPool(pool, pool.Tick(s.now, elapsed))
+	}
+	s.quarantine.Sweep(s.now)
+	s.checkStale()
+	if !s.now.Before(s.planDue) {
+		s.planDue = s.now.Add(planInterval)
+		s.tickPlan()
+	}
+}
+
+// stalled drops what may have changed while the VM stood still: another VM may
+// own its services by now.
+func (s *State) stalled(elapsed time.Duration) {
+	s.log(CodeStalled, elapsed.String(), elapsed.Milliseconds())
+	for _, pool := range s.pools {
+		pool.Stall(s.now)
+	}
+}
+
+func (s *State) receive(m Message) {
+	switch {
+	case m.Quorum != nil:
+		if s.quorum != nil {
+			s.fromQuorum(s.quorum.Receive(*m.Quorum, s.now))
+		}
+	case m.Gossip != nil:
+		s.receiveGossip(*m.Gossip, m.Leader)
+	case m.Spread != nil:
+		s.receiveSpread(*m.Spread)
+	case m.Fetch != nil:
+		s.receiveFetch(*m.Fetch)
+	case m.Lift != nil:
+		s.quarantine.Lift(m.Lift.Fingerprint)
+	default:
+		s.receivePool(m)
+	}
+}
+
+func (s *State) lift(e LiftQuarantine) {
+	if !s.quarantine.Lift(e.Fingerprint) {
+		return
+	}
+	s.members.Bar(s.quarantine.Entries)
+	for _, vm := range s.members.Alive() {
+		if vm.ID != s.Settings.VM {
+			s.transmit(vm.Peer, Message{Lift: &e})
+		}
+	}
+	s.log(CodeFingerprint, "lifted "+hex(e.Fingerprint), 0)
+	s.record(Audit{Kind: AuditQuarantine, Key: hex(e.Fingerprint), Outcome: "lifted"})
+}
+
+func (s *State) history(e HistoryAsked) {
+	var versions []ledger.Version
+	if s.ledger != nil {
+		versions = s.ledger.HistoryOf(e.Section)
+	}
+	s.emit(Answer{Call: e.Call, Value: versions})
+}
--- /dev/null
+++ b/internal/reducer/spread.go
@@ -0,0 +1,218 @@
+package reducer
+
+import (
+	"slices"
+	"time"
+
+	"github.com/heatherwood/heatherwood/internal/ledger"
+	"github.com/heatherwood/heatherwood/internal/quorum"
+	"github.com/heatherwood/heatherwood/pkg/document"
+)
+
+const (
+	fetchInterval  = 500 * time.Millisecond
+	relaysPerPush  = 2
+	staleAfter     = 5 * time.Second
+	settleDuration = time.Second // after the start, in which the newest document is looked for
+)
+
+// adopt takes over a document that is later than the present one.
+func (s *State) adopt(position ledger.Position, sections []ledger.Section) bool {
+	if !position.After(s.copyAt) {
+		return false
+	}
+	s.copyAt = position
+	s.copies = slices.Clone(sections)
+	s.emit(LoadDocument{Position: position, Sections: s.copies})
+	s.publish()
+	return true
+}
+
+// changed spreads an accepted change: the leader tells two VMs of each failure
+// domain, which tell the rest of theirs. All others learn by pull if that fails.
+func (s *State) changed(name document.Section) {
+	before, beforeAt := s.copies, s.copyAt
+	if !s.adopt(s.ledger.Document, s.ledger.Sections) || s.quorum.Role != quorum.RoleLeader {
+		return
+	}
+	spread := s.patch(before, name)
+	spread.Before = beforeAt
+	s.spreadWithin(spread)
+	spread.Relay = true
+	for _, domain := range s.members.Domains(s.now) {
+		if domain.Name == s.Settings.Domain {
+			continue
+		}
+		for _, entry := range domain.Entries[:min(relaysPerPush, len(domain.Entries))] {
+			s.transmit(entry.Peer, Message{Spread: &spread})
+		}
+	}
+}
+
+func (s *State) spreadWithin(spread Spread) {
+	spread.Relay = false
+	for _, vm := range s.members.Alive() {
+		if vm.ID != s.Settings.VM {
+			s.transmit(vm.Peer, Message{Spread: &spread})
+		}
+	}
+}
+
+// patch describes the change of one section from the copies before.
+func (s *State) patch(before []ledger.Section, name document.Section) Spread {
+	spread := Spread{Position: s.copyAt}
+	for _, section := range s.copies {
+		if section.Name != name {
+			continue
+		}
+		var old ledger.Section
+		for _, candidate := range before {
+			if candidate.Name == name {
+				old = candidate
+			}
+		}
+		spread.Sections = append(spread.Sections, NewPatch(old, section))
+	}
+	return spread
+}
+
+// NewPatch finds the part between the common start and end of two texts.
+func NewPatch(old, section ledger.Section) SectionPatch {
+	limit := min(len(old.Text), len(section.Text))
+	prefix := 0
+	for prefix < limit && old.Text[prefix] == section.Text[prefix] {
+		prefix++
+	}
+	suffix := 0
+	for suffix < limit-prefix && old.Text[len(old.Text)-1-suffix] == section.Text[len(section.Text)-1-suffix] {
+		suffix++
+	}
+	return SectionPatch{
+		Name:     section.Name,
+		Base:     old.Version,
+		Version:  section.Version,
+		Position: section.Position,
+		Prefix:   prefix,
+		Suffix:   suffix,
+		Middle:   section.Text[prefix : len(section.Text)-suffix],
+	}
+}
+
+// Patched applies a patch to the present text; false means that it is for
+// another version.
+func Patched(old ledger.Section, patch SectionPatch) (ledger.Section, bool) {
+	section := ledger.Section{Name: patch.Name, Version: patch.Version, Position: patch.Position}
+	if patch.Base == 0 {
+		section.Text = patch.Middle
+		return section, true
+	}
+	if old.Version == patch.Version {
+		return old, true
+	}
+	if old.Version != patch.Base || patch.Prefix+patch.Suffix > len(old.Text) || patch.Prefix < 0 || patch.Suffix < 0 {
+		return ledger.Section{}, false
+	}
+	section.Text = slices.Concat(old.Text[:patch.Prefix], patch.Middle, old.Text[len(old.Text)-patch.Suffix:])
+	return section, true
+}
+
+func (s *State) receiveSpread(spread Spread) {
+	if !spread.Position.After(s.copyAt) {
+		return
+	}
+	sections, fits := s.patchAll(spread)
+	if !fits {
+		s.fetchDue = time.Time{}
+		s.fetchFrom(s.leader.Peer)
+		return
+	}
+	if s.adopt(spread.Position, sections) && spread.Relay {
+		s.spreadWithin(spread)
+	}
+}
+
+// patchAll builds all sections of a Spread. One that lacks sections fits only
+// when no change was missed in between: then every other section is unchanged
+// since its position.
+func (s *State) patchAll(spread Spread) ([]ledger.Section, bool) {
+	sections := slices.Clone(s.copies)
+	if len(sections) == 0 {
+		for _, name := range document.Sections() {
+			sections = append(sections, ledger.Section{Name: name})
+		}
+	}
+	whole := len(spread.Sections) == len(sections)
+	for _, patch := range spread.Sections {
+		for i := range sections {
+			if sections[i].Name != patch.Name {
+				continue
+			}
+			patched, fits := Patched(sections[i], patch)
+			if !fits {
+				return nil, false
+			}
+			sections[i] = patched
+		}
+	}
+	if !whole && !s.follows(spread) {
+		return nil, false
+	}
+	return sections, true
+}
+
+// follows reports whether the spread changes the document that is held, and not
+// a later one of which a change was missed.
+func (s *State) follows(spread Spread) bool { return spread.Before == s.copyAt }
+
+func (s *State) receiveFetch(fetch Fetch) {
+	if !s.copyAt.After(fetch.Have) {
+		return
+	}
+	spread := Spread{Position: s.copyAt}
+	for _, section := range s.copies {
+		spread.Sections = append(spread.Sections, SectionPatch{
+			Name:     section.Name,
+			Version:  section.Version,
+			Position: section.Position,
+			Middle:   section.Text,
+		})
+	}
+	s.transmit(fetch.Peer, Message{Spread: &spread})
+}
+
+// fetchFrom asks for a later document, not too often.
+func (s *State) fetchFrom(peer string) {
+	if s.now.Before(s.fetchDue) {
+		return
+	}
+	s.fetchDue = s.now.Add(fetchInterval)
+	s.transmit(peer, Message{Fetch: &Fetch{Peer: s.Settings.Peer, Have: s.copyAt}})
+}
+
+func (s *State) documentLoaded(e DocumentLoaded) {
+	if !e.Position.After(s.loadedAt) {
+		return
+	}
+	s.loadedAt = e.Position
+	s.document, s.blocks = e.Document, e.Blocks
+	s.members.Self.Document = e.Position.Index
+	s.log(CodeDocumentInForce, "", int64(e.Position.Index))
+	s.configurePools()
+	s.tickOwners()
+	s.tickPlan()
+}
+
+// checkStale notices that the control leader was not heard of for a while.
+func (s *State) checkStale() {
+	stale := s.now.Sub(s.leaderHeard) > staleAfter
+	if stale == s.stale {
+		return
+	}
+	s.stale = stale
+	if stale {
+		s.log(CodeDocumentStale, "", 0)
+	} else {
+		s.log(CodeDocumentFresh, "", 0)
+	}
+	s.publish()
+}
--- /dev/null
+++ b/internal/reducer/status.go
@@ -0,0 +1,77 @@
+package reducer
+
+import (
+	"github.com/heatherwood/heatherwood/internal/quarantine"
+)
+
+func (s *State) status() Status {
+	status := Status{
+		VM:       s.Settings.VM,
+		Domain:   s.Settings.Domain,
+		Region:   s.Settings.Region,
+		Role:     "entry",
+		Leader:   s.leader.ID,
+		Term:     s.leader.Term,
+		Document: s.loadedAt,
+		Stale:    s.stale,
+		DiskOK:   true,
+	}
+	for _, section := range s.copies {
+		status.Versions.Set(section.Name, section.Version)
+	}
+	s.controlStatus(&status)
+	s.fleetStatus(&status)
+	return status
+}
+
+func (s *State) controlStatus(status *Status) {
+	if s.quorum == nil {
+		status.Replicas = s.leader.Replicas
+		return
+	}
+	status.Role = s.quorum.Role.String()
+	status.Term = s.quorum.Hard.Term
+	status.Commit = s.quorum.Commit
+	status.Claims = s.ledger.ClaimCount()
+	status.Replicas = s.quorum.Config().Voters
+	status.Learners = s.quorum.Config().Learners
+	status.DiskOK = s.quorum.Healthy()
+	status.LogLength = s.quorum.LastIndex() - s.quorum.SnapshotIndex()
+}
+
+func (s *State) fleetStatus(status *Status) {
+	for _, vm := range s.members.Alive() {
+		status.VMs = append(status.VMs, VMStatus{ID: vm.ID, Entry: vm.Entry, Document: vm.Document})
+	}
+	for _, domain := range s.members.Domains(s.now) {
+		status.Domains = append(status.Domains, DomainStatus{
+			Name:   domain.Name,
+			Region: domain.Region,
+			VMs:    domain.VMs,
+			Silent: domain.Silent,
+		})
+	}
+	for _, owner := range s.owners {
+		service := ServiceStatus{Service: owner.Service, Owner: owner.VM}
+		if pool := s.pool(owner.Service); pool != nil {
+			service.Summary = pool.Summary()
+			service.Servers = pool.Servers(s.now)
+		}
+		status.Services = append(status.Services, service)
+	}
+	for _, entry := range s.quarantine.Entries {
+		phase := "suspected"
+		if entry.Phase == quarantine.Quarantined {
+			phase = "quarantined"
+		}
+		if entry.Lifted {
+			phase = "lifted"
+		}
+		status.Barred = append(status.Barred, BarredStatus{
+			Fingerprint: hex(entry.Fingerprint),
+			Phase:       phase,
+			Deaths:      entry.Deaths,
+			Until:       entry.Until,
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,6 +35,7 @@
 	Holder      string        // this VM
 	Replayable  bool          // the body can be sent again
 
+	Grant     *dispatch.Grant // of the present send
 	phase     phase
 	claimedAt time.Time // when the claim was asked for
 	claims    int
@@ -56,16 +57,15 @@
 // Step is what the shell does next; exactly one field is set, except that
 // Settle may accompany an end.
 type Step struct {
-	Claim  *ledger.Claim    // propose it, then report Claimed
-	Wait   time.Duration    // wait, then report Waited
-	Ask    *dispatch.Ask    // ask the owner, then report Asked
-	Send   *dispatch.Grant  // send to the server, then report Sent
-	Stream bool             // the answer in hand goes to the caller
-	Replay *ledger.Outcome  // the stored answer goes to the caller
-	Refuse *Problem         // the caller gets this
-	Settle *ledger.Settle   // record the outcome meanwhile
-	Free   *ledger.Release  // give the claim back meanwhile
-	Finish *dispatch.Finish // tell the owner first
+	Claim  *ledger.Claim   // propose it, then report Claimed
+	Wait   time.Duration   // wait, then report Waited
+	Ask    *dispatch.Ask   // ask the owner, then report Asked
+	Send   *dispatch.Grant // send to the server, then report Sent
+	Stream bool            // the answer in hand goes to the caller
+	Replay *ledger.Outcome // the stored answer goes to the caller
+	Refuse *Problem        // the caller gets this
+	Settle *ledger.Settle  // record the outcome meanwhile
+	Free   *ledger.Release // give the claim back meanwhile
 }
 
 // Problem is a refusal or failure as the caller sees it.
@@ -196,6 +196,7 @@
 		return r.unanswered(now)
 	case answer.Grant != nil:
 		r.phase = phaseSending
+		r.Grant = answer.Grant
 		r.tries++
 		return Step{Send: answer.Grant}
 	case answer.Denial.Reason == dispatch.ReasonNotOwner:
@@ -243,7 +244,8 @@
 
 // Sent reports how the send ended. Suspicion is the phase of the request's
 // fingerprint after a broken connection.
-func (r *Request) Sent(result routing.Result, server string, suspicion quarantine.Phase, now time.Time, budget *Budget) Step {
+func (r *Request) Sent(result routing.Result, suspicion quarantine.Phase, now time.Time, budget *Budget) Step {
+	server := r.Grant.Server
 	switch result {
 	case routing.ResultOK, routing.ResultError:
 		r.phase = phaseDone
@@ -261,6 +263,9 @@
 		return r.lost(http.StatusGatewayTimeout, "deadline", "the deadline passed while the backend server worked")
 	default:
 		r.ran = r.ran || result.Ran()
+		if !r.ran {
+			return r.giveBack(http.StatusServiceUnavailable, "cancelled", "the caller hung up", time.Second)
+		}
 		return r.lost(http.StatusBadGateway, "cancelled", "the caller hung up")
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -94,7 +94,7 @@
 			budget := &Budget{}
 			r.Start(start, budget)
 			r.Asked(granted(), nil, start)
-			step := r.Sent(test.result, "s1", test.suspicion, start, budget)
+			step := r.Sent(test.result, test.suspicion, start, budget)
 			if test.again {
 				if step.Ask == nil {
 					t.Errorf("step %+v, want another ask", step)
@@ -118,7 +118,7 @@
 		step := r.Asked(granted(), nil, start)
 		for step.Send != nil {
 			sends++
-			if step = r.Sent(routing.ResultShed, "s1", quarantine.Clear, start, budget); step.Ask != nil {
+			if step = r.Sent(routing.ResultShed, quarantine.Clear, start, budget); step.Ask != nil {
 				step = r.Asked(granted(), nil, start)
 			}
 		}
@@ -133,7 +133,7 @@
 	budget := &Budget{}
 	r.Start(start, budget)
 	r.Asked(granted(), nil, start)
-	r.Sent(routing.ResultBroken, "s1", quarantine.Clear, start, budget)
+	r.Sent(routing.ResultBroken, quarantine.Clear, start, budget)
 	step := r.Asked(dispatch.Answer{Denial: &dispatch.Denial{Reason: dispatch.ReasonFull}}, nil, start)
 	if step.Refuse.Run != RunUnknown {
 		t.Errorf("run %q after a broken try, want unknown", step.Refuse.Run)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -36,6 +36,7 @@
 	Warm    time.Duration // ramp of a new server
 	Servers []*Server     // by id, own and borrowed
 	turn    int           // start of the next scan, so that equals take turns
+	median  float64       // seconds, of the known latencies
 }
 
 func compareServer(s *Server, id string) int { return strings.Compare(s.ID, id) }
@@ -71,7 +72,7 @@
 	}
 	s.Announcement = a
 	s.Expires = now.Add(announceLifetime)
-	s.refresh(now, p.Warm)
+	s.refresh(now, p.Warm, p.unknownLatency())
 	return s
 }
 
@@ -98,11 +99,21 @@
 	})
 }
 
+// unknownLatency is assumed of a server that answered nothing yet: less than the
+// median, so that a new server is tried.
+func (p *Pool) unknownLatency() float64 {
+	const optimism = 0.5
+	if p.median == 0 {
+		return defaultLatency
+	}
+	return optimism * p.median
+}
+
 // Refresh brings the effective slots and costs up to date; it runs at least
 // once per tick and after each change of a server.
 func (p *Pool) Refresh(now time.Time) {
 	for _, s := range p.Servers {
-		s.refresh(now, p.Warm)
+		s.refresh(now, p.Warm, p.unknownLatency())
 	}
 }
 
@@ -162,7 +173,7 @@
 	default:
 		return
 	}
-	s.refresh(now, p.Warm)
+	s.refresh(now, p.Warm, p.unknownLatency())
 }
 
 func (s *Server) recover(now time.Time) {
@@ -217,7 +228,7 @@
 	s.deaths++
 	s.ejectedUntil = now.Add(ejectBase)
 	s.probing = true
-	s.refresh(now, p.Warm)
+	s.refresh(now, p.Warm, p.unknownLatency())
 }
 
 // MarkSlow puts servers far slower than the median on probation, one request
@@ -229,11 +240,15 @@
 			known = append(known, s.latency)
 		}
 	}
-	if len(known) < minSlowPool {
+	if len(known) == 0 {
 		return
 	}
 	slices.Sort(known)
-	limit := max(slowFactor*known[len(known)/2], slowFloor)
+	p.median = known[len(known)/2]
+	if len(known) < minSlowPool {
+		return
+	}
+	limit := max(slowFactor*p.median, slowFloor)
 	for _, s := range p.Servers {
 		s.slow = s.latency > limit
 	}
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -109,11 +109,11 @@
 func (s *Server) Free() int { return s.effective - s.Inflight - s.Lent }
 
 // refresh computes what a choice needs, so that choosing reads no clock.
-func (s *Server) refresh(now time.Time, warm time.Duration) {
+func (s *Server) refresh(now time.Time, warm time.Duration, unknown float64) {
 	s.effective = s.Effective(now, warm)
 	expected := s.latency
 	if expected == 0 {
-		expected = defaultLatency
+		expected = unknown
 	}
 	expected *= 1 + errorPenalty*s.errors
 	s.idleCost = expected + 2*s.OneWay.Seconds()
--- /dev/null
+++ b/internal/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and checks the settings file of one VM.
+package settings
