--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Verbs of the project; each runs from a fresh clone.
+
+build:
+	go build -o bin/heatherwood ./cmd/heatherwood
+
+demo: build
+	bin/heatherwood demo
+
+test:
+	go test -race ./...
+
+check:
+	bash .ci/run
+
+format:
+	go tool -modfile=tools/go.mod gofumpt -w cmd internal pkg examples
+
+bench:
+	go test -run '^$$' -bench . ./internal/plan ./internal/routing ./internal/callerhttp
+
+fuzz:
+	go test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./pkg/document
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime 30s ./internal/backendhttp
+	go test -run '^$$' -fuzz FuzzReadSegment -fuzztime 30s ./internal/disk
+
+.PHONY: build demo test check format bench fuzz
--- /dev/null
+++ b/cmd/heatherwood/main.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/heatherwood/heatherwood/pkg/document"
+	"github.com/heatherwood/heatherwood/pkg/operator"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1 // the command failed
+	exitUsage    = 2 // the command line does not fit
+	exitInvalid  = 3 // a document or settings file has errors, or an audit found a breach
+	exitRefused  = 4 // the system refused, for example a version conflict
+	exitNotShown = 5 // an audit lacks evidence for a promise
+)
+
+const help = `Steers requests from callers to backend servers.
+
+Exit codes: 0 done, 1 failed, 2 wrong command line, 3 errors in a document or a
+broken promise in an audit, 4 refused by the system, 5 promise not shown.`
+
+// command is one action with its flags parsed.
+type command func(ctx context.Context, out io.Writer) error
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// helpShown ends the parsing of a command line that asked for help.
+type helpShown struct{}
+
+func run(args []string, out, errOut io.Writer) (code int) {
+	app := kingpin.New("heatherwood", help)
+	app.UsageWriter(out)
+	app.ErrorWriter(errOut)
+	app.Terminate(func(int) { panic(helpShown{}) })
+	defer func() {
+		switch reason := recover().(type) {
+		case nil:
+		case helpShown:
+			code = exitOK
+		default:
+			panic(reason)
+		}
+	}()
+	commands := make(map[string]command)
+	addServe(app, commands)
+	addDemo(app, commands)
+	addCheck(app, commands)
+	addSection(app, commands)
+	addStatus(app, commands)
+	addLookup(app, commands)
+	addAudit(app, commands)
+	addReplica(app, commands)
+	addQuarantine(app, commands)
+	name, err := app.Parse(args)
+	if err != nil {
+		fmt.Fprintf(errOut, "heatherwood: %v; try --help\n", err)
+		return exitUsage
+	}
+	chosen, found := commands[name]
+	if !found {
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return report(chosen(ctx, out), errOut)
+}
+
+// invalidError tells that something was read and found wrong; it was shown.
+type invalidError struct{ code int }
+
+func (e invalidError) Error() string { return "errors found" }
+
+func report(err error, errOut io.Writer) int {
+	if err == nil {
+		return exitOK
+	}
+	var invalid invalidError
+	if errors.As(err, &invalid) {
+		return invalid.code
+	}
+	fmt.Fprintf(errOut, "heatherwood: %v\n", err)
+	var messages document.Messages
+	if errors.As(err, &messages) {
+		return exitInvalid
+	}
+	if problem, found := operator.AsProblem(err); found && !problem.Temporary() {
+		return exitRefused
+	}
+	return exitFailed
+}
--- /dev/null
+++ b/cmd/heatherwood/serve.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/heatherwood/heatherwood/internal/clock"
+	"github.com/heatherwood/heatherwood/internal/entry"
+	"github.com/heatherwood/heatherwood/internal/node"
+	"github.com/heatherwood/heatherwood/internal/settings"
+)
+
+func addServe(app *kingpin.Application, commands map[string]command) {
+	c := app.Command("serve", "Run this VM. Example: heatherwood serve --settings node.toml")
+	path := c.Flag("settings", "Settings file of the VM.").Required().String()
+	check := c.Flag("check", "Only check the settings file.").Bool()
+	drain := c.Flag("drain", "Longest wait for running requests at the end.").Default("30s").Duration()
+	commands[c.FullCommand()] = func(ctx context.Context, out io.Writer) error {
+		own, err := settings.Read(*path)
+		if err != nil {
+			fmt.Fprintln(out, err)
+			return invalidError{code: exitInvalid}
+		}
+		if *check {
+			fmt.Fprintln(out, "settings are valid")
+			return nil
+		}
+		return serve(ctx, own, *drain)
+	}
+}
+
+func newLogger(w io.Writer, level string) zerolog.Logger {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil || level == "" {
+		parsed = zerolog.InfoLevel
+	}
+	return zerolog.New(w).Level(parsed).With().Timestamp().Logger()
+}
+
+func serve(ctx context.Context, own settings.Settings, drain time.Duration) error {
+	n, err := node.New(own, clock.System{}, newLogger(os.Stderr, own.LogLevel))
+	if err != nil {
+		return err
+	}
+	if err := n.Start(); err != nil {
+		return err
+	}
+	server := entry.New(n)
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve() }()
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	case err = <-n.Failed():
+	}
+	stopCtx, cancel := context.WithTimeout(context.Background(), drain)
+	defer cancel()
+	server.Stop(stopCtx)
+	return err
+}
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -196,8 +196,6 @@
 	return true
 }
 
-var errTooLarge = errors.New("body is too large")
-
 // readBody reads the start of the body, all of it for a `once` request, whose
 // digest covers the whole.
 func (in *inbound) readBody() bool {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -250,7 +250,7 @@
 	}
 }
 
-// Versions returns the kept history of a section, oldest first.
+// HistoryOf returns the kept versions of a section, oldest first.
 func (s *State) HistoryOf(name document.Section) []Version {
 	for _, history := range s.History {
 		if history.Name == name {
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -111,8 +111,8 @@
 type SectionRead struct {
 	Section  ledger.Section
 	Document ledger.Position // last accepted change of any section
-	Refused quorum.RefuseReason
-	Leader  Leader
+	Refused  quorum.RefuseReason
+	Leader   Leader
 }
 
 // Announcement answers Announced.
