--- a/cmd/heatherwood/serve.go
+++ b/cmd/heatherwood/serve.go
@@ -52,6 +52,10 @@
 		return err
 	}
 	server := entry.New(n)
+	if err := server.Listen(); err != nil {
+		n.Stop()
+		return err
+	}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve() }()
 	select {
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -308,6 +308,7 @@
 			step, err = exchange.Ask(ctx, *step.Ask)
 		case step.Send != nil:
 			in.server, in.domain = step.Send.Server, step.Send.Domain
+			in.countSend()
 			step, err, ended = in.send(ctx, step.Send)
 			if ended {
 				return
@@ -376,6 +377,18 @@
 	in.writer.Write(outcome.Body)
 }
 
+// countSend tallies a request that leaves for a server.
+func (in *inbound) countSend() {
+	in.relay.Node.Tally(node.TallyKey{
+		Service: in.service.Name,
+		Rank:    in.rule.Rank,
+		Version: in.view.Position.Index,
+		To:      in.domain,
+		Server:  in.server,
+		Outcome: "sent",
+	})
+}
+
 func (in *inbound) count() {
 	if in.outcome == "" {
 		in.outcome = "answered"
--- a/internal/dispatch/loan.go
+++ b/internal/dispatch/loan.go
@@ -57,17 +57,18 @@
 	p.countLent()
 	p.emit(SendLoan{Peer: want.Peer, Loan: p.loanMessage(l, want)})
 	if after := l.grantedSlots(); after != before {
-		p.noteLease(l, after)
+		p.noteLease(l, before, after)
 	}
 	return p.take()
 }
 
-func (p *Pool) noteLease(l *loan, slots int) {
+func (p *Pool) noteLease(l *loan, before, slots int) {
 	p.emit(Leased{
 		Service:  p.Policy.Service,
 		Lessee:   l.lessee,
 		Domain:   l.domain,
 		Slots:    slots,
+		Before:   before,
 		Capacity: p.Routing.OwnCapacity(),
 		Reserved: p.reserved(),
 		InUse:    p.ownInUse(),
@@ -222,7 +223,7 @@
 	p.loans = slices.DeleteFunc(p.loans, func(l loan) bool {
 		over := !now.Before(l.until)
 		if over && l.grantedSlots() > 0 {
-			p.noteLease(&l, 0)
+			p.noteLease(&l, l.grantedSlots(), 0)
 		}
 		return over
 	})
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -60,11 +60,19 @@
 	Lessee   string
 	Domain   string
 	Slots    int
+	Before   int // slots of the lease until now
 	Capacity int // slots of own servers in working order
 	Reserved int // slots lent to all lessees
 	InUse    int // slots used by the own domain
 }
 
+// Spilled tells how much of an interval's traffic went to leased slots, for the
+// audit trail.
+type Spilled struct {
+	Service string
+	Closed  shift.Closed
+}
+
 // Drained tells that a leaving server runs nothing any more.
 type Drained struct {
 	Service string
@@ -78,6 +86,7 @@
 func (Barring) dispatchEffect()  {}
 func (Leased) dispatchEffect()   {}
 func (Drained) dispatchEffect()  {}
+func (Spilled) dispatchEffect()  {}
 
 // ticket is one grant in use.
 type ticket struct {
@@ -210,7 +219,7 @@
 // or a refusal.
 func (p *Pool) Ask(ask Ask, now time.Time) []Effect {
 	p.arrived++
-	p.Spill.Tick(now)
+	p.tickSpill(now)
 	p.Spill.Arrive()
 	ask.Rank = min(max(ask.Rank, 0), len(p.Policy.Ranks)-1)
 	switch p.Quarantine.Check(ask.Fingerprint, now) {
@@ -230,6 +239,12 @@
 	return p.take()
 }
 
+func (p *Pool) tickSpill(now time.Time) {
+	if closed, over := p.Spill.Tick(now); over && closed.Moved > 0 {
+		p.emit(Spilled{Service: p.Policy.Service, Closed: closed})
+	}
+}
+
 // hopeless reports that no slot is in sight: no server here and nobody to
 // borrow from.
 func (p *Pool) hopeless(now time.Time) bool {
@@ -424,7 +439,7 @@
 
 // Tick brings everything that follows the clock up to date.
 func (p *Pool) Tick(now time.Time, elapsed time.Duration) []Effect {
-	p.Spill.Tick(now)
+	p.tickSpill(now)
 	p.Routing.MarkSlow()
 	p.Routing.Refresh(now)
 	p.Routing.Sweep(now)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,9 +27,10 @@
 
 // Server is the HTTP side of a VM.
 type Server struct {
-	Node  *node.Node
-	http  *http.Server
-	relay *callerhttp.Relay
+	Node     *node.Node
+	http     *http.Server
+	relay    *callerhttp.Relay
+	listener net.Listener
 }
 
 // New returns the HTTP side of a VM.
@@ -66,13 +67,19 @@
 	})
 }
 
-// Serve listens and answers until Stop; it returns nil after Stop.
-func (s *Server) Serve() error {
+// Listen opens the listener for callers.
+func (s *Server) Listen() error {
 	listener, err := net.Listen("tcp", s.Node.Settings.Entry)
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	err = s.http.Serve(netutil.LimitListener(listener, maxConnections))
+	s.listener = netutil.LimitListener(listener, maxConnections)
+	return nil
+}
+
+// Serve answers until Stop; it returns nil after Stop.
+func (s *Server) Serve() error {
+	err := s.http.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -16,7 +16,7 @@
 	Claim   *Claim
 	Release *Release
 	Settle  *Settle
-	Anchor  *Anchor
+	Anchors []Anchor
 }
 
 // Put replaces the text of a section.
@@ -95,9 +95,9 @@
 	Truncated   bool // the body was larger than MaxOutcomeBytes and is not kept
 }
 
-// Anchor fixes the head of a VM's audit trail.
+// Anchor fixes the head of an audit trail.
 type Anchor struct {
-	VM       string
+	Chain    string
 	Sequence uint64
 	Hash     string
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -20,6 +20,7 @@
 	maxChanges      = 20_000   // remembered change ids
 	maxHistory      = 50       // versions per section
 	maxHistoryBytes = 1 << 20  // bytes of older texts per section
+	maxAnchors      = 4096     // trails, the oldest go first
 )
 
 // Position is a place in the replicated log; later changes have higher ones.
@@ -126,8 +127,10 @@
 		s.claims.release(s.Now, command.Release)
 	case command.Settle != nil:
 		s.claims.settle(s.Now, command.Settle)
-	case command.Anchor != nil:
-		s.anchor(*command.Anchor)
+	default:
+		for _, anchor := range command.Anchors {
+			s.anchor(anchor)
+		}
 	}
 	return Result{}
 }
@@ -262,7 +265,7 @@
 
 func (s *State) anchor(anchor Anchor) {
 	for i := range s.Anchors {
-		if s.Anchors[i].VM == anchor.VM {
+		if s.Anchors[i].Chain == anchor.Chain {
 			if anchor.Sequence > s.Anchors[i].Sequence {
 				s.Anchors[i] = anchor
 			}
@@ -270,6 +273,9 @@
 		}
 	}
 	s.Anchors = append(s.Anchors, anchor)
+	if len(s.Anchors) > maxAnchors {
+		s.Anchors = slices.Clone(s.Anchors[1:])
+	}
 }
 
 // Snapshot encodes the whole state.
--- a/internal/node/tally.go
+++ b/internal/node/tally.go
@@ -14,6 +14,7 @@
 	Rank    string
 	Version uint64 // log index of the document that was used
 	To      string // failure domain of the backend server, or empty
+	Server  string // of a request that leaves, else empty
 	Outcome string
 }
 
@@ -47,6 +48,7 @@
 			Position: key.Version,
 			From:     from,
 			To:       key.To,
+			Server:   key.Server,
 			Outcome:  key.Outcome,
 			Count:    count,
 		})
@@ -56,6 +58,7 @@
 			cmp.Compare(a.Service, b.Service),
 			cmp.Compare(a.Rank, b.Rank),
 			cmp.Compare(a.To, b.To),
+			cmp.Compare(a.Server, b.Server),
 			cmp.Compare(a.Outcome, b.Outcome),
 			cmp.Compare(a.Position, b.Position),
 		)
--- a/internal/peerrpc/message.go
+++ b/internal/peerrpc/message.go
@@ -1,6 +1,7 @@
 package peerrpc
 
 import (
+	"github.com/heatherwood/heatherwood/internal/audit"
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/quorum"
@@ -40,12 +41,7 @@
 }
 
 // ShipArgs brings audit records of a VM without a disk.
-type ShipArgs struct {
-	VM       string
-	Sequence uint64 // of the first record
-	Dropped  uint64 // records that were lost before shipping, in all
-	Records  []reducer.Audit
-}
+type ShipArgs struct{ Records []audit.Record }
 
 // ShipReply acknowledges records that are synced.
 type ShipReply struct{ Next uint64 }
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -54,8 +54,18 @@
 	deadband     = 0.05 // a smaller wish to move is not followed
 )
 
+// Move is a step of the weights of one service and place.
+type Move struct {
+	Service  string
+	Place    string
+	Share    float64 // of the place's blocks that changed their domain
+	Limit    float64 // of the share per Interval
+	Interval time.Duration
+}
+
 // Tick moves all weights towards what the measurements ask for.
-func (s *State) Tick(now time.Time, document *document.Document, sites []Site) {
+func (s *State) Tick(now time.Time, document *document.Document, sites []Site) []Move {
+	var moves []Move
 	elapsed := now.Sub(s.last)
 	if s.last.IsZero() {
 		elapsed = 0
@@ -69,9 +79,23 @@
 		w := s.service(service.Name)
 		w.align(document)
 		w.measure(service, sites)
-		step := shift.PlanShare * float64(service.Cap) * elapsed.Seconds() / service.Interval.Std().Seconds()
-		w.move(service, document, sites, step)
+		limit := shift.PlanShare * float64(service.Cap)
+		for _, move := range w.move(service, document, sites, limit*stepShare(elapsed, service.Interval.Std())) {
+			move.Limit, move.Interval = limit, service.Interval.Std()
+			moves = append(moves, move)
+		}
 	}
+	return moves
+}
+
+// TickInterval is the time between two steps.
+const TickInterval = time.Second
+
+// stepShare is the part of an interval's limit that one step may use. A window
+// as long as the interval can hold one step more than fit into it, so the steps
+// are made smaller by one.
+func stepShare(elapsed, interval time.Duration) float64 {
+	return float64(min(elapsed, TickInterval)) / float64(interval+TickInterval)
 }
 
 func (s *State) service(name string) *serviceWeights {
@@ -151,7 +175,8 @@
 }
 
 // move takes one step of all rows towards their targets.
-func (w *serviceWeights) move(service *document.Service, document *document.Document, sites []Site, step float64) {
+func (w *serviceWeights) move(service *document.Service, document *document.Document, sites []Site, step float64) []Move {
+	var moves []Move
 	frozen := w.frozen(service, sites)
 	for i := range w.rows {
 		r := &w.rows[i]
@@ -165,8 +190,13 @@
 		if frozen && !w.mustLeave(r, service, document, sites) {
 			continue
 		}
+		before := slices.Clone(r.weights)
 		stepTowards(r.weights, target, step, w.mustLeave(r, service, document, sites))
+		if moved := movedShare(before, r.weights); moved > 0 {
+			moves = append(moves, Move{Service: w.name, Place: r.place, Share: moved})
+		}
 	}
+	return moves
 }
 
 // frozen reports that measurements stopped: the weights stay as they are.
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -130,12 +130,12 @@
 			s.changed(command.Put.Section)
 		}
 	}
-	if command.Anchor != nil {
+	for _, anchor := range command.Anchors {
 		s.record(Audit{
 			Kind:     AuditAnchor,
-			From:     command.Anchor.VM,
-			Version:  command.Anchor.Sequence,
-			Hash:     command.Anchor.Hash,
+			From:     anchor.Chain,
+			Version:  anchor.Sequence,
+			Hash:     anchor.Hash,
 			Position: position.Index,
 			Term:     position.Term,
 		})
--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -220,10 +220,13 @@
 				From:    s.Settings.Domain,
 				To:      e.Domain,
 				Server:  e.Lessee,
+				Outcome: leaseOutcome(e),
 				Count:   int64(e.Slots),
 				Amount:  float64(e.Reserved + e.InUse),
 				Limit:   float64(e.Capacity),
 			})
+		case dispatch.Spilled:
+			s.noteShift("spill", e.Service, e.Closed)
 		case dispatch.Drained:
 			s.log(CodeServerDrained, e.Service+" "+e.Server, e.Took.Milliseconds())
 			s.record(Audit{Kind: AuditDrain, Service: e.Service, Server: e.Server, Amount: e.Took.Seconds(), Outcome: "drained"})
@@ -231,6 +234,26 @@
 	}
 }
 
+func leaseOutcome(e dispatch.Leased) string {
+	if e.Slots > e.Before {
+		return "raised"
+	}
+	return "lowered"
+}
+
+// noteShift records how much of an interval's traffic went elsewhere.
+func (s *State) noteShift(way, service string, closed shift.Closed) {
+	s.record(Audit{
+		Kind:    AuditPlan,
+		Outcome: way,
+		Service: service,
+		From:    s.Settings.Domain,
+		Count:   int64(closed.Total),
+		Amount:  closed.Share(),
+		Limit:   closed.Limit(),
+	})
+}
+
 func (s *State) sendWant(e dispatch.SendWant) {
 	for _, domain := range s.members.Domains(s.now) {
 		if domain.Name == e.Domain && len(domain.Entries) > 0 {
@@ -324,7 +347,19 @@
 	}
 	domains := s.members.Domains(s.now)
 	s.noteSilence(domains)
-	s.planner.Tick(s.now, s.document, s.sites(domains))
+	for _, move := range s.planner.Tick(s.now, s.document, s.sites(domains)) {
+		s.record(Audit{
+			Kind:    AuditPlan,
+			Outcome: "weights",
+			Service: move.Service,
+			To:      move.Place,
+			From:    s.Settings.Domain,
+			Amount:  move.Share,
+			Limit:   move.Limit,
+			Count:   move.Interval.Milliseconds(),
+		})
+	}
+	s.noteStops()
 	for _, pool := range s.pools {
 		s.neighbours(pool, domains)
 		pool.Stopped(s.stopCovers(pool), s.now)
@@ -332,6 +367,25 @@
 	s.publish()
 }
 
+// noteStops records begin and end of planned stops, on control VMs only.
+func (s *State) noteStops() {
+	if s.quorum == nil {
+		return
+	}
+	for _, stop := range s.document.Stops.Stops {
+		active := stop.Active(s.now)
+		if active == s.stopping[stop.Name] {
+			continue
+		}
+		s.stopping[stop.Name] = active
+		outcome := "stop-end"
+		if active {
+			outcome = "stop-begin"
+		}
+		s.record(Audit{Kind: AuditDrain, Outcome: outcome, Key: stop.Name, Server: stop.What, Section: string(stop.Kind)})
+	}
+}
+
 func (s *State) noteSilence(domains []member.DomainView) {
 	for _, domain := range domains {
 		silent := domain.Silent > member.DomainSilent
@@ -351,7 +405,7 @@
 // time that moving everything takes within the cap, and the callers' caches.
 func planAhead(service *document.Service) time.Duration {
 	intervals := 1 / (float64(service.Cap) * shift.PlanShare)
-	return time.Duration(intervals*float64(service.Interval)) + LookupTTL
+	return time.Duration(intervals*float64(service.Interval.Std()+plan.TickInterval)) + LookupTTL
 }
 
 // LookupTTL is how long a caller may keep the answer to a look-up.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -57,6 +57,7 @@
 	beatDue     time.Time
 	stale       bool
 	silent      map[string]bool
+	stopping    map[string]bool
 
 	now       time.Time
 	started   time.Time
@@ -117,6 +118,7 @@
 		pending:  make(map[uint64]pendingProposal),
 		reads:    make(map[uint64]pendingRead),
 		silent:   make(map[string]bool),
+		stopping: make(map[string]bool),
 		started:  now,
 		now:      now,
 	}
@@ -197,10 +199,7 @@
 	}
 }
 
-const (
-	stallAfter   = time.Second // without a tick: the VM stood still
-	planInterval = time.Second
-)
+const stallAfter = time.Second // without a tick: the VM stood still
 
 func (s *State) tick() {
 	elapsed := s.now.Sub(s.lastTick)
@@ -220,7 +219,7 @@
 	s.quarantine.Sweep(s.now)
 	s.checkStale()
 	if !s.now.Before(s.planDue) {
-		s.planDue = s.now.Add(planInterval)
+		s.planDue = s.now.Add(plan.TickInterval)
 		s.tickPlan()
 	}
 }
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -40,7 +40,9 @@
 	r := e.Request
 	limiter := s.arrivals[r.Service]
 	if limiter != nil {
-		limiter.Tick(s.now)
+		if closed, over := limiter.Tick(s.now); over && closed.Moved > 0 {
+			s.noteShift("arrival", r.Service, closed)
+		}
 		limiter.Arrive()
 		if e.Foreign && !limiter.MayMove() {
 			s.emit(Answer{Call: e.Call, Value: relay.Step{Refuse: &relay.Problem{
@@ -83,9 +85,29 @@
 		}
 		step.Ask.ID = call
 	}
+	if step.Send != nil {
+		s.noteSend(r, "sending")
+	}
 	s.emit(Answer{Call: call, Value: step})
 }
 
+// noteSend records the way of a `once` operation to a server and back.
+func (s *State) noteSend(r *relay.Request, outcome string) {
+	if !r.Once {
+		return
+	}
+	s.record(Audit{
+		Kind:    AuditClaim,
+		Outcome: outcome,
+		Service: r.Service,
+		Key:     r.Key.Key,
+		Request: r.ID,
+		Server:  r.Grant.Server,
+		From:    s.Settings.VM,
+		To:      r.Grant.Domain,
+	})
+}
+
 // asked handles another VM's request for a slot.
 func (s *State) asked(e Asked) {
 	pool := s.pool(e.Ask.Service)
@@ -131,6 +153,7 @@
 func (s *State) finish(r *relay.Request, result routing.Result, latency time.Duration) quarantine.Phase {
 	finish := dispatch.Finish{Service: r.Service, Ticket: r.Grant.Ticket, Result: result, Latency: latency}
 	r.Grant.Ticket = 0
+	s.noteSend(r, "ended:"+result.String())
 	pool := s.pool(r.Service)
 	if pool == nil {
 		s.transmit(s.ownerOf(r.Service).Peer, Message{Finish: &finish})
--- a/internal/reducer/spread.go
+++ b/internal/reducer/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/ledger"
@@ -197,11 +198,33 @@
 	s.document, s.blocks = e.Document, e.Blocks
 	s.members.Self.Document = e.Position.Index
 	s.log(CodeDocumentInForce, "", int64(e.Position.Index))
+	s.noteInForce()
 	s.configurePools()
 	s.tickOwners()
 	s.tickPlan()
 }
 
+// noteInForce records which document this VM follows; control VMs add where each
+// service may run.
+func (s *State) noteInForce() {
+	s.record(Audit{Kind: AuditChange, Outcome: "in-force", From: s.Settings.VM, To: s.Settings.Domain, Position: s.loadedAt.Index, Term: s.loadedAt.Term})
+	if s.quorum == nil {
+		return
+	}
+	for _, service := range s.document.Services.Services {
+		s.record(Audit{
+			Kind:     AuditChange,
+			Outcome:  "rule",
+			Service:  service.Name,
+			To:       strings.Join(service.Regions, ","),
+			Position: s.loadedAt.Index,
+		})
+	}
+	for _, domain := range s.document.Places.Domains {
+		s.record(Audit{Kind: AuditChange, Outcome: "domain", From: domain.Name, To: domain.Region, Position: s.loadedAt.Index})
+	}
+}
+
 // checkStale notices that the control leader was not heard of for a while.
 func (s *State) checkStale() {
 	stale := s.now.Sub(s.leaderHeard) > staleAfter
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -43,6 +43,15 @@
 	ResultUnused                      // the grant was given back; nothing was sent
 )
 
+// String names the result.
+func (r Result) String() string {
+	names := [...]string{"none", "ok", "error", "shed", "no-dial", "broken", "late", "cancelled", "unused"}
+	if int(r) >= len(names) {
+		return "none"
+	}
+	return names[r]
+}
+
 // Ran reports whether the request may have run on the server.
 func (r Result) Ran() bool {
 	return r != ResultShed && r != ResultNoDial && r != ResultUnused
--- a/internal/shift/shift.go
+++ b/internal/shift/shift.go
@@ -23,19 +23,38 @@
 	lastShare float64
 }
 
-// Tick begins a new interval when the present one is over.
-func (l *Limiter) Tick(now time.Time) {
+// Closed describes an interval that is over.
+type Closed struct {
+	Total  int     // requests
+	Moved  int     // of them sent elsewhere
+	Before float64 // share that went elsewhere in the interval before
+	Cap    float64
+}
+
+// Share returns the share that went elsewhere.
+func (c Closed) Share() float64 { return float64(c.Moved) / float64(c.Total) }
+
+// Limit returns the share that was allowed; one request always is.
+func (c Closed) Limit() float64 {
+	return max(min(c.Before+c.Cap, 1), 1/float64(c.Total))
+}
+
+// Tick begins a new interval when the present one is over, and returns that one
+// if requests came in it.
+func (l *Limiter) Tick(now time.Time) (Closed, bool) {
 	if l.began.IsZero() {
 		l.began = now
 	}
 	if now.Sub(l.began) < l.Interval {
-		return
+		return Closed{}, false
 	}
 	l.began = now
+	closed := Closed{Total: l.total, Moved: l.moved, Before: l.lastShare, Cap: l.Cap}
 	if l.total > 0 {
-		l.lastShare = float64(l.moved) / float64(l.total)
+		l.lastShare = closed.Share()
 	}
 	l.total, l.moved = 0, 0
+	return closed, closed.Total > 0
 }
 
 // Arrive counts a request.
