--- /dev/null
+++ b/cmd/trial/main.go
@@ -0,0 +1,53 @@
+// Command trial measures the decisions under load and faults and prints the
+// tables of docs/MEASUREMENTS.md.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/heatherwood/heatherwood/examples"
+	"github.com/heatherwood/heatherwood/internal/trial"
+)
+
+func main() {
+	app := kingpin.New("trial", "Measures the decisions under load and faults in virtual time. Example: go run ./cmd/trial --site pottery --seeds 5")
+	site := app.Flag("site", "Site to play.").Default("plaques").Enum(examples.Sites()...)
+	seeds := app.Flag("seeds", "Seeds of each row; the worst is printed.").Default("20").Int()
+	pairs := app.Flag("pairs", "Also play every pair of faults.").Bool()
+	only := app.Flag("case", "Play only cases whose name contains this.").String()
+	policies := app.Flag("policy", "Play only this policy.").Enums(trial.Policies()...)
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := play(*site, *only, *seeds, *pairs, *policies); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func play(site, only string, seeds int, pairs bool, policies []string) error {
+	if len(policies) == 0 {
+		policies = trial.Policies()
+	}
+	cases := trial.Cases()
+	if pairs {
+		cases = append(cases, trial.Pairs()...)
+	}
+	trial.Header(os.Stdout, []string{"paying", "reserving", "browsing"})
+	for _, c := range cases {
+		if !strings.Contains(c.Name, only) {
+			continue
+		}
+		for _, policy := range policies {
+			row, err := trial.Measure(site, c, policy, seeds, runtime.NumCPU())
+			if err != nil {
+				return err
+			}
+			row.Write(os.Stdout)
+		}
+	}
+	return nil
+}
--- a/internal/dispatch/loan.go
+++ b/internal/dispatch/loan.go
@@ -217,6 +217,17 @@
 	return whole
 }
 
+// LinkSlots is the number of slots that another region may use before their
+// answers could fill a share of the link; bits is the share in bits per second.
+func (p *Pool) LinkSlots(bits float64) int {
+	const bitsPerByte = 8
+	if p.Policy.Bytes == 0 {
+		return routing.MaxServers * routing.MaxSlots
+	}
+	answers := bits * (1 - p.Policy.Headroom) / float64(p.Policy.Bytes*bitsPerByte)
+	return int(answers * p.Queue.ServiceTime().Seconds())
+}
+
 // tickLoans ends reservations that ran out.
 func (p *Pool) tickLoans(now time.Time) {
 	before := len(p.loans)
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -54,7 +54,8 @@
 	deadband     = 0.05 // a smaller wish to move is not followed
 )
 
-// Move is a step of the weights of one service and place.
+// Move is a step of the weights of one service; it names the place that moved
+// most.
 type Move struct {
 	Service  string
 	Place    string
@@ -80,7 +81,8 @@
 		w.align(document)
 		w.measure(service, sites)
 		limit := shift.PlanShare * float64(service.Cap)
-		for _, move := range w.move(service, document, sites, limit*stepShare(elapsed, service.Interval.Std())) {
+		step := limit * stepShare(elapsed, service.Interval.Std())
+		if move := w.move(service, document, sites, step); move.Share > 0 {
 			move.Limit, move.Interval = limit, service.Interval.Std()
 			moves = append(moves, move)
 		}
@@ -175,8 +177,8 @@
 }
 
 // move takes one step of all rows towards their targets.
-func (w *serviceWeights) move(service *document.Service, document *document.Document, sites []Site, step float64) []Move {
-	var moves []Move
+func (w *serviceWeights) move(service *document.Service, document *document.Document, sites []Site, step float64) Move {
+	most := Move{Service: w.name}
 	frozen := w.frozen(service, sites)
 	for i := range w.rows {
 		r := &w.rows[i]
@@ -192,11 +194,11 @@
 		}
 		before := slices.Clone(r.weights)
 		stepTowards(r.weights, target, step, w.mustLeave(r, service, document, sites))
-		if moved := movedShare(before, r.weights); moved > 0 {
-			moves = append(moves, Move{Service: w.name, Place: r.place, Share: moved})
+		if moved := movedShare(before, r.weights); moved > most.Share {
+			most.Place, most.Share = r.place, moved
 		}
 	}
-	return moves
+	return most
 }
 
 // frozen reports that measurements stopped: the weights stay as they are.
--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -117,7 +117,7 @@
 func (s *State) own(before Owner, name string) {
 	service := s.document.Services.ByName(name)
 	place := dispatch.Place{VM: s.Settings.VM, Peer: s.Settings.Peer, Domain: s.Settings.Domain, Region: s.Settings.Region}
-	pool := dispatch.NewPool(s.policy(service), place, &s.quarantine, s.ticketBase())
+	pool := dispatch.NewPool(PolicyOf(s.document, service), place, &s.quarantine, s.ticketBase())
 	pool.HoldUntil = s.started.Add(settleDuration)
 	if before.VM != "" {
 		pool.HoldUntil = s.now.Add(routing.AnnounceLifetime)
@@ -165,9 +165,10 @@
 	return nil
 }
 
-func (s *State) policy(service *document.Service) dispatch.Policy {
+// PolicyOf turns a service of the document into the policy of its pools.
+func PolicyOf(d *document.Document, service *document.Service) dispatch.Policy {
 	var ranks []admission.Rank
-	for _, rank := range s.document.Ranks.Order() {
+	for _, rank := range d.Ranks.Order() {
 		ranks = append(ranks, admission.Rank{Worth: rank.Worth, Floor: float64(rank.Floor)})
 	}
 	return dispatch.Policy{
@@ -188,7 +189,7 @@
 	for i := range s.document.Services.Services {
 		service := &s.document.Services.Services[i]
 		if pool := s.pool(service.Name); pool != nil {
-			pool.Configure(s.policy(service))
+			pool.Configure(PolicyOf(s.document, service))
 		}
 		limiter := s.arrivals[service.Name]
 		if limiter == nil {
@@ -321,23 +322,30 @@
 	}
 }
 
-// linkSlots is the number of slots that another region may use before the
-// answers could fill this domain's and service's part of the link.
+// linkSlots bounds what another region may borrow by this failure domain's and
+// service's part of the link.
 func (s *State) linkSlots(pool *dispatch.Pool, region string) int {
-	limit, found := s.document.Places.Limit(s.Settings.Region, region)
-	if !found || region == s.Settings.Region || pool.Policy.Bytes == 0 {
+	bits := LinkPart(s.document, s.Settings.Region, region)
+	if bits == 0 {
 		return routing.MaxServers * routing.MaxSlots
 	}
+	return pool.LinkSlots(bits)
+}
+
+// LinkPart is the part of the link between two regions that one service in one
+// failure domain may use, in bits per second; 0 means no limit.
+func LinkPart(d *document.Document, from, to string) float64 {
+	limit, found := d.Places.Limit(from, to)
+	if !found || from == to {
+		return 0
+	}
 	domains := 0
-	for _, domain := range s.document.Places.Domains {
-		if domain.Region == s.Settings.Region {
+	for _, domain := range d.Places.Domains {
+		if domain.Region == from {
 			domains++
 		}
 	}
-	parts := float64(max(1, domains) * len(s.document.Services.Services))
-	const bitsPerByte = 8
-	answers := float64(limit) * (1 - pool.Policy.Headroom) / parts / float64(pool.Policy.Bytes*bitsPerByte)
-	return int(answers * pool.Queue.ServiceTime().Seconds())
+	return float64(limit) / float64(max(1, domains)*len(d.Services.Services))
 }
 
 // tickPlan renews the weights, the neighbours of the pools and the view.
