Place clients by /24 and borrow slots only for waiting requests

Cause: a place of one coarse block sent all its clients to one failure domain, and a pool borrowed from 80% use on, so that pools held each other's slots idle for seconds. Ruled out: warm-up, ejection (capacity stood at 6 of 6 slots). Change: the unit of placement is a /24 or /56 within the place; slots are wanted for waiting requests and those in use elsewhere.

--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -26,7 +26,6 @@
 
 const (
 	maxSentWants = 8
-	borrowAt     = 0.8 // share of the own slots in use or wanted
 	idleWants    = 4   // Wants without need before the loan is left to run out
 )
 
@@ -40,14 +39,21 @@
 	return &p.borrowed[len(p.borrowed)-1]
 }
 
-// need returns the slots wanted from elsewhere.
+// need returns the slots wanted from elsewhere: those for requests that wait here
+// and those in use elsewhere already. A slot that is lent idles for its owner,
+// so none is wanted in advance.
 func (p *Pool) need() int {
-	own := p.Routing.OwnCapacity()
-	demand := p.Queue.AllWaiting() + len(p.tickets)
-	if float64(demand) < borrowAt*float64(own) {
-		return 0
+	return p.Queue.AllWaiting() + p.borrowedInUse()
+}
+
+func (p *Pool) borrowedInUse() int {
+	total := 0
+	for _, s := range p.Routing.Servers {
+		if s.Borrowed(p.Domain) {
+			total += s.Inflight
+		}
 	}
-	return max(0, demand+1-int(borrowAt*float64(own)))
+	return total
 }
 
 // tickBorrowing sends Wants to the nearest neighbours that have slots to spare.
--- a/internal/plan/blocks.go
+++ b/internal/plan/blocks.go
@@ -160,28 +160,36 @@
 	}
 }
 
-// Find returns the place of an address and a hash of its block, which stays the
-// same while the block does.
+// Bits of an address that decide its placement within a place. Blocks can be
+// far coarser, and one block must not send all its clients to one domain.
+const (
+	unitBits4 = 24
+	unitBits6 = 56
+)
+
+// Find returns the place of an address and the hash of its unit of placement, a
+// /24 or /56.
 func (b *Blocks) Find(address netip.Addr) (place int, hash uint64) {
 	address = address.Unmap()
 	if address.Is4() {
 		return b.find4(address)
 	}
 	w := toWide(address)
+	hash = hashWide(wide{hi: w.hi >> (64 - unitBits6)})
 	at, found := slices.BinarySearchFunc(b.starts6, w, wide.compare)
 	if !found {
 		at--
 	}
-	if at < 0 || b.places6[at] == NoPlace {
-		const clientBits = 56 // of an address outside all blocks
-		return NoPlace, hashWide(wide{hi: w.hi >> (64 - clientBits)})
+	if at < 0 {
+		return NoPlace, hash
 	}
-	return int(b.places6[at]), hashWide(b.starts6[at])
+	return int(b.places6[at]), hash
 }
 
 func (b *Blocks) find4(address netip.Addr) (int, uint64) {
 	bytes := address.As4()
 	value := binary.BigEndian.Uint32(bytes[:])
+	hash := hashWide(wide{lo: uint64(value >> (32 - unitBits4))})
 	low, high := b.index4[value>>16], b.index4[value>>16+1]
 	for low < high {
 		middle := (low + high) / 2
@@ -191,11 +199,10 @@
 			high = middle
 		}
 	}
-	if low == 0 || b.places4[low-1] == NoPlace {
-		const clientBits = 8 // ignored at the end of an address outside all blocks
-		return NoPlace, hashWide(wide{lo: uint64(value >> clientBits)})
+	if low == 0 {
+		return NoPlace, hash
 	}
-	return int(b.places4[low-1]), hashWide(wide{lo: uint64(b.starts4[low-1])})
+	return int(b.places4[low-1]), hash
 }
 
 func hashWide(w wide) uint64 {
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -73,6 +73,23 @@
 	}
 }
 
+// A place of one coarse block must still be spread over its domains.
+func TestCoarseBlockIsSpread(t *testing.T) {
+	d := twoRegions()
+	d.Places.Places = d.Places.Places[:1]
+	d.Places.Places[0].Blocks = []netip.Prefix{netip.MustParsePrefix("10.0.0.0/16")}
+	s := &State{}
+	s.Tick(start, d, sitesOf(d, 10, 1))
+	table := s.Table(NewBlocks(d.Places.Places))
+	var counts [3]int
+	for i := range 256 {
+		counts[table.Look(0, netip.AddrFrom4([4]byte{10, 0, byte(i), 1})).Domains[0]]++
+	}
+	if counts[0] < 80 || counts[1] < 80 {
+		t.Errorf("units per domain %v, want about half in each of the first two", counts)
+	}
+}
+
 func placements(s *State, d *document.Document) map[netip.Addr]int16 {
 	table := s.Table(NewBlocks(d.Places.Places))
 	placed := make(map[netip.Addr]int16)
