Estimate waits by rank and refuse what cannot finish

Change: work must have its mean and three spreads left, at most 60% of the request's time; the queue holds a quarter of the time to the deadline; a rank's rate is what more urgent ranks leave; plain errors of repeatable work are tried elsewhere; a pool in need asks for slots after 100 ms instead of 500.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 )
 
@@ -33,13 +34,13 @@
 
 // lane is the state of one rank.
 type lane struct {
-	waiting  deadlines
-	inUse    int
-	credit   float64 // slot seconds that the rank's floor owes it
-	rate     float64 // grants per second while others waited, moving average
-	granted  int     // since the last tick
-	service  float64 // seconds, moving average of the time in a slot
-	arrivals int     // since the last tick
+	waiting deadlines
+	inUse   int
+	credit  float64 // slot seconds that the rank's floor owes it
+	rate    float64 // grants per second, moving average
+	granted int     // since the last tick
+	service float64 // seconds, moving average of the time in a slot
+	spread  float64 // seconds, moving average of its distance from the mean
 }
 
 // Bounds of the floor's memory and of the estimates.
@@ -48,7 +49,9 @@
 	rateWeight       = 0.2
 	serviceWeight    = 0.05
 	defaultService   = 0.05 // seconds in a slot before any is measured
-	finishShare      = 0.5  // of the mean time in a slot that must remain at the start
+	finishSpreads    = 3.0  // spreads above the mean that must remain at the start
+	maxWaitShare     = 0.25 // of the time to the deadline that may pass in the queue
+	maxNeedShare     = 0.6  // of a request's whole time that its work is thought to need
 )
 
 // New returns an empty queue.
@@ -83,13 +86,15 @@
 // Push queues a request or refuses it; the wait is when to try again.
 func (q *Queue) Push(item *Item, now time.Time, capacity int) (Verdict, time.Duration) {
 	l := &q.lanes[item.Rank]
-	l.arrivals++
 	wait := q.Wait(item.Rank, capacity)
 	if len(l.waiting) >= q.Limit {
 		return Full, wait
 	}
-	need := wait + time.Duration(finishShare*l.serviceTime()*float64(time.Second))
-	if now.Add(need).After(item.Deadline) {
+	remaining := item.Deadline.Sub(now)
+	if wait > time.Duration(maxWaitShare*float64(remaining)) {
+		return Full, wait
+	}
+	if wait+l.need(item) > remaining {
 		return TooLate, wait
 	}
 	heap.Push(&l.waiting, item)
@@ -103,14 +108,39 @@
 	if len(l.waiting) == 0 || capacity == 0 {
 		return 0
 	}
-	floorRate := q.Ranks[rank].Floor * float64(capacity) / l.serviceTime()
-	rate := max(l.rate, floorRate)
-	if rate <= 0 {
-		rate = float64(capacity) / l.serviceTime()
-	}
+	rate := q.share(rank, capacity) * float64(capacity) / l.serviceTime()
 	return time.Duration(float64(len(l.waiting)) / rate * float64(time.Second))
 }
 
+const minShare = 0.01 // of the capacity, so that no estimate is endless
+
+// share estimates the part of the capacity that the rank can get: what more
+// urgent ranks leave, less the floors of waiting ranks below, and never less than
+// its own floor.
+func (q *Queue) share(rank, capacity int) float64 {
+	left := 1.0
+	for other := range q.lanes {
+		l := &q.lanes[other]
+		switch {
+		case other < rank:
+			left -= l.rate * l.serviceTime() / float64(capacity)
+		case other > rank && len(l.waiting) > 0:
+			left -= q.Ranks[other].Floor
+		}
+	}
+	return max(left, q.Ranks[rank].Floor, minShare)
+}
+
+// need is the time in a slot that nearly all requests of the rank stay below.
+// Work begun with less would often be for nothing. It is bounded by a part of
+// the request's whole time, so that slow answers never stop the rank: without
+// new work there would be no new measurement either.
+func (l *lane) need(item *Item) time.Duration {
+	need := time.Duration((l.service + finishSpreads*l.spread) * float64(time.Second))
+	whole := item.Deadline.Sub(item.Arrived)
+	return min(need, time.Duration(maxNeedShare*float64(whole)))
+}
+
 func (l *lane) serviceTime() float64 {
 	if l.service == 0 {
 		return defaultService
@@ -188,7 +218,9 @@
 		l.service = held.Seconds()
 		return
 	}
-	l.service += serviceWeight * (held.Seconds() - l.service)
+	distance := held.Seconds() - l.service
+	l.service += serviceWeight * distance
+	l.spread += serviceWeight * (math.Abs(distance) - l.spread)
 }
 
 // Tick brings the floors' credits and the rates up to date and returns the
@@ -218,19 +250,15 @@
 		limit = 0
 	}
 	l.credit = min(max(l.credit, -limit), limit)
-	rate := float64(l.granted) / elapsed
-	if len(l.waiting) > 0 || l.granted > 0 {
-		l.rate += rateWeight * (rate - l.rate)
-	}
-	l.granted, l.arrivals = 0, 0
+	l.rate += rateWeight * (float64(l.granted)/elapsed - l.rate)
+	l.granted = 0
 }
 
 func (q *Queue) expired(now time.Time) []*Item {
 	var late []*Item
 	for rank := range q.lanes {
 		l := &q.lanes[rank]
-		need := time.Duration(finishShare * l.serviceTime() * float64(time.Second))
-		for len(l.waiting) > 0 && now.Add(need).After(l.waiting[0].Deadline) {
+		for len(l.waiting) > 0 && now.Add(l.need(l.waiting[0])).After(l.waiting[0].Deadline) {
 			item := heap.Pop(&l.waiting).(*Item)
 			delete(q.byID, item.ID)
 			late = append(late, item)
--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -26,7 +26,7 @@
 
 const (
 	maxSentWants = 8
-	idleWants    = 4   // Wants without need before the loan is left to run out
+	idleWants    = 4 // Wants without need before the loan is left to run out
 )
 
 func (p *Pool) borrowingOf(domain string) *borrowing {
@@ -58,11 +58,13 @@
 
 // tickBorrowing sends Wants to the nearest neighbours that have slots to spare.
 func (p *Pool) tickBorrowing(now time.Time) {
-	if now.Before(p.wantDue) {
+	left := p.need()
+	hurry := left > p.lastNeed && !now.Before(p.wantDue.Add(wantHurry-wantInterval))
+	if now.Before(p.wantDue) && !hurry {
 		return
 	}
 	p.wantDue = now.Add(wantInterval)
-	left := p.need()
+	p.lastNeed = left
 	for _, neighbour := range p.Lendable {
 		held := p.heldFrom(neighbour.Domain)
 		wanted := min(left, neighbour.Spare+held)
--- a/internal/dispatch/loan.go
+++ b/internal/dispatch/loan.go
@@ -14,6 +14,7 @@
 const (
 	loanTTL       = 1500 * time.Millisecond
 	wantInterval  = 500 * time.Millisecond
+	wantHurry     = 100 * time.Millisecond // when more is needed than was asked for
 	reserveFactor = 1.2
 )
 
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -126,6 +126,7 @@
 	loans      []loan
 	leaving    []leavingServer
 	wantDue    time.Time
+	lastNeed   int
 	arrived    int
 	rate       float64
 	effects    []Effect
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -140,12 +140,16 @@
 	if r == nil || r.Grant == nil {
 		return
 	}
-	streams := e.Result == routing.ResultOK || e.Result == routing.ResultError
+	answered := e.Result == routing.ResultOK || e.Result == routing.ResultError
 	suspicion := quarantine.Clear
-	if !streams {
+	if !answered {
 		suspicion = s.finish(r, e.Result, e.Latency)
 	}
-	s.step(e.Call, r, r.Sent(e.Result, suspicion, s.now, s.budget(r)))
+	step := r.Sent(e.Result, suspicion, s.now, s.budget(r))
+	if answered && !step.Stream {
+		s.finish(r, e.Result, e.Latency)
+	}
+	s.step(e.Call, r, step)
 }
 
 // finish ends the grant of a request. Another owner's verdict on a broken
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -247,9 +247,11 @@
 func (r *Request) Sent(result routing.Result, suspicion quarantine.Phase, now time.Time, budget *Budget) Step {
 	server := r.Grant.Server
 	switch result {
-	case routing.ResultOK, routing.ResultError:
+	case routing.ResultOK:
 		r.phase = phaseDone
 		return Step{Stream: true}
+	case routing.ResultError:
+		return r.failed(server, now, budget)
 	case routing.ResultShed, routing.ResultNoDial:
 		return r.elsewhere(server, now, budget)
 	case routing.ResultBroken:
@@ -270,9 +272,25 @@
 	}
 }
 
+// failed tries work that may be repeated on another server; the last try's answer
+// goes to the caller as it is.
+func (r *Request) failed(server string, now time.Time, budget *Budget) Step {
+	r.ran = true
+	if r.Once || !r.mayRetry(now) || !budget.Retry() {
+		r.phase = phaseDone
+		return Step{Stream: true}
+	}
+	r.exclude = append(r.exclude, server)
+	return r.ask(now)
+}
+
+func (r *Request) mayRetry(now time.Time) bool {
+	return r.tries < maxTries && r.Replayable && now.Before(r.Deadline)
+}
+
 // elsewhere tries another server, within the budget and the deadline.
 func (r *Request) elsewhere(server string, now time.Time, budget *Budget) Step {
-	if r.tries < maxTries && r.Replayable && now.Before(r.Deadline) && budget.Retry() {
+	if r.mayRetry(now) && budget.Retry() {
 		r.exclude = append(r.exclude, server)
 		return r.ask(now)
 	}
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -369,6 +369,16 @@
 	w.pull(s)
 }
 
+// cancel ends a request's work without an answer.
+func (w *World) cancel(s *server, r *request) {
+	if !s.inflight[r] {
+		return
+	}
+	delete(s.inflight, r)
+	s.running--
+	w.pull(s)
+}
+
 // pull starts the next request of a server's own queue.
 func (w *World) pull(s *server) {
 	for s.alive && s.running < s.slots && len(s.queue) > 0 {
