Lead failed callers where the plan will lead them, urgent ranks first

Cause: a dead region's callers knew only entries of that region, and arrivals of moved clients had a fixed quarter of the cap. Change: the second choice is the runner-up of the race and the third lies in the next region; arrivals use the plan's part of the cap while the plan stands still; the budget of a limiter is kept for urgent ranks first; requests that follow a look-up still in a caller's cache count as at home.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -172,6 +172,9 @@
 	return item
 }
 
+// Peek returns the rank that Next would take, or -1.
+func (q *Queue) Peek(capacity int) int { return q.nextRank(capacity) }
+
 func (q *Queue) nextRank(capacity int) int {
 	first := -1
 	for rank := range q.lanes {
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -275,16 +275,7 @@
 	if err != nil {
 		return false
 	}
-	table := in.view.Table
-	service := table.Service(in.service.Name)
-	if service < 0 {
-		return false
-	}
-	if place, _ := table.Blocks.Find(client); place == plan.NoPlace {
-		return false
-	}
-	choice := table.Look(service, client)
-	return choice.Count > 0 && table.Domains[choice.Domains[0]] != in.view.Domain
+	return !plan.Home(in.view.Tables, in.service.Name, client, in.view.Domain)
 }
 
 // serve follows the reducer's steps until the caller has an answer.
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -301,7 +301,8 @@
 // serve grants free slots to waiting requests, the most entitled first.
 func (p *Pool) serve(now time.Time) {
 	for p.Queue.AllWaiting() > 0 {
-		shifted := p.Spill.MayMove()
+		rank := p.Queue.Peek(p.Routing.Capacity())
+		shifted := p.Routing.Choose(nil, false) == nil && p.Routing.Choose(nil, true) != nil && p.Spill.MayMove(rank)
 		if p.Routing.Choose(nil, shifted) == nil {
 			return
 		}
@@ -344,7 +345,7 @@
 	}
 	elsewhere := server.Borrowed(p.Domain)
 	if elsewhere {
-		p.Spill.Move()
+		p.Spill.Move(ask.Rank)
 	}
 	p.emit(Reply{To: ask.From, Ask: ask.ID, Answer: Answer{Grant: &Grant{
 		Ticket:  t.id,
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -89,7 +89,7 @@
 	deadAfter        = 3 * time.Second
 	forgetAfter      = 10 * time.Minute
 	returnHeartbeats = 3 // that a VM thought dead must send to count again
-	DomainSilent     = 6 * time.Second
+	DomainSilent     = 4 * time.Second
 )
 
 // record is what is known of one VM of the own failure domain.
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -45,6 +45,7 @@
 type row struct {
 	place   string
 	weights []float64 // by domain; the sum is 1, or 0 when nothing may serve
+	spares  []float64 // preference among domains that only serve when others are dead
 	begun   bool
 }
 
@@ -183,6 +184,7 @@
 	for i := range w.rows {
 		r := &w.rows[i]
 		target := w.target(service, document, sites, i)
+		r.spares = w.spares(service, document, sites, i)
 		if !r.begun {
 			// The first placement moves nobody: nothing was placed before.
 			copy(r.weights, target)
@@ -302,10 +304,7 @@
 // its capacity less headroom; what exceeds that goes to the next one. Within a
 // region the weights follow capacity.
 func (w *serviceWeights) target(service *document.Service, document *document.Document, sites []Site, rowNumber int) []float64 {
-	home := ""
-	if rowNumber < len(document.Places.Places) {
-		home = document.Places.Places[rowNumber].Region
-	}
+	home := w.home(document, rowNumber)
 	left := 1.0
 	target := make([]float64, len(w.domains))
 	regions := w.regionsByDelay(document, home)
@@ -326,6 +325,30 @@
 	return normalise(target)
 }
 
+// spares prefers usable domains of nearer regions; they are named to callers
+// behind those that the weights lead to.
+func (w *serviceWeights) spares(service *document.Service, document *document.Document, sites []Site, rowNumber int) []float64 {
+	spares := make([]float64, len(w.domains))
+	preference := float64(len(document.Places.Regions))
+	for _, region := range w.regionsByDelay(document, w.home(document, rowNumber)) {
+		for i, domain := range w.domains {
+			if document.Places.RegionOf(domain) == region && usable(domain, service, sites) {
+				spares[i] = preference
+			}
+		}
+		preference--
+	}
+	return spares
+}
+
+// home is the region of a row's place, or "" for addresses outside all blocks.
+func (w *serviceWeights) home(document *document.Document, rowNumber int) string {
+	if rowNumber < len(document.Places.Places) {
+		return document.Places.Places[rowNumber].Region
+	}
+	return ""
+}
+
 // acceptable is the share of a region's present demand that its capacity less
 // headroom can take.
 func (w *serviceWeights) acceptable(service *document.Service, region string, capacity float64) float64 {
--- a/internal/plan/table.go
+++ b/internal/plan/table.go
@@ -18,10 +18,16 @@
 
 type tableService struct {
 	name string
-	rows [][]candidate // by place: the domains with a weight, the largest first
+	rows []tableRow // by place
 }
 
-// candidate is a domain that serves a place.
+// tableRow is the domains that serve a place.
+type tableRow struct {
+	weighted []candidate // the largest weight first
+	spares   []int16     // of the nearest region that has others
+}
+
+// candidate is a domain with a weight.
 type candidate struct {
 	domain  int16
 	seed    uint64  // of the domain's draw
@@ -44,22 +50,42 @@
 		t.Domains = w.domains
 		service := tableService{name: w.name}
 		for _, r := range w.rows {
-			service.rows = append(service.rows, candidates(w.domains, r.weights))
+			service.rows = append(service.rows, candidates(w.domains, r))
 		}
 		t.services = append(t.services, service)
 	}
 	return t
 }
 
-func candidates(domains []string, weights []float64) []candidate {
-	var list []candidate
-	for i, weight := range weights {
+func candidates(domains []string, r row) tableRow {
+	var result tableRow
+	nearest := 0.0
+	for _, spare := range spareOnly(r) {
+		nearest = max(nearest, spare)
+	}
+	for i, weight := range r.weights {
 		if weight > 0 {
-			list = append(list, candidate{domain: int16(i), seed: xxhash.Sum64String(domains[i]), inverse: 1 / weight})
+			result.weighted = append(result.weighted, candidate{domain: int16(i), seed: xxhash.Sum64String(domains[i]), inverse: 1 / weight})
+		}
+	}
+	for i, spare := range spareOnly(r) {
+		if spare > 0 && spare == nearest {
+			result.spares = append(result.spares, int16(i))
+		}
+	}
+	slices.SortStableFunc(result.weighted, func(a, b candidate) int { return cmp.Compare(a.inverse, b.inverse) })
+	return result
+}
+
+// spareOnly returns the spare weights of domains without a weight.
+func spareOnly(r row) []float64 {
+	spares := make([]float64, len(r.weights))
+	for i := range min(len(r.spares), len(r.weights)) {
+		if r.weights[i] == 0 {
+			spares[i] = r.spares[i]
 		}
 	}
-	slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(a.inverse, b.inverse) })
-	return list
+	return spares
 }
 
 // Service returns the number of a service for Look, or -1.
@@ -81,29 +107,46 @@
 		place = len(s.rows) - 1
 	}
 	choice := Choice{Hash: hash}
-	row := s.rows[place]
-	if winner := race(row, hash); winner >= 0 {
-		choice.add(winner)
-	}
-	for i := range row {
-		choice.add(row[i].domain)
-	}
+	race(s.rows[place].weighted, hash, &choice)
+	choice.fill(s.rows[place].spares)
 	return choice
 }
 
+// fill adds domains that only serve when the chosen ones are dead.
+func (c *Choice) fill(spares []int16) {
+	for i := range spares {
+		if c.Count == maxChoice {
+			return
+		}
+		c.Domains[c.Count] = spares[(c.Hash+uint64(i))%uint64(len(spares))]
+		c.Count++
+	}
+}
+
 // race is weighted rendezvous hashing: each domain draws an exponential time
 // with its weight as the rate, and the earliest wins. A domain whose weight
-// grows only gains blocks and one whose weight shrinks only loses them, and all
-// VMs with the same weights agree.
-func race(row []candidate, hash uint64) int16 {
-	winner, best := int16(-1), math.Inf(1)
+// grows only gains clients and one whose weight shrinks only loses them, and all
+// VMs with the same weights agree. The second is the one that would win without
+// the first, so a caller that goes there when the first is dead goes where the
+// plan will lead it.
+func race(row []candidate, hash uint64, choice *Choice) {
+	var times [maxChoice]float64
 	for i := range row {
 		draw := float64(mix(hash^row[i].seed)>>11+1) * (1.0 / (1 << 53))
-		if time := -math.Log(draw) * row[i].inverse; time < best {
-			winner, best = row[i].domain, time
+		time := -math.Log(draw) * row[i].inverse
+		at := choice.Count
+		for at > 0 && times[at-1] > time {
+			at--
+		}
+		if at == maxChoice {
+			continue
 		}
+		last := min(choice.Count, maxChoice-1)
+		copy(times[at+1:last+1], times[at:last])
+		copy(choice.Domains[at+1:last+1], choice.Domains[at:last])
+		times[at], choice.Domains[at] = time, row[i].domain
+		choice.Count = min(choice.Count+1, maxChoice)
 	}
-	return winner
 }
 
 // mix is the finalizer of splitmix64.
@@ -112,16 +155,3 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
-
-func (c *Choice) add(domain int16) {
-	if c.Count == maxChoice {
-		return
-	}
-	for _, known := range c.Domains[:c.Count] {
-		if known == domain {
-			return
-		}
-	}
-	c.Domains[c.Count] = domain
-	c.Count++
-}
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -65,7 +65,8 @@
 	Sections []ledger.Section // newest known, perhaps not parsed yet
 	HeldAt   ledger.Position  // of Sections
 	Table    *plan.Table
-	Domains  []ViewDomain // by the numbers of Table.Domains
+	Tables   []*plan.Table // that callers may still follow, Table last
+	Domains  []ViewDomain  // by the numbers of Table.Domains
 	Owners   []Owner
 	Leader   Leader
 	Domain   string
--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -196,7 +196,7 @@
 			limiter = &shift.Limiter{}
 			s.arrivals[service.Name] = limiter
 		}
-		limiter.Cap = float64(service.Cap) * shift.ArrivalShare
+		limiter.Cap = shift.ArrivalCap(float64(service.Cap), false)
 		limiter.Interval = service.Interval.Std()
 	}
 }
@@ -355,7 +355,10 @@
 	}
 	domains := s.members.Domains(s.now)
 	s.noteSilence(domains)
-	for _, move := range s.planner.Tick(s.now, s.document, s.sites(domains)) {
+	moves := s.planner.Tick(s.now, s.document, s.sites(domains))
+	s.limitArrivals(moves)
+	s.recent.Add(s.planner.Table(s.blocks), s.now)
+	for _, move := range moves {
 		s.record(Audit{
 			Kind:    AuditPlan,
 			Outcome: "weights",
@@ -375,6 +378,20 @@
 	s.publish()
 }
 
+// limitArrivals gives the part of the cap that the plan does not use to requests
+// of clients placed elsewhere.
+func (s *State) limitArrivals(moves []plan.Move) {
+	for i := range s.document.Services.Services {
+		service := &s.document.Services.Services[i]
+		moving := slices.ContainsFunc(moves, func(m plan.Move) bool { return m.Service == service.Name })
+		if moving {
+			s.planMoved[service.Name] = s.now
+		}
+		lately := s.now.Sub(s.planMoved[service.Name]) < service.Interval.Std()
+		s.arrivals[service.Name].Cap = shift.ArrivalCap(float64(service.Cap), lately)
+	}
+}
+
 // noteStops records begin and end of planned stops, on control VMs only.
 func (s *State) noteStops() {
 	if s.quorum == nil {
@@ -509,7 +526,8 @@
 		view.Versions.Set(section.Name, section.Version)
 	}
 	if s.document != nil {
-		view.Table = s.planner.Table(s.blocks)
+		view.Tables = s.recent.Tables()
+		view.Table = view.Tables[len(view.Tables)-1]
 		view.Domains = s.viewDomains()
 		view.Ready = s.now.Sub(s.started) >= settleDuration
 	}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -35,6 +35,7 @@
 	ledger  *ledger.State
 	members *member.State
 	planner plan.State
+	recent  plan.Recent
 
 	copyAt   ledger.Position
 	copies   []ledger.Section
@@ -58,6 +59,7 @@
 	stale       bool
 	silent      map[string]bool
 	stopping    map[string]bool
+	planMoved   map[string]time.Time
 
 	now       time.Time
 	started   time.Time
@@ -109,18 +111,20 @@
 		Control:     settings.Control,
 	}
 	s := &State{
-		Settings: settings,
-		members:  member.New(self, settings.Seeds),
-		requests: make(map[uint64]*relay.Request),
-		budgets:  make(map[budgetKey]*relay.Budget),
-		arrivals: make(map[string]*shift.Limiter),
-		asks:     make(map[askKey]askTarget),
-		pending:  make(map[uint64]pendingProposal),
-		reads:    make(map[uint64]pendingRead),
-		silent:   make(map[string]bool),
-		stopping: make(map[string]bool),
-		started:  now,
-		now:      now,
+		Settings:  settings,
+		members:   member.New(self, settings.Seeds),
+		requests:  make(map[uint64]*relay.Request),
+		budgets:   make(map[budgetKey]*relay.Budget),
+		arrivals:  make(map[string]*shift.Limiter),
+		asks:      make(map[askKey]askTarget),
+		pending:   make(map[uint64]pendingProposal),
+		reads:     make(map[uint64]pendingRead),
+		silent:    make(map[string]bool),
+		stopping:  make(map[string]bool),
+		planMoved: make(map[string]time.Time),
+		recent:    plan.Recent{Keep: LookupTTL},
+		started:   now,
+		now:       now,
 	}
 	if restart == nil {
 		return s, nil
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -44,7 +44,7 @@
 			s.noteShift("arrival", r.Service, closed)
 		}
 		limiter.Arrive()
-		if e.Foreign && !limiter.MayMove() {
+		if e.Foreign && !limiter.MayMove(r.Rank) {
 			s.emit(Answer{Call: e.Call, Value: relay.Step{Refuse: &relay.Problem{
 				Status:     http.StatusServiceUnavailable,
 				Reason:     string(dispatch.ReasonCap),
@@ -55,7 +55,7 @@
 			return
 		}
 		if e.Foreign {
-			limiter.Move()
+			limiter.Move(r.Rank)
 		}
 	}
 	s.requests[e.Call] = r
--- a/internal/reducer/spread.go
+++ b/internal/reducer/spread.go
@@ -200,8 +200,8 @@
 	s.log(CodeDocumentInForce, "", int64(e.Position.Index))
 	s.noteInForce()
 	s.configurePools()
-	s.tickOwners()
 	s.tickPlan()
+	s.tickOwners()
 }
 
 // noteInForce records which document this VM follows; control VMs add where each
--- a/internal/shift/shift.go
+++ b/internal/shift/shift.go
@@ -10,6 +10,16 @@
 	SpillShare   = 0.25 // of the cap: requests sent to leased slots elsewhere
 )
 
+// ArrivalCap is the part of a cap for requests of clients placed elsewhere. While
+// the plan does not move, its part is free: such requests then come from callers
+// whose own failure domain is gone, and the plan will only follow them.
+func ArrivalCap(limit float64, planMoves bool) float64 {
+	if planMoves {
+		return limit * ArrivalShare
+	}
+	return limit * (ArrivalShare + PlanShare)
+}
+
 // Limiter bounds the share of requests that goes elsewhere: in each interval it
 // may be at most the share of the interval before plus Cap. Example: Cap 0.1,
 // 5% went elsewhere in the last interval, so at most 15% may now.
@@ -21,6 +31,10 @@
 	total     int
 	moved     int
 	lastShare float64
+
+	wanted     []int // requests that wanted to move, by rank
+	lastWanted []int // of the interval before
+	movedBy    []int
 }
 
 // Closed describes an interval that is over.
@@ -54,24 +68,47 @@
 		l.lastShare = closed.Share()
 	}
 	l.total, l.moved = 0, 0
+	copy(l.lastWanted, l.wanted)
+	clear(l.wanted)
+	clear(l.movedBy)
 	return closed, closed.Total > 0
 }
 
 // Arrive counts a request.
 func (l *Limiter) Arrive() { l.total++ }
 
-// MayMove reports whether one more request may go elsewhere. One request per
-// interval always may, or a quiet service could never change its place.
-func (l *Limiter) MayMove() bool {
+// MayMove reports whether one more request of the rank may go elsewhere. One
+// request per interval always may, or a quiet service could never change its
+// place. What the more urgent ranks wanted in the interval before is kept free
+// for them.
+func (l *Limiter) MayMove(rank int) bool {
+	l.grow(rank)
+	l.wanted[rank]++
 	if l.moved == 0 {
 		return true
 	}
 	limit := min(l.lastShare+l.Cap, 1) * float64(l.total)
-	return float64(l.moved+1) <= limit
+	kept := 0
+	for urgent := range rank {
+		kept += max(0, l.lastWanted[urgent]-l.movedBy[urgent])
+	}
+	return float64(l.moved+1+kept) <= limit
 }
 
-// Move counts a request that goes elsewhere.
-func (l *Limiter) Move() { l.moved++ }
+func (l *Limiter) grow(rank int) {
+	for len(l.wanted) <= rank {
+		l.wanted = append(l.wanted, 0)
+		l.lastWanted = append(l.lastWanted, 0)
+		l.movedBy = append(l.movedBy, 0)
+	}
+}
+
+// Move counts a request of the rank that goes elsewhere.
+func (l *Limiter) Move(rank int) {
+	l.grow(rank)
+	l.moved++
+	l.movedBy[rank]++
+}
 
 // Share returns the share that went elsewhere in the last full interval.
 func (l *Limiter) Share() float64 { return l.lastShare }
