--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -171,16 +171,8 @@
 		return fmt.Errorf("format %d is not supported", b.Format)
 	}
 	restart.Hard = b.Hard
-	base := restart.Snapshot.Index
-	for _, entry := range b.Entries {
-		if entry.Index <= base {
-			continue
-		}
-		at := entry.Index - base - 1
-		if at > uint64(len(restart.Entries)) {
-			return errGap
-		}
-		restart.Entries = append(restart.Entries[:at], entry)
+	if !restart.KeepEntries(b.Entries) {
+		return errGap
 	}
 	return nil
 }
--- a/internal/quorum/cluster_test.go
+++ b/internal/quorum/cluster_test.go
@@ -214,7 +214,7 @@
 	r.saving = r.saving[done:]
 	for _, s := range finished {
 		if !c.skipSync {
-			r.write(s.Save)
+			r.disk.Keep(s.Save)
 		}
 		for _, message := range s.Then {
 			c.send(message)
@@ -223,23 +223,6 @@
 	c.effects(r, r.state.Saved(finished[done-1].Sequence, c.now))
 }
 
-// write makes a save durable on the replica's disk.
-func (r *replica) write(s Save) {
-	r.disk.Hard = s.Hard
-	if s.Snapshot != nil {
-		r.disk.Snapshot = *s.Snapshot
-		r.disk.Entries = slices.Clone(s.Entries)
-		return
-	}
-	for _, entry := range s.Entries {
-		if entry.Index <= r.disk.Snapshot.Index {
-			continue
-		}
-		at := entry.Index - r.disk.Snapshot.Index - 1
-		r.disk.Entries = append(r.disk.Entries[:at:at], entry)
-	}
-}
-
 func (c *cluster) send(message Message) {
 	if c.random.Float64() < c.loss {
 		return
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -81,6 +81,33 @@
 	Entries  []Entry
 }
 
+// Keep adds what a Save makes durable.
+func (r *Restart) Keep(save Save) {
+	r.Hard = save.Hard
+	if save.Snapshot != nil {
+		r.Snapshot = *save.Snapshot
+		r.Entries = slices.Clone(save.Entries)
+		return
+	}
+	r.KeepEntries(save.Entries)
+}
+
+// KeepEntries replaces the log from the first entry's index on. It returns false
+// when the entries do not follow those held.
+func (r *Restart) KeepEntries(entries []Entry) bool {
+	for _, entry := range entries {
+		if entry.Index <= r.Snapshot.Index {
+			continue
+		}
+		at := entry.Index - r.Snapshot.Index - 1
+		if at > uint64(len(r.Entries)) {
+			return false
+		}
+		r.Entries = append(r.Entries[:at], entry)
+	}
+	return true
+}
+
 // New builds a replica from what its disk holds; a first start passes a
 // snapshot at index 0 that holds the first set of replicas.
 func New(settings Settings, restart Restart, now time.Time) *State {
--- /dev/null
+++ b/internal/reducer/session_request_test.go
@@ -0,0 +1,227 @@
+package reducer
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/heatherwood/heatherwood/internal/dispatch"
+	"github.com/heatherwood/heatherwood/internal/ledger"
+	"github.com/heatherwood/heatherwood/internal/relay"
+	"github.com/heatherwood/heatherwood/internal/routing"
+)
+
+// sessionServer is a backend server in a session.
+type sessionServer struct {
+	id      string
+	vm      *sessionVM // entry that it announces itself to
+	service string
+	slots   int
+	state   routing.State
+	does    string // ok, error, shed, crash, refuse or hang
+	alive   bool
+	running int
+	work    time.Duration
+}
+
+// server adds a backend server or changes what it does.
+func (s *session) server(d *datadriven.TestData) {
+	id := arg(d, "id")
+	server := s.servers[id]
+	if server == nil {
+		server = &sessionServer{id: id, service: arg(d, "service"), slots: 2, state: routing.StateServing, does: "ok", alive: true, work: 30 * time.Millisecond}
+		s.servers[id] = server
+		server.vm = s.find(arg(d, "vm"))
+		s.announceLater(server, 0)
+	}
+	if does := arg(d, "does"); does != "" {
+		server.does = does
+	}
+	if state := arg(d, "state"); state != "" {
+		server.state = routing.State(state)
+		s.announceOnce(server)
+	}
+	if work := arg(d, "work"); work != "" {
+		server.work, _ = time.ParseDuration(work)
+	}
+}
+
+func (s *session) announceLater(server *sessionServer, wait time.Duration) {
+	s.after(wait, func() {
+		s.announceOnce(server)
+		s.announceLater(server, 500*time.Millisecond)
+	})
+}
+
+func (s *session) announceOnce(server *sessionServer) {
+	if server.alive && server.vm.up {
+		s.announceAt(server, server.vm, false)
+	}
+}
+
+func (s *session) announceAt(server *sessionServer, vm *sessionVM, forwarded bool) {
+	call := s.call(func(value any) {
+		answer := value.(Announcement)
+		if answer.Refused != "" {
+			s.note("%s: announcement refused: %s", server.id, answer.Refused)
+		}
+		if owner := s.find(answer.Forward); owner != nil {
+			s.after(delay(vm, owner), func() { s.announceAt(server, owner, true) })
+		}
+	})
+	s.apply(vm, Announced{Call: call, Forwarded: forwarded, Announcement: routing.Announcement{
+		ID:      server.id,
+		Address: "127.0.0.1:9",
+		Service: server.service,
+		Slots:   server.slots,
+		State:   server.state,
+	}})
+}
+
+// request sends a caller's request through a VM, as the shell does.
+func (s *session) request(vm *sessionVM, d *datadriven.TestData) {
+	var count int
+	fmt.Sscan(arg(d, "count"), &count)
+	pause, _ := time.ParseDuration(arg(d, "every"))
+	given := *d
+	for i := range max(1, count) {
+		s.after(time.Duration(i)*pause, func() { s.oneRequest(vm, &given, i) })
+	}
+}
+
+func (s *session) oneRequest(vm *sessionVM, d *datadriven.TestData, number int) {
+	s.nextCall++
+	id := fmt.Sprintf("%s#%d", arg(d, "id"), number)
+	timeout := time.Second
+	if text := arg(d, "timeout"); text != "" {
+		timeout, _ = time.ParseDuration(text)
+	}
+	r := &relay.Request{
+		ID:          id,
+		Service:     arg(d, "service"),
+		Deadline:    s.now.Add(timeout),
+		Hold:        timeout + 5*time.Second,
+		Keep:        time.Hour,
+		Holder:      vm.settings.VM,
+		Replayable:  true,
+		Fingerprint: uint64(len(id)) + s.nextCall,
+	}
+	fmt.Sscan(arg(d, "rank"), &r.Rank)
+	if same := arg(d, "same"); same != "" {
+		fmt.Sscan(same, &r.Fingerprint)
+	}
+	if key := arg(d, "key"); key != "" {
+		r.Once = true
+		r.Key = ledger.Key{Service: r.Service, Key: key}
+	}
+	x := &sessionExchange{session: s, vm: vm, request: r}
+	x.call = s.call(func(value any) { x.step(value.(relay.Step)) })
+	s.apply(vm, RequestBegan{Call: x.call, Request: r})
+}
+
+// sessionExchange follows one request.
+type sessionExchange struct {
+	session *session
+	vm      *sessionVM
+	request *relay.Request
+	call    uint64
+	ended   bool
+}
+
+func (x *sessionExchange) step(step relay.Step) {
+	s := x.session
+	if step.Settle != nil {
+		s.propose(x.vm, ledger.Command{Settle: step.Settle}, func(Proposed) {})
+	}
+	if step.Free != nil {
+		s.propose(x.vm, ledger.Command{Release: step.Free}, func(Proposed) {})
+	}
+	switch {
+	case step.Claim != nil:
+		s.propose(x.vm, ledger.Command{Claim: step.Claim}, func(answer Proposed) {
+			s.apply(x.vm, RequestClaimed{Call: x.call, Result: answer.Result.Claim})
+		})
+	case step.Wait > 0:
+		s.after(step.Wait, func() { s.apply(x.vm, RequestWaited{Call: x.call}) })
+	case step.Ask != nil:
+		x.ask(*step.Ask)
+	case step.Send != nil:
+		x.send(step.Send)
+	case step.Replay != nil:
+		x.end("stored answer %s", step.Replay.Body)
+	case step.Refuse != nil:
+		x.end("refused %d %s run=%s", step.Refuse.Status, step.Refuse.Reason, step.Refuse.Run)
+	}
+}
+
+func (x *sessionExchange) end(format string, args ...any) {
+	x.session.note("%s at %s: %s", x.request.ID, x.vm.settings.VM, fmt.Sprintf(format, args...))
+	x.session.apply(x.vm, RequestEnded{Call: x.call, Result: routing.ResultUnused})
+}
+
+func (x *sessionExchange) ask(ask dispatch.Ask) {
+	s := x.session
+	owner, _ := x.vm.view.OwnerOf(ask.Service)
+	at := s.find(owner.Peer)
+	if at == nil || !at.up {
+		s.apply(x.vm, RequestAsked{Call: x.call, Err: errUnknown})
+		return
+	}
+	call := s.call(func(value any) {
+		s.after(delay(at, x.vm), func() {
+			s.apply(x.vm, RequestAsked{Call: x.call, Answer: value.(dispatch.Answer)})
+		})
+	})
+	s.after(delay(x.vm, at), func() { s.apply(at, Asked{Call: call, Ask: ask}) })
+}
+
+func (x *sessionExchange) send(grant *dispatch.Grant) {
+	s := x.session
+	server := s.servers[lastPart(grant.Server)]
+	if !server.alive {
+		s.apply(x.vm, RequestSent{Call: x.call, Result: routing.ResultNoDial})
+		return
+	}
+	switch server.does {
+	case "crash":
+		server.alive = false
+		s.note("%s crashed by %s", server.id, x.request.ID)
+		s.apply(x.vm, RequestSent{Call: x.call, Result: routing.ResultBroken})
+		s.after(3*time.Second, func() { server.alive = true })
+	case "shed":
+		s.apply(x.vm, RequestSent{Call: x.call, Result: routing.ResultShed})
+	default:
+		x.serve(server)
+	}
+}
+
+func (x *sessionExchange) serve(server *sessionServer) {
+	s := x.session
+	server.running++
+	if server.running > server.slots {
+		s.note("%s runs %d requests in %d slots", server.id, server.running, server.slots)
+	}
+	s.after(server.work, func() {
+		server.running--
+		if !x.vm.up {
+			s.note("%s ran %s, but the entry is gone", server.id, x.request.ID)
+			return
+		}
+		s.apply(x.vm, RequestSent{Call: x.call, Result: routing.ResultOK, Latency: server.work})
+		s.note("%s at %s: answered by %s", x.request.ID, x.vm.settings.VM, server.id)
+		s.apply(x.vm, RequestEnded{Call: x.call, Result: routing.ResultOK, Latency: server.work})
+		if x.request.Once {
+			s.propose(x.vm, ledger.Command{Settle: &ledger.Settle{Key: x.request.Key, Attempt: x.request.ID, Outcome: ledger.Outcome{Status: 200, Body: []byte("by " + server.id)}}}, func(Proposed) {})
+		}
+	})
+}
+
+func lastPart(id string) string {
+	for i := len(id) - 1; i >= 0; i-- {
+		if id[i] == '/' {
+			return id[i+1:]
+		}
+	}
+	return id
+}
--- /dev/null
+++ b/internal/reducer/session_test.go
@@ -0,0 +1,475 @@
+package reducer
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/heatherwood/heatherwood/internal/ledger"
+	"github.com/heatherwood/heatherwood/internal/plan"
+	"github.com/heatherwood/heatherwood/internal/quorum"
+	"github.com/heatherwood/heatherwood/pkg/document"
+)
+
+var sessionStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// session drives the reducers of some VMs in virtual time; golden files in
+// testdata/sessions show what they did.
+type session struct {
+	now      time.Time
+	vms      []*sessionVM
+	flights  []sessionFlight
+	order    int
+	cuts     map[string]bool // "from>to"
+	lines    []string
+	nextCall uint64
+	answers  map[uint64]func(any)
+	servers  map[string]*sessionServer
+	quiet    bool
+}
+
+type sessionVM struct {
+	settings Settings
+	state    *State
+	disk     *quorum.Restart
+	up       bool
+	starts   uint64
+	view     *View
+}
+
+type sessionFlight struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
+		s := &session{
+			now:     sessionStart,
+			cuts:    make(map[string]bool),
+			answers: make(map[uint64]func(any)),
+			servers: make(map[string]*sessionServer),
+		}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if err := s.command(d); err != nil {
+				return fmt.Sprintf("error: %v\n", err)
+			}
+			lines := s.lines
+			s.lines = nil
+			if len(lines) == 0 {
+				return "ok\n"
+			}
+			return strings.Join(lines, "\n") + "\n"
+		})
+	})
+}
+
+func (s *session) note(format string, args ...any) {
+	since := s.now.Sub(sessionStart)
+	s.lines = append(s.lines, fmt.Sprintf("%6dms ", since.Milliseconds())+fmt.Sprintf(format, args...))
+}
+
+func (s *session) after(d time.Duration, do func()) {
+	s.order++
+	s.flights = append(s.flights, sessionFlight{at: s.now.Add(d), order: s.order, do: do})
+}
+
+func (s *session) find(id string) *sessionVM {
+	for _, vm := range s.vms {
+		if vm.settings.VM == id {
+			return vm
+		}
+	}
+	return nil
+}
+
+var errUnknown = errors.New("unknown command or VM")
+
+func arg(d *datadriven.TestData, key string) string {
+	for _, given := range d.CmdArgs {
+		if given.Key == key && len(given.Vals) > 0 {
+			return given.Vals[0]
+		}
+	}
+	return ""
+}
+
+func (s *session) command(d *datadriven.TestData) error {
+	vm := s.find(arg(d, "vm"))
+	switch d.Cmd {
+	case "vms":
+		s.start(d)
+	case "run":
+		length, err := time.ParseDuration(arg(d, "for"))
+		if err != nil {
+			return err
+		}
+		s.run(length)
+	case "quiet":
+		s.quiet = true
+	case "put":
+		s.put(vm, document.Section(arg(d, "section")), arg(d, "base"), arg(d, "id"), []byte(d.Input), arg(d, "lose") != "")
+	case "changes":
+		s.changes(vm, arg(d, "count"))
+	case "claim":
+		s.claim(vm, arg(d, "key"), arg(d, "attempt"))
+	case "settle":
+		s.propose(vm, ledger.Command{Settle: &ledger.Settle{Key: ledger.Key{Service: "pay", Key: arg(d, "key")}, Attempt: arg(d, "attempt"), Outcome: ledger.Outcome{Status: 200, Body: []byte("paid")}}}, func(Proposed) { s.note("settled") })
+	case "release":
+		s.propose(vm, ledger.Command{Release: &ledger.Release{Key: ledger.Key{Service: "pay", Key: arg(d, "key")}, Attempt: arg(d, "attempt")}}, func(Proposed) { s.note("released") })
+	case "cut":
+		s.cut(arg(d, "a"), arg(d, "b"), arg(d, "oneway") != "")
+	case "heal":
+		s.cuts = make(map[string]bool)
+	case "kill":
+		vm.up = false
+	case "restart":
+		s.boot(vm)
+	case "replica":
+		s.replica(vm, arg(d, "action"), arg(d, "id"))
+	case "show":
+		s.show()
+	case "server":
+		s.server(d)
+	case "request":
+		s.request(vm, d)
+	default:
+		return errUnknown
+	}
+	return nil
+}
+
+// start lays out VMs named after their failure domain, such as "a1"; domains a
+// and b form region north, c and d region south.
+func (s *session) start(d *datadriven.TestData) {
+	var replicas []quorum.Replica
+	var seeds []string
+	control := strings.Split(arg(d, "control"), "+")
+	for _, id := range control {
+		replicas = append(replicas, quorum.Replica{ID: quorum.ID(id), Address: id})
+	}
+	all := control
+	if entries := arg(d, "entries"); entries != "" {
+		all = append(slices.Clone(control), strings.Split(entries, "+")...)
+	}
+	seeds = append(seeds, all...)
+	for i, id := range all {
+		s.addVM(id, i < len(control), replicas, seeds)
+	}
+}
+
+func (s *session) addVM(id string, control bool, replicas []quorum.Replica, seeds []string) {
+	region := "north"
+	if id[0] >= 'c' {
+		region = "south"
+	}
+	vm := &sessionVM{settings: Settings{
+		VM:       id,
+		Peer:     id,
+		Entry:    "entry-" + id,
+		Domain:   id[:1],
+		Region:   region,
+		Seeds:    seeds,
+		Replicas: replicas,
+		Control:  control,
+	}}
+	if control {
+		vm.disk = &quorum.Restart{Snapshot: quorum.Snapshot{Config: quorum.Config{Voters: replicas}}}
+	}
+	s.vms = append(s.vms, vm)
+	s.boot(vm)
+}
+
+// boot starts a VM from what its disk synced.
+func (s *session) boot(vm *sessionVM) {
+	vm.starts++
+	vm.settings.Incarnation = vm.starts
+	var restart *quorum.Restart
+	if vm.disk != nil {
+		copied := *vm.disk
+		copied.Entries = slices.Clone(vm.disk.Entries)
+		restart = &copied
+	}
+	state, err := New(vm.settings, restart, s.now)
+	if err != nil {
+		s.note("%s does not start: %v", vm.settings.VM, err)
+		return
+	}
+	vm.state, vm.up, vm.view = state, true, nil
+	s.tickLater(vm, vm.starts, time.Duration(len(s.vms))*time.Millisecond)
+	s.carryOut(vm, state.take())
+}
+
+const sessionTick = 50 * time.Millisecond
+
+func (s *session) tickLater(vm *sessionVM, start uint64, wait time.Duration) {
+	s.after(wait, func() {
+		if !vm.up || vm.starts != start {
+			return
+		}
+		s.apply(vm, Tick{})
+		s.tickLater(vm, start, sessionTick)
+	})
+}
+
+func (s *session) apply(vm *sessionVM, event Event) {
+	if vm.up {
+		s.carryOut(vm, vm.state.Apply(s.now, event))
+	}
+}
+
+func (s *session) run(length time.Duration) {
+	end := s.now.Add(length)
+	for {
+		slices.SortFunc(s.flights, func(a, b sessionFlight) int {
+			return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.order, b.order))
+		})
+		if len(s.flights) == 0 || s.flights[0].at.After(end) {
+			break
+		}
+		next := s.flights[0]
+		s.flights = s.flights[1:]
+		s.now = next.at
+		next.do()
+	}
+	s.now = end
+}
+
+// delay is one way: 1 ms between VMs of a region, 20 ms between regions.
+func delay(from, to *sessionVM) time.Duration {
+	if from.settings.Region == to.settings.Region {
+		return time.Millisecond
+	}
+	return 20 * time.Millisecond
+}
+
+const syncTime = 2 * time.Millisecond
+
+func (s *session) carryOut(vm *sessionVM, effects []Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case Transmit:
+			s.transmit(vm, e.Peer, e.Message)
+		case SaveLog:
+			s.save(vm, e.Save)
+		case Answer:
+			if answer := s.answers[e.Call]; answer != nil {
+				answer(e.Value)
+			}
+		case LoadDocument:
+			s.load(vm, e)
+		case PublishView:
+			vm.view = e.View
+		case Log:
+			if !s.quiet || e.Code.Info().Level == "warn" {
+				s.note("%s HW%d %s: %s %d", vm.settings.VM, e.Code, e.Code.Info().Text, e.Detail, e.Count)
+			}
+		}
+	}
+}
+
+func (s *session) transmit(from *sessionVM, peer string, message Message) {
+	to := s.find(peer)
+	if to == nil || s.cuts[from.settings.VM+">"+peer] {
+		return
+	}
+	s.after(delay(from, to), func() {
+		if !s.cuts[from.settings.VM+">"+peer] {
+			s.apply(to, Received{Message: message})
+		}
+	})
+}
+
+func (s *session) save(vm *sessionVM, save quorum.Save) {
+	start := vm.starts
+	s.after(syncTime, func() {
+		if !vm.up || vm.starts != start {
+			return
+		}
+		vm.disk.Keep(save)
+		for _, message := range save.Then {
+			s.transmit(vm, vm.state.PeerOf(message.To), Message{Quorum: &message})
+		}
+		s.apply(vm, LogSaved{Sequence: save.Sequence})
+	})
+}
+
+func (s *session) load(vm *sessionVM, e LoadDocument) {
+	texts := make(document.Texts)
+	for _, section := range e.Sections {
+		texts[section.Name] = document.Text{Bytes: section.Text}
+	}
+	parsed, messages := document.Parse(texts)
+	if err := messages.Err(); err != nil {
+		s.note("%s document does not parse: %v", vm.settings.VM, err)
+		return
+	}
+	start := vm.starts
+	blocks := plan.NewBlocks(parsed.Places.Places)
+	s.after(time.Millisecond, func() {
+		if vm.starts == start {
+			s.apply(vm, DocumentLoaded{Position: e.Position, Document: parsed, Blocks: blocks})
+		}
+	})
+}
+
+func (s *session) cut(a, b string, oneWay bool) {
+	for _, vm := range s.vms {
+		other := vm.settings.VM
+		if b != "all" && other != b || other == a {
+			continue
+		}
+		s.cuts[a+">"+other] = true
+		if !oneWay {
+			s.cuts[other+">"+a] = true
+		}
+	}
+}
+
+// call opens a call whose answer goes to the function.
+func (s *session) call(answer func(any)) uint64 {
+	s.nextCall++
+	s.answers[s.nextCall] = answer
+	return s.nextCall
+}
+
+// propose finds the leader as the shell does: by hint, else by asking around.
+func (s *session) propose(vm *sessionVM, command ledger.Command, done func(Proposed)) {
+	const limit = 10 * time.Second
+	s.proposeAt(vm, vm, command, done, s.now.Add(limit), 0)
+}
+
+func (s *session) proposeAt(from, at *sessionVM, command ledger.Command, done func(Proposed), end time.Time, turn int) {
+	if s.now.After(end) {
+		s.note("%s: no leader confirmed it", from.settings.VM)
+		return
+	}
+	again := func(hint string) {
+		next := s.find(hint)
+		if next == nil || next == at || s.cuts[from.settings.VM+">"+hint] {
+			next = s.vms[turn%len(s.vms)]
+		}
+		s.after(sessionTick, func() { s.proposeAt(from, next, command, done, end, turn+1) })
+	}
+	reachable := at.up && !s.cuts[from.settings.VM+">"+at.settings.VM] && !s.cuts[at.settings.VM+">"+from.settings.VM]
+	if !reachable {
+		again("")
+		return
+	}
+	answered := false
+	call := s.call(func(value any) {
+		if answered {
+			return
+		}
+		answered = true
+		answer := value.(Proposed)
+		if answer.Refused != 0 || answer.Lost {
+			again(answer.Leader.ID)
+			return
+		}
+		done(answer)
+	})
+	s.apply(at, Propose{Call: call, Command: command})
+	const attempt = 2 * time.Second
+	s.after(attempt, func() {
+		if !answered {
+			answered = true
+			again("")
+		}
+	})
+}
+
+func (s *session) put(vm *sessionVM, section document.Section, base, id string, text []byte, lose bool) {
+	var from uint64
+	fmt.Sscan(base, &from)
+	versions := ledger.Versions{}
+	if vm.view != nil {
+		versions = vm.view.Versions
+	}
+	versions.Set(section, from)
+	put := &ledger.Put{Section: section, Base: from, ChangeID: id, Team: "operators", Text: text, Checked: versions}
+	s.propose(vm, ledger.Command{Put: put}, func(answer Proposed) {
+		if lose {
+			s.note("%s: answer to %s is lost", vm.settings.VM, id)
+			return
+		}
+		names := map[ledger.PutCode]string{
+			ledger.PutAccepted: "accepted",
+			ledger.PutConflict: "version conflict",
+			ledger.PutReused:   "change id reused",
+			ledger.PutRecheck:  "check again",
+		}
+		result := answer.Result.Put
+		replayed := ""
+		if result.Replayed {
+			replayed = " (first answer again)"
+		}
+		s.note("%s: %s %s, version %d%s", vm.settings.VM, id, names[result.Code], result.Version, replayed)
+	})
+}
+
+// changes makes many accepted changes of section ranks one after the other.
+func (s *session) changes(vm *sessionVM, count string) {
+	var n int
+	fmt.Sscan(count, &n)
+	for range n {
+		base := vm.view.Versions.Ranks
+		text := fmt.Sprintf("[[rank]]\nname = \"browse\"\nworth = %d.0\n", base+1)
+		s.put(vm, document.SectionRanks, fmt.Sprint(base), fmt.Sprint("many-", base), []byte(text), false)
+		s.run(300 * time.Millisecond)
+	}
+	s.lines = s.lines[max(0, len(s.lines)-1):]
+}
+
+func (s *session) claim(vm *sessionVM, key, attempt string) {
+	claim := &ledger.Claim{Key: ledger.Key{Service: "pay", Key: key}, Attempt: attempt, Holder: vm.settings.VM, Hold: 5 * time.Second, Keep: time.Hour}
+	s.propose(vm, ledger.Command{Claim: claim}, func(answer Proposed) {
+		result := answer.Result.Claim
+		s.note("%s: claim of %s by %s: %s %s", vm.settings.VM, key, attempt, claimName(result.Code), result.Outcome.Body)
+	})
+}
+
+func claimName(code ledger.ClaimCode) string {
+	if code == ledger.ClaimRunning {
+		return "running"
+	}
+	return claimOutcome(code)
+}
+
+func (s *session) replica(vm *sessionVM, action, id string) {
+	kinds := map[string]quorum.ChangeKind{"add": quorum.ChangeAdd, "promote": quorum.ChangePromote, "remove": quorum.ChangeRemove}
+	if action == "add" {
+		s.addVM(id, true, vm.settings.Replicas, vm.settings.Seeds)
+		s.run(time.Second)
+	}
+	leader := s.find(vm.state.leader.ID)
+	call := s.call(func(value any) {
+		answer := value.(Proposed)
+		if answer.Refused != 0 {
+			s.note("%s %s refused: %v", action, id, answer.Refused)
+			return
+		}
+		s.note("%s %s committed", action, id)
+	})
+	s.apply(leader, ChangeReplica{Call: call, Change: quorum.Change{Kind: kinds[action], Replica: quorum.Replica{ID: quorum.ID(id), Address: id}}})
+}
+
+// show prints what each VM knows.
+func (s *session) show() {
+	for _, vm := range s.vms {
+		if !vm.up {
+			s.note("%s down", vm.settings.VM)
+			continue
+		}
+		status := vm.state.status()
+		v := status.Versions
+		s.note("%s %s leader=%s places=%d services=%d ranks=%d stops=%d stale=%v domain=%d replicas=%d", vm.settings.VM, status.Role, status.Leader, v.Places, v.Services, v.Ranks, v.Stops, status.Stale, len(status.VMs), len(status.Replicas))
+	}
+}
