--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -41,7 +41,9 @@
 	Backends []*standin.Server
 	Tokens   []Token
 
-	remove string
+	texts    document.Texts
+	document *document.Document
+	remove   string
 }
 
 // Token is the token of a team.
@@ -97,19 +99,8 @@
 
 // Start runs a site and returns once its document is in force everywhere.
 func Start(ctx context.Context, options Options) (*Demo, error) {
-	d := &Demo{Options: options}
-	texts, err := examples.Texts(options.Site)
+	d, err := Layout(options)
 	if err != nil {
-		return nil, fmt.Errorf("site %q: use one of %s", options.Site, strings.Join(examples.Sites(), ", "))
-	}
-	parsed, messages := document.Parse(texts)
-	if err := messages.Err(); err != nil {
-		return nil, err
-	}
-	if err := d.dataFolder(); err != nil {
-		return nil, err
-	}
-	if err := d.makeSettings(parsed); err != nil {
 		return nil, err
 	}
 	for _, own := range d.Settings {
@@ -120,12 +111,12 @@
 		}
 		d.Entries = append(d.Entries, vm)
 	}
-	if err := d.load(ctx, texts); err != nil {
+	if err := d.load(ctx); err != nil {
 		d.Stop()
 		return nil, err
 	}
 	if options.Servers {
-		if err := d.startServers(parsed); err != nil {
+		if err := d.StartServers(); err != nil {
 			d.Stop()
 			return nil, err
 		}
@@ -145,6 +136,24 @@
 	return nil
 }
 
+// Layout returns the settings of a site's VMs without starting them.
+func Layout(options Options) (*Demo, error) {
+	d := &Demo{Options: options}
+	texts, err := examples.Texts(options.Site)
+	if err != nil {
+		return nil, fmt.Errorf("site %q: use one of %s", options.Site, strings.Join(examples.Sites(), ", "))
+	}
+	parsed, messages := document.Parse(texts)
+	if err := messages.Err(); err != nil {
+		return nil, err
+	}
+	if err := d.dataFolder(); err != nil {
+		return nil, err
+	}
+	d.texts, d.document = texts, parsed
+	return d, d.makeSettings(parsed)
+}
+
 // makeSettings lays out the VMs on free ports.
 func (d *Demo) makeSettings(parsed *document.Document) error {
 	if d.Options.IP == "" {
@@ -266,16 +275,28 @@
 }
 
 // load writes the example sections and waits until all VMs have them.
-func (d *Demo) load(ctx context.Context, texts document.Texts) error {
+func (d *Demo) load(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
+	if err := d.PutSections(ctx); err != nil {
+		return err
+	}
+	return d.awaitDocument(ctx)
+}
+
+// PutSections writes the example sections.
+func (d *Demo) PutSections(ctx context.Context) error {
 	order := []document.Section{document.SectionPlaces, document.SectionRanks, document.SectionServices, document.SectionStops}
 	for _, section := range order {
 		client := operator.Client{Address: d.Settings[0].Entry, Token: d.Token(section)}
-		if err := putUntilAccepted(ctx, client, section, texts[section].Bytes); err != nil {
+		if err := putUntilAccepted(ctx, client, section, d.texts[section].Bytes); err != nil {
 			return fmt.Errorf("write section %s: %w", section, err)
 		}
 	}
+	return nil
+}
+
+func (d *Demo) awaitDocument(ctx context.Context) error {
 	for _, vm := range d.Entries {
 		for {
 			view := vm.Node.View()
@@ -334,9 +355,10 @@
 	"payments":     {servers: 12, slots: 3, delay: 60 * time.Millisecond},
 }
 
-func (d *Demo) startServers(parsed *document.Document) error {
-	domains := parsed.Places.Domains
-	for _, service := range parsed.Services.Services {
+// StartServers starts the stand-in backend servers of the site.
+func (d *Demo) StartServers() error {
+	domains := d.document.Places.Domains
+	for _, service := range d.document.Services.Services {
 		size := fleets[service.Name]
 		for i := range size.servers {
 			domain := domains[i%len(domains)]
