Batch log entries by the replies under way

Change: at most four messages with entries are under way to a peer; what is proposed meanwhile leaves with the next reply.

--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -54,6 +54,7 @@
 	next    uint64
 	heardAt time.Time
 	round   uint64
+	flying  int    // messages with entries that are not answered yet
 	piece   uint64 // next offset of the snapshot in transfer
 	sending uint64 // index of the snapshot in transfer, 0 when none
 	pieceAt time.Time
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -63,6 +63,10 @@
 	}
 }
 
+// maxFlying bounds the messages under way to one peer: what is proposed
+// meanwhile leaves together with the next reply. A heartbeat forgets lost ones.
+const maxFlying = 4
+
 // replicate sends what the peer lacks. Entries are sent ahead of the reply;
 // a lost message shows as a rejected later one, which moves next back.
 func (s *State) replicate(to ID, now time.Time, evenEmpty bool) {
@@ -78,10 +82,19 @@
 		}
 		return
 	}
+	if evenEmpty {
+		p.flying = 0
+	}
+	if p.flying >= maxFlying {
+		return
+	}
 	entries := s.log.from(p.next, s.Settings.MaxBatchBytes)
 	if len(entries) == 0 && !evenEmpty {
 		return
 	}
+	if len(entries) > 0 {
+		p.flying++
+	}
 	s.send(Message{
 		Kind:    MessageAppend,
 		To:      to,
@@ -153,6 +166,7 @@
 		return
 	}
 	p.heardAt = now
+	p.flying = max(0, p.flying-1)
 	p.round = max(p.round, m.Round)
 	s.confirmReads()
 	if m.Reject {
