--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -522,9 +522,7 @@
 		Sections: s.copies,
 		HeldAt:   s.copyAt,
 	}
-	for _, section := range s.copies {
-		view.Versions.Set(section.Name, section.Version)
-	}
+	view.Versions = s.Versions()
 	if s.document != nil {
 		view.Tables = s.recent.Tables()
 		view.Table = view.Tables[len(view.Tables)-1]
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/quarantine"
 )
 
@@ -16,9 +17,7 @@
 		Stale:    s.stale,
 		DiskOK:   true,
 	}
-	for _, section := range s.copies {
-		status.Versions.Set(section.Name, section.Version)
-	}
+	status.Versions = s.Versions()
 	s.controlStatus(&status)
 	s.fleetStatus(&status)
 	return status
@@ -75,3 +74,12 @@
 		})
 	}
 }
+
+// Versions returns the versions of the newest sections held.
+func (s *State) Versions() ledger.Versions {
+	var versions ledger.Versions
+	for _, section := range s.copies {
+		versions.Set(section.Name, section.Version)
+	}
+	return versions
+}
