Spread summaries as news and heartbeats in compact form

Cause: at 510 VMs a domain relay sent 90 KB/s, the limit is 17: full tables of all domains went to six VMs twice a second, and greetings were answered with everything. Change: heartbeats are 12 bytes each; summaries ride on the ordinary gossip, those passed on least often first; relays visit the other domains in turn; entries and control replicas are named in one of eight messages; greetings are answered only when the greeter knows less. VMs of a domain that formed apart now meet through the summaries of others (TestAllVMsFindEachOther failed on it). Tried and changed: the latest news first starved older ones (a VM lost sight of a domain for 5 s); the longest waiting go first. Domains count as silent after 5 s.

--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -36,7 +36,7 @@
 	farDelay   = 20 * time.Millisecond
 	syncDelay  = 2 * time.Millisecond
 	regions    = 4
-	settleTime = 12 * time.Second
+	settleTime = 24 * time.Second // greetings of the start are over
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/member/domain.go
+++ b/internal/member/domain.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -12,36 +13,74 @@
 	"github.com/heatherwood/heatherwood/internal/quarantine"
 )
 
-// gossipDomains lets the relays exchange summaries between failure domains and
-// hand them on to their own VMs.
+// gossipDomains lets the relays exchange summaries between failure domains;
+// inside a domain they ride on the ordinary gossip.
 func (s *State) gossipDomains(now time.Time) []Send {
 	if !s.Relay() {
 		return nil
 	}
 	s.summarise(now)
-	message := Gossip{From: s.Self, Domains: s.known(now)}
-	var sends []Send
-	for _, at := range s.random.Perm(len(s.domains)) {
-		domain := s.domains[at]
-		if len(sends) == fanout || domain.Name == s.Self.Domain || len(domain.Entries) == 0 {
-			continue
+	message := Gossip{From: s.Self, Domains: s.brief(s.known(now))}
+	target := s.nextDomain()
+	if target == nil {
+		return nil
+	}
+	entry := target.Entries[s.random.IntN(min(len(target.Entries), fanout))]
+	return []Send{{Address: entry.Peer, Gossip: message}}
+}
+
+// nextDomain takes the other failure domains in turn. The first relay goes
+// through them upwards and the second downwards, so that each is reached soon.
+func (s *State) nextDomain() *Domain {
+	step := 1
+	if s.lowerRelays() > 0 {
+		step = -1
+	}
+	n := len(s.domains)
+	for range n {
+		s.domainTurn = (s.domainTurn + step + n) % n
+		domain := &s.domains[s.domainTurn].Domain
+		if domain.Name != s.Self.Domain && len(domain.Entries) > 0 {
+			return domain
+		}
+	}
+	return nil
+}
+
+// brief leaves the entries out of most messages: they rarely change.
+func (s *State) brief(domains []Domain) []Domain {
+	s.summaries++
+	if s.summaries%rosterEvery == 0 {
+		return domains
+	}
+	for i := range domains {
+		domains[i].Entries = nil
+	}
+	return domains
+}
+
+// someDomains returns the summaries that are news: those passed on least often
+// since they changed, and of these the ones that waited longest.
+func (s *State) someDomains(now time.Time) []Domain {
+	var fresh []*domainRecord
+	for i := range s.domains {
+		if s.domains[i].current(now) {
+			fresh = append(fresh, &s.domains[i])
 		}
-		entry := domain.Entries[s.random.IntN(min(len(domain.Entries), fanout))]
-		sends = append(sends, Send{Address: entry.Peer, Gossip: message})
 	}
-	for _, vm := range s.handOn() {
-		sends = append(sends, Send{Address: vm.Peer, Gossip: message})
+	slices.SortStableFunc(fresh, func(a, b *domainRecord) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), a.heardAt.Compare(b.heardAt))
+	})
+	var chosen []Domain
+	for _, record := range fresh[:min(someSummaries, len(fresh))] {
+		record.sent++
+		chosen = append(chosen, record.Domain)
 	}
-	return sends
+	return s.brief(chosen)
 }
 
-// handOn picks the own VMs that get the summaries in this round: all in a small
-// domain, a rotating part of a large one.
-func (s *State) handOn() []VM {
-	const most = 4
-	alive := s.alive()
-	s.random.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
-	return alive[:min(most, len(alive))]
+func (d *domainRecord) current(now time.Time) bool {
+	return d.Version > 0 && now.Sub(d.heardAt) < DomainSilent
 }
 
 // summarise renews the summary of the own failure domain.
@@ -62,6 +101,7 @@
 		}
 		own.Services = append(own.Services, vm.Services...)
 	}
+	own.Roster = rosterHash(own.Entries)
 	slices.SortFunc(own.Services, func(a, b dispatch.Summary) int { return strings.Compare(a.Service, b.Service) })
 	s.domains[at] = domainRecord{Domain: own, heardAt: now}
 }
@@ -70,15 +110,35 @@
 func (s *State) known(now time.Time) []Domain {
 	var domains []Domain
 	for _, d := range s.domains {
-		if d.Version > 0 && now.Sub(d.heardAt) < DomainSilent {
+		if d.current(now) {
 			domains = append(domains, d.Domain)
 		}
 	}
 	return domains
 }
 
+// rosterHash identifies a list of entries.
+func rosterHash(entries []EntryRef) uint64 {
+	digest := xxhash.New()
+	for _, entry := range entries {
+		fmt.Fprintln(digest, entry.ID, entry.Peer, entry.Entry)
+	}
+	return digest.Sum64()
+}
+
 func (s *State) mergeDomain(d Domain, now time.Time) {
+	if d.Name == s.Self.Domain {
+		s.noteStrangers(d.Entries)
+	}
+	if d.Name == s.Self.Domain && s.Relay() {
+		s.outlive(d)
+		return
+	}
 	at, found := slices.BinarySearchFunc(s.domains, d.Name, compareDomain)
+	if found && len(d.Entries) == 0 {
+		// Entries of an older roster serve until the new one is named.
+		d.Entries = s.domains[at].Entries
+	}
 	switch {
 	case !found:
 		s.domains = slices.Insert(s.domains, at, domainRecord{Domain: d, heardAt: now})
@@ -90,6 +150,31 @@
 	}
 }
 
+// outlive keeps the versions of the own summary rising when the other relay's
+// are ahead.
+func (s *State) outlive(d Domain) {
+	at, found := slices.BinarySearchFunc(s.domains, d.Name, compareDomain)
+	if !found {
+		s.domains = slices.Insert(s.domains, at, domainRecord{Domain: d})
+		return
+	}
+	s.domains[at].Version = max(s.domains[at].Version, d.Version)
+}
+
+// noteStrangers remembers VMs of the own domain that only others know: parts of
+// a domain which formed apart meet through them.
+func (s *State) noteStrangers(entries []EntryRef) {
+	for _, entry := range entries {
+		_, known := slices.BinarySearchFunc(s.records, entry.ID, compareRecord)
+		if known || entry.ID == s.Self.ID || slices.Contains(s.strangers, entry.Peer) {
+			continue
+		}
+		if len(s.strangers) < maxEntryRefs {
+			s.strangers = append(s.strangers, entry.Peer)
+		}
+	}
+}
+
 // Bar adds what this VM knows of crash-causing requests to its domain's summary.
 func (s *State) Bar(entries []quarantine.Entry) {
 	at, found := slices.BinarySearchFunc(s.domains, s.Self.Domain, compareDomain)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -13,7 +13,7 @@
 )
 
 // VM describes one VM of the system; a higher incarnation, then a higher
-// counter, is newer.
+// counter, is newer. Both count up to 32 bits.
 type VM struct {
 	ID          string
 	Peer        string // host:port for calls between VMs
@@ -41,7 +41,8 @@
 	Region   string
 	Version  uint64 // higher is newer
 	VMs      int
-	Entries  []EntryRef
+	Roster   uint64     // hash of Entries
+	Entries  []EntryRef // left out of most messages; Roster tells whether they changed
 	Services []dispatch.Summary
 	Barred   []quarantine.Entry
 	Document uint64
@@ -56,16 +57,17 @@
 
 // Beat is the newest heartbeat heard of a VM.
 type Beat struct {
-	ID          string
-	Incarnation uint64
-	Counter     uint64
+	Name        uint32 // hash of the VM's id
+	Incarnation uint32 // seconds since 1970
+	Counter     uint32
 }
 
 // Gossip is a message between VMs.
 type Gossip struct {
 	From    VM
-	Greet   bool     // the sender wants a reply with all that is known
-	Beats   []Beat   // of all live VMs of the sender's failure domain
+	Greet   bool     // the sender wants a reply if it knows less
+	Known   int      // VMs of its failure domain that a greeting sender knows
+	Beats   Beats    // of all live VMs of the sender's failure domain
 	VMs     []VM     // a few of them in full
 	Domains []Domain // of all failure domains
 }
@@ -81,7 +83,9 @@
 	Interval         = 250 * time.Millisecond
 	domainInterval   = 500 * time.Millisecond
 	fanout           = 2
-	fullRecords      = 2  // VMs in full in one message
+	someSummaries    = 2  // domains in one message between VMs of a domain
+	rosterEvery      = 8  // messages with summaries, one of which names the entries
+	fullRecords      = 1  // VMs in full in one message
 	greetRecords     = 64 // VMs in full in the reply to a greeting
 	maxEntryRefs     = 8  // entries in a summary
 	maxBarred        = 32 // quarantine entries in a summary
@@ -89,7 +93,7 @@
 	deadAfter        = 3 * time.Second
 	forgetAfter      = 10 * time.Minute
 	returnHeartbeats = 3 // that a VM thought dead must send to count again
-	DomainSilent     = 4 * time.Second
+	DomainSilent     = 5 * time.Second
 )
 
 // record is what is known of one VM of the own failure domain.
@@ -105,6 +109,7 @@
 type domainRecord struct {
 	Domain
 	heardAt time.Time
+	sent    int // times passed on since it changed
 }
 
 // State is the membership as one VM sees it.
@@ -112,12 +117,15 @@
 	Self  VM
 	Seeds []string // peer addresses to begin with
 
-	records   []record // by id, without the VM itself
-	domains   []domainRecord
-	random    *rand.Rand
-	due       time.Time
-	domainDue time.Time
-	died      []string
+	records    []record // by id, without the VM itself
+	domains    []domainRecord
+	random     *rand.Rand
+	due        time.Time
+	domainDue  time.Time
+	died       []string
+	summaries  int      // messages with summaries sent
+	strangers  []string // peer addresses of VMs of the own domain to greet
+	domainTurn int      // failure domain that a relay wrote to last
 }
 
 // New returns the membership of a VM that knows only its seeds.
@@ -175,26 +183,31 @@
 
 func (s *State) gossip(now time.Time) []Send {
 	alive := s.alive()
-	message := Gossip{From: s.Self, Beats: s.beats(), VMs: s.some(alive, fullRecords)}
+	message := Gossip{
+		From:    s.Self,
+		Beats:   s.beats(),
+		VMs:     s.some(alive, fullRecords),
+		Domains: s.someDomains(now),
+	}
 	var sends []Send
 	for _, vm := range s.targets(alive) {
 		sends = append(sends, Send{Address: vm.Peer, Gossip: message})
 	}
 	if address := s.greeted(alive); address != "" {
-		greeting := Gossip{From: s.Self, Greet: true, Domains: s.known(now)}
+		greeting := Gossip{From: s.Self, Greet: true, Known: len(alive), Domains: s.known(now)}
 		sends = append(sends, Send{Address: address, Gossip: greeting})
 	}
 	return sends
 }
 
-func (s *State) beats() []Beat {
-	list := make([]Beat, 0, len(s.records))
+func (s *State) beats() Beats {
+	var beats Beats
 	for _, r := range s.records {
 		if !r.dead {
-			list = append(list, r.beat)
+			beats = beats.add(r.beat)
 		}
 	}
-	return list
+	return beats
 }
 
 // some returns a random choice of the VMs.
@@ -224,16 +237,20 @@
 }
 
 // greeted returns an address to greet: often while the VM is alone, now and
-// then later, so that parts which formed apart find each other. An entry of the
-// own failure domain that a summary names and that is not known comes first.
+// then later. A VM of the own domain that only others know comes first.
 func (s *State) greeted(alive []VM) string {
-	if address := s.unknownNeighbour(); address != "" {
+	if len(s.strangers) > 0 {
+		address := s.strangers[0]
+		s.strangers = s.strangers[1:]
 		return address
 	}
-	const aloneEvery, laterEvery = 2, 40
+	const aloneEvery, youngEvery, laterEvery, youngBeats = 2, 4, 200, 120
 	every := laterEvery
-	if len(alive) == 0 || len(s.domains) < 2 {
+	switch {
+	case len(alive) == 0 || len(s.domains) < 2:
 		every = aloneEvery
+	case s.Self.Counter < youngBeats:
+		every = youngEvery
 	}
 	if len(s.Seeds) == 0 || s.random.IntN(every) != 0 {
 		return ""
@@ -241,22 +258,6 @@
 	return s.Seeds[s.random.IntN(len(s.Seeds))]
 }
 
-func (s *State) unknownNeighbour() string {
-	at, found := slices.BinarySearchFunc(s.domains, s.Self.Domain, compareDomain)
-	if !found {
-		return ""
-	}
-	for _, entry := range s.domains[at].Entries {
-		if entry.ID == s.Self.ID {
-			continue
-		}
-		if _, known := slices.BinarySearchFunc(s.records, entry.ID, compareRecord); !known {
-			return entry.Peer
-		}
-	}
-	return ""
-}
-
 func (s *State) alive() []VM {
 	var vms []VM
 	for _, r := range s.records {
@@ -287,7 +288,7 @@
 	for _, domain := range g.Domains {
 		s.mergeDomain(domain, now)
 	}
-	if !g.Greet && !news {
+	if !news && !s.knowsMore(g, now) {
 		return nil
 	}
 	reply := Gossip{From: s.Self, Domains: s.known(now)}
@@ -297,12 +298,28 @@
 	return []Send{{Address: g.From.Peer, Gossip: reply}}
 }
 
+// knowsMore reports whether a greeting VM lacks VMs or domains that are known
+// here; most greetings in a settled fleet need no reply.
+func (s *State) knowsMore(g Gossip, now time.Time) bool {
+	if !g.Greet {
+		return false
+	}
+	if len(g.Domains) < len(s.known(now)) {
+		return true
+	}
+	if g.From.Domain == s.Self.Domain {
+		return g.Known < len(s.alive())
+	}
+	at, found := slices.BinarySearchFunc(s.domains, g.From.Domain, compareDomain)
+	return found && g.Known+1 < s.domains[at].VMs
+}
+
 // merge takes over one VM and returns true when nothing was known of it.
 func (s *State) merge(vm VM, now time.Time) bool {
 	if vm.Domain != s.Self.Domain {
 		return s.mergeStranger(vm, now)
 	}
-	beat := Beat{ID: vm.ID, Incarnation: vm.Incarnation, Counter: vm.Counter}
+	beat := beatOf(vm)
 	if vm.ID == s.Self.ID {
 		s.refute(beat)
 		return false
@@ -320,15 +337,17 @@
 }
 
 // mergeBeats takes over heartbeats of VMs that are known in full.
-func (s *State) mergeBeats(beats []Beat, now time.Time) {
-	for _, beat := range beats {
-		if beat.ID == s.Self.ID {
+func (s *State) mergeBeats(beats Beats, now time.Time) {
+	own := beatOf(s.Self)
+	for beat := range beats.all() {
+		if beat.Name == own.Name {
 			s.refute(beat)
 			continue
 		}
-		at, found := slices.BinarySearchFunc(s.records, beat.ID, compareRecord)
-		if found {
-			s.heard(&s.records[at], beat, now)
+		for i := range s.records {
+			if s.records[i].beat.Name == beat.Name {
+				s.heard(&s.records[i], beat, now)
+			}
 		}
 	}
 }
@@ -377,9 +396,10 @@
 // refute outlives a newer record of itself, left by an earlier start whose
 // clock was ahead.
 func (s *State) refute(beat Beat) {
-	newer := beat.Incarnation == s.Self.Incarnation && beat.Counter > s.Self.Counter
-	if newer || beat.Incarnation > s.Self.Incarnation {
-		s.Self.Incarnation = beat.Incarnation + 1
+	own := beatOf(s.Self)
+	newer := beat.Incarnation == own.Incarnation && beat.Counter > own.Counter
+	if newer || beat.Incarnation > own.Incarnation {
+		s.Self.Incarnation = uint64(beat.Incarnation) + 1
 	}
 }
 
@@ -396,11 +416,16 @@
 // VMs with the lowest ids do.
 func (s *State) Relay() bool {
 	const relays = 2
+	return s.lowerRelays() < relays
+}
+
+// lowerRelays counts the live VMs with lower ids.
+func (s *State) lowerRelays() int {
 	lower := 0
 	for _, r := range s.records {
 		if !r.dead && r.ID < s.Self.ID {
 			lower++
 		}
 	}
-	return lower < relays
+	return lower
 }
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -275,8 +275,14 @@
 }
 
 func (s *State) takeLeader(leader Leader) {
+	if len(leader.Replicas) > 0 && leader.ID == s.leader.ID && leader.Term == s.leader.Term {
+		s.leader.Replicas = leader.Replicas
+	}
 	if leader.newer(s.leader) {
 		changed := leader.ID != s.leader.ID
+		if len(leader.Replicas) == 0 {
+			leader.Replicas = s.leader.Replicas
+		}
 		s.leader = leader
 		s.leaderHeard = s.now
 		if changed {
--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -37,9 +37,16 @@
 	}
 }
 
+// leaderReplicasEvery is the number of messages of which one names the replicas.
+const leaderReplicasEvery = 8
+
 func (s *State) sendGossip(send member.Send) {
 	gossip := send.Gossip
 	leader := s.leader
+	s.leaderSends++
+	if s.leaderSends%leaderReplicasEvery != 0 {
+		leader.Replicas = nil
+	}
 	s.transmit(send.Address, Message{Gossip: &gossip, Leader: &leader})
 }
 
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -54,6 +54,7 @@
 	pending     map[uint64]pendingProposal
 	reads       map[uint64]pendingRead
 	leader      Leader
+	leaderSends int
 	leaderHeard time.Time
 	beatDue     time.Time
 	stale       bool
