--- a/cmd/trial/main.go
+++ b/cmd/trial/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"runtime"
 	"strings"
 
@@ -21,7 +22,15 @@
 	pairs := app.Flag("pairs", "Also play every pair of faults.").Bool()
 	only := app.Flag("case", "Play only cases whose name contains this.").String()
 	policies := app.Flag("policy", "Play only this policy.").Enums(trial.Policies()...)
+	plots := app.Flag("plots", "Only draw the floods as SVG into this folder.").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if *plots != "" {
+		if err := draw(*site, *plots); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
 	if err := play(*site, *only, *seeds, *pairs, *policies); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -51,3 +60,23 @@
 	}
 	return nil
 }
+
+// draw plots each flood under the product and under the best baseline.
+func draw(site, folder string) error {
+	for _, c := range trial.Cases() {
+		if c.BrowseFlood == 0 && c.PayFlood == 0 {
+			continue
+		}
+		for _, policy := range []string{string(trial.BaselineLeast), "heatherwood"} {
+			stats, err := trial.Play(site, c, policy, 1)
+			if err != nil {
+				return err
+			}
+			file := filepath.Join(folder, fmt.Sprintf("%s-%s-%s.svg", site, c.Name, policy))
+			if err := stats.Plot(fmt.Sprintf("%s, %s, %s", site, c.Name, policy), file); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/internal/trial/stats.go
+++ b/internal/trial/stats.go
@@ -46,6 +46,7 @@
 
 // second collects demand and capacity for the bound, per service.
 type second struct {
+	served   []int // by rank, in time
 	offered  map[string][]int
 	capacity map[string]float64 // requests
 }
@@ -57,7 +58,7 @@
 	}
 	s.seconds = make([]second, int(runLength/time.Second)+1)
 	for i := range s.seconds {
-		s.seconds[i] = second{offered: make(map[string][]int), capacity: make(map[string]float64)}
+		s.seconds[i] = second{served: make([]int, len(s.Ranks)), offered: make(map[string][]int), capacity: make(map[string]float64)}
 	}
 	s.shares = make(map[string][][]float64)
 	s.grants = make(map[string][]int)
@@ -83,6 +84,9 @@
 
 // served notes a whole answer at the caller.
 func (s *Stats) served(r *request) {
+	if at := &s.seconds[int(s.world.now.Sub(epoch)/time.Second)]; !r.killer && !s.world.now.After(r.deadline) {
+		at.served[r.rank]++
+	}
 	if !s.counts(r) {
 		return
 	}
