Grant no slot of a lease that was taken back

Ruled out: the lender's reservation (3 reserved until the lessee confirmed), lost or reordered loans. Change: warming never gives more slots than the server has; a test.

--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -102,6 +102,20 @@
 	}
 }
 
+// A lease that was taken back leaves a server without slots; warming up must not
+// grant one.
+func TestServerWithoutSlotsGetsNothingWhileWarm(t *testing.T) {
+	p := pool(1, 4)
+	p.Warm = 10 * time.Second
+	s := p.Servers[0]
+	s.warmFrom = start
+	s.Slots = 0
+	p.Refresh(start)
+	if got := p.Choose(nil, true); got != nil {
+		t.Errorf("chose %s, which has no slots", got.ID)
+	}
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, servers := range []int{20, 500} {
 		b.Run(fmt.Sprint(servers), func(b *testing.B) {
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -111,7 +111,7 @@
 		return s.Slots
 	}
 	share := warmStartShare + (1-warmStartShare)*float64(age)/float64(warm)
-	return max(1, int(share*float64(s.Slots)))
+	return min(s.Slots, max(1, int(share*float64(s.Slots))))
 }
 
 // Free returns the slots that a new request could take, as of the last refresh.
