Split large files, share the virtual clock and the answers' types

The session owner-dies changed in one line: work planned for exactly the end of a run is now done in the next one.

--- a/internal/callerhttp/lookup.go
+++ b/internal/callerhttp/lookup.go
@@ -10,15 +10,9 @@
 	"github.com/heatherwood/heatherwood/internal/plan"
 	"github.com/heatherwood/heatherwood/internal/problem"
 	"github.com/heatherwood/heatherwood/internal/reducer"
+	"github.com/heatherwood/heatherwood/pkg/caller"
 )
 
-// Entries is the answer to a look-up.
-type Entries struct {
-	Entries []string `json:"entries"` // host:port, best first
-	TTL     string   `json:"ttl"`     // how long the answer may be kept
-	Version uint64   `json:"version"` // log index of the document behind it
-}
-
 // Lookup answers GET /v1/entries.
 type Lookup struct{ Node *node.Node }
 
@@ -46,7 +40,7 @@
 		return
 	}
 	l.Node.Metrics.Lookups.Inc()
-	answer := Entries{
+	answer := caller.Answer{
 		Entries: choose(view, view.Table.Look(service, client)),
 		TTL:     reducer.LookupTTL.String(),
 		Version: view.Position.Index,
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -1,7 +1,6 @@
 package capacity
 
 import (
-	"container/heap"
 	"encoding/gob"
 	"fmt"
 	"net/netip"
@@ -13,6 +12,7 @@
 	"github.com/heatherwood/heatherwood/internal/quorum"
 	"github.com/heatherwood/heatherwood/internal/reducer"
 	"github.com/heatherwood/heatherwood/internal/routing"
+	"github.com/heatherwood/heatherwood/internal/virtual"
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
@@ -64,11 +64,9 @@
 type Fleet struct {
 	Size Size
 
-	now    time.Time
+	time   *virtual.Time
 	vms    []*vm
 	byPeer map[string]*vm
-	queue  queue
-	order  uint64
 	parsed *document.Document
 	blocks *plan.Blocks
 }
@@ -96,42 +94,9 @@
 	return len(data), nil
 }
 
-type item struct {
-	at    time.Time
-	order uint64
-	do    func()
-}
-
-type queue []item
-
-func (q queue) Len() int { return len(q) }
-func (q queue) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].order < q[j].order
-	}
-	return q[i].at.Before(q[j].at)
-}
-func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push adds an item; container/heap calls it.
-func (q *queue) Push(x any) { *q = append(*q, x.(item)) }
-
-// Pop removes the last item; container/heap calls it.
-func (q *queue) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
-func (f *Fleet) after(d time.Duration, do func()) {
-	f.order++
-	heap.Push(&f.queue, item{at: f.now.Add(d), order: f.order, do: do})
-}
-
 // New starts a fleet with its document in force.
 func New(size Size) (*Fleet, error) {
-	f := &Fleet{Size: size, now: epoch, byPeer: make(map[string]*vm)}
+	f := &Fleet{Size: size, time: virtual.New(epoch), byPeer: make(map[string]*vm)}
 	var replicas []quorum.Replica
 	var seeds []string
 	for i := range size.Control {
@@ -181,7 +146,7 @@
 			added.disk = &quorum.Restart{Snapshot: quorum.Snapshot{Config: quorum.Config{Voters: replicas}}}
 		}
 	}
-	state, err := reducer.New(added.settings, added.disk, f.now)
+	state, err := reducer.New(added.settings, added.disk, f.time.Now())
 	if err != nil {
 		return err
 	}
@@ -192,7 +157,7 @@
 }
 
 func (f *Fleet) tickLater(v *vm, wait time.Duration) {
-	f.after(wait, func() {
+	f.time.After(wait, func() {
 		f.apply(v, reducer.Tick{})
 		f.tickLater(v, tick)
 	})
@@ -201,7 +166,7 @@
 // apply measures the time in the reducer; the cost of encoding is not in it.
 func (f *Fleet) apply(v *vm, event reducer.Event) {
 	began := time.Now()
-	effects := v.state.Apply(f.now, event)
+	effects := v.state.Apply(f.time.Now(), event)
 	v.cost.Busy += time.Since(began)
 	v.cost.Events++
 	for _, effect := range effects {
@@ -214,7 +179,7 @@
 	case reducer.Transmit:
 		f.transmit(v, e)
 	case reducer.SaveLog:
-		f.after(syncDelay, func() {
+		f.time.After(syncDelay, func() {
 			v.disk.Keep(e.Save)
 			for _, message := range e.Save.Then {
 				f.transmit(v, reducer.Transmit{Peer: string(message.To), Message: reducer.Message{Quorum: &message}})
@@ -251,7 +216,7 @@
 	if to.settings.Region == v.settings.Region {
 		delay = nearDelay
 	}
-	f.after(delay, func() { f.apply(to, reducer.Received{Message: e.Message}) })
+	f.time.After(delay, func() { f.apply(to, reducer.Received{Message: e.Message}) })
 }
 
 // loaded hands every VM the same parsed document: only the text differs by
@@ -262,21 +227,15 @@
 			return
 		}
 	}
-	f.after(time.Millisecond, func() {
-		v.document, v.loadedAt = e.Position, f.now
+	f.time.After(time.Millisecond, func() {
+		v.document, v.loadedAt = e.Position, f.time.Now()
 		f.apply(v, reducer.DocumentLoaded{Position: e.Position, Document: f.parsed, Blocks: f.blocks})
 	})
 }
 
 // Run lets virtual time pass.
 func (f *Fleet) Run(length time.Duration) {
-	end := f.now.Add(length)
-	for len(f.queue) > 0 && f.queue[0].at.Before(end) {
-		next := heap.Pop(&f.queue).(item)
-		f.now = next.at
-		next.do()
-	}
-	f.now = end
+	f.time.Run(f.time.Now().Add(length))
 }
 
 // load writes the document and announces servers.
@@ -315,7 +274,7 @@
 // announceLater gives each domain its backend servers, spread over its VMs; the
 // owner gets each announcement as after forwarding.
 func (f *Fleet) announceLater(v *vm) {
-	f.after(announce, func() {
+	f.time.After(announce, func() {
 		number := 0
 		fmt.Sscanf(v.settings.VM[4:], "%d", &number)
 		for service := range f.Size.Services {
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -83,7 +83,7 @@
 
 func (f *Fleet) measureChange(figures *Figures) {
 	f.reset()
-	began := f.now
+	began := f.time.Now()
 	base := f.versions().Stops
 	f.Change(document.SectionStops, base, "measured", []byte("# a planned stop\n"))
 	f.Run(changeTime)
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -13,8 +13,8 @@
 	"github.com/rs/zerolog"
 
 	"github.com/heatherwood/heatherwood/internal/audit"
-	"github.com/heatherwood/heatherwood/internal/callerhttp"
 	"github.com/heatherwood/heatherwood/internal/standin"
+	"github.com/heatherwood/heatherwood/pkg/caller"
 	"github.com/heatherwood/heatherwood/pkg/document"
 	"github.com/heatherwood/heatherwood/pkg/operator"
 )
@@ -130,7 +130,7 @@
 }
 
 func lookUp(t *testing.T, d *Demo) {
-	var entries callerhttp.Entries
+	var entries caller.Answer
 	eventually(t, "look-up answered with two entries", func() bool {
 		response, err := http.Get("http://" + d.Settings[3].Entry + "/v1/entries?service=payments&client=10.20.1.1")
 		if err != nil {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -92,19 +92,20 @@
 }
 
 func (n *Node) proposeHere(ctx context.Context, command ledger.Command) reducer.Proposed {
-	answer, err := ask[reducer.Proposed](ctx, n, func(call uint64) reducer.Event {
+	return n.proposed(ctx, func(call uint64) reducer.Event {
 		return reducer.Propose{Call: call, Command: command}
 	})
-	if err != nil {
-		return reducer.Proposed{Lost: true}
-	}
-	return answer
 }
 
 func (n *Node) changeHere(ctx context.Context, change quorum.Change) reducer.Proposed {
-	answer, err := ask[reducer.Proposed](ctx, n, func(call uint64) reducer.Event {
+	return n.proposed(ctx, func(call uint64) reducer.Event {
 		return reducer.ChangeReplica{Call: call, Change: change}
 	})
+}
+
+// proposed waits for a commit here; without an answer it may still come.
+func (n *Node) proposed(ctx context.Context, event func(call uint64) reducer.Event) reducer.Proposed {
+	answer, err := ask[reducer.Proposed](ctx, n, event)
 	if err != nil {
 		return reducer.Proposed{Lost: true}
 	}
--- a/internal/operatorhttp/sections.go
+++ b/internal/operatorhttp/sections.go
@@ -17,6 +17,7 @@
 	"github.com/heatherwood/heatherwood/internal/reducer"
 	"github.com/heatherwood/heatherwood/internal/settings"
 	"github.com/heatherwood/heatherwood/pkg/document"
+	"github.com/heatherwood/heatherwood/pkg/operator"
 )
 
 const (
@@ -24,24 +25,6 @@
 	recheckPause = 100 * time.Millisecond
 )
 
-// Accepted answers a PUT of a section.
-type Accepted struct {
-	Section  string `json:"section"`
-	Version  uint64 `json:"version"`
-	Index    uint64 `json:"index"` // in the replicated log
-	Replayed bool   `json:"replayed"`
-}
-
-// Version is one line of a section's history.
-type Version struct {
-	Version  uint64    `json:"version"`
-	At       time.Time `json:"at"`
-	Team     string    `json:"team"`
-	ChangeID string    `json:"changeId"`
-	Index    uint64    `json:"index"`
-	Text     string    `json:"text,omitempty"`
-}
-
 func sectionOf(w http.ResponseWriter, r *http.Request) (document.Section, bool) {
 	section := document.Section(r.PathValue("name"))
 	if !section.Known() {
@@ -81,9 +64,9 @@
 		return
 	}
 	withText := r.URL.Query().Get("text") != ""
-	list := make([]Version, 0, len(versions))
+	list := make([]operator.Version, 0, len(versions))
 	for _, version := range versions {
-		line := Version{Version: version.Version, At: version.At, Team: version.Team, ChangeID: version.ChangeID, Index: version.Position.Index}
+		line := operator.Version{Version: version.Version, At: version.At, Team: version.Team, ChangeID: version.ChangeID, Index: version.Position.Index}
 		if withText {
 			line.Text = string(version.Text)
 		}
@@ -94,21 +77,21 @@
 
 // change is a PUT of a section while it is served.
 type change struct {
-	section  document.Section
-	base     uint64
-	id       string
-	text     []byte
-	operator settings.Operator
+	section document.Section
+	base    uint64
+	id      string
+	text    []byte
+	team    settings.Operator
 }
 
-func (h *Handler) putSection(w http.ResponseWriter, r *http.Request, operator settings.Operator) {
+func (h *Handler) putSection(w http.ResponseWriter, r *http.Request, team settings.Operator) {
 	section, known := sectionOf(w, r)
 	if !known {
 		return
 	}
-	c := change{section: section, operator: operator, id: r.Header.Get("Change-Id")}
-	if !operator.MayWrite(section) {
-		h.refuseChange(w, c, http.StatusForbidden, "not-owner", "team "+operator.Team+" does not own this section")
+	c := change{section: section, team: team, id: r.Header.Get("Change-Id")}
+	if !team.MayWrite(section) {
+		h.refuseChange(w, c, http.StatusForbidden, "not-owner", "team "+team.Team+" does not own this section")
 		return
 	}
 	if c.id == "" || len(c.id) > ledger.MaxKeyBytes {
@@ -138,15 +121,19 @@
 	return version, nil
 }
 
-func (h *Handler) refuseChange(w http.ResponseWriter, c change, status int, reason, detail string) {
+func (h *Handler) auditChange(c change, outcome string) {
 	h.Node.Audit(reducer.Audit{
 		Kind:     reducer.AuditChange,
-		Team:     c.operator.Team,
+		Team:     c.team.Team,
 		Section:  string(c.section),
 		Version:  c.base,
 		ChangeID: c.id,
-		Outcome:  reason,
+		Outcome:  outcome,
 	})
+}
+
+func (h *Handler) refuseChange(w http.ResponseWriter, c change, status int, reason, detail string) {
+	h.auditChange(c, reason)
 	refuse(w, status, reason, detail)
 }
 
@@ -169,7 +156,7 @@
 			Section:  c.section,
 			Base:     c.base,
 			ChangeID: c.id,
-			Team:     c.operator.Team,
+			Team:     c.team.Team,
 			Text:     c.text,
 			Checked:  checked,
 		}
@@ -235,14 +222,7 @@
 }
 
 func (h *Handler) refuseText(w http.ResponseWriter, c change, messages document.Messages) {
-	h.Node.Audit(reducer.Audit{
-		Kind:     reducer.AuditChange,
-		Team:     c.operator.Team,
-		Section:  string(c.section),
-		Version:  c.base,
-		ChangeID: c.id,
-		Outcome:  "invalid",
-	})
+	h.auditChange(c, "invalid")
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.WriteHeader(http.StatusUnprocessableEntity)
 	body := textProblem{Messages: messages, Text: messages.Error()}
@@ -254,14 +234,7 @@
 // refuseCommit answers a change that no quorum confirmed. It may still come
 // into force: only a resend with the same Change-Id tells.
 func (h *Handler) refuseCommit(w http.ResponseWriter, c change, err error) {
-	h.Node.Audit(reducer.Audit{
-		Kind:     reducer.AuditChange,
-		Team:     c.operator.Team,
-		Section:  string(c.section),
-		Version:  c.base,
-		ChangeID: c.id,
-		Outcome:  "unconfirmed",
-	})
+	h.auditChange(c, "unconfirmed")
 	problem.Write(w, problem.Problem{
 		Status:     http.StatusServiceUnavailable,
 		Reason:     "no-quorum",
@@ -275,7 +248,7 @@
 	w.Header().Set("ETag", etag(result.Version))
 	switch result.Code {
 	case ledger.PutAccepted:
-		writeJSON(w, Accepted{Section: string(c.section), Version: result.Version, Index: result.Position.Index, Replayed: result.Replayed})
+		writeJSON(w, operator.Accepted{Section: string(c.section), Version: result.Version, Index: result.Position.Index, Replayed: result.Replayed})
 	case ledger.PutReused:
 		refuse(w, http.StatusConflict, "change-id-reused", "this Change-Id was used for another change; nothing was changed")
 	default:
@@ -289,7 +262,7 @@
 	Peer   string `json:"peer"`   // host:port, for add
 }
 
-func (h *Handler) changeReplica(w http.ResponseWriter, r *http.Request, operator settings.Operator) {
+func (h *Handler) changeReplica(w http.ResponseWriter, r *http.Request, team settings.Operator) {
 	const maxBytes = 1 << 10
 	var body replicaChange
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBytes)).Decode(&body); err != nil {
@@ -303,7 +276,7 @@
 		return
 	}
 	id := r.PathValue("id")
-	h.Node.Audit(reducer.Audit{Kind: reducer.AuditMember, Team: operator.Team, From: id, Outcome: "replica-" + body.Action})
+	h.Node.Audit(reducer.Audit{Kind: reducer.AuditMember, Team: team.Team, From: id, Outcome: "replica-" + body.Action})
 	ctx, cancel := context.WithTimeout(r.Context(), changeLimit)
 	defer cancel()
 	change := quorum.Change{Kind: kind, Replica: quorum.Replica{ID: quorum.ID(id), Address: body.Peer}}
--- a/internal/reducer/session_request_test.go
+++ b/internal/reducer/session_request_test.go
@@ -100,7 +100,7 @@
 	r := &relay.Request{
 		ID:          id,
 		Service:     arg(d, "service"),
-		Deadline:    s.now.Add(timeout),
+		Deadline:    s.now().Add(timeout),
 		Hold:        timeout + 5*time.Second,
 		Keep:        time.Hour,
 		Holder:      vm.settings.VM,
@@ -126,7 +126,6 @@
 	vm      *sessionVM
 	request *relay.Request
 	call    uint64
-	ended   bool
 }
 
 func (x *sessionExchange) step(step relay.Step) {
--- a/internal/reducer/session_test.go
+++ b/internal/reducer/session_test.go
@@ -1,7 +1,6 @@
 package reducer
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -14,6 +13,7 @@
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/plan"
 	"github.com/heatherwood/heatherwood/internal/quorum"
+	"github.com/heatherwood/heatherwood/internal/virtual"
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
@@ -22,10 +22,8 @@
 // session drives the reducers of some VMs in virtual time; golden files in
 // testdata/sessions show what they did.
 type session struct {
-	now      time.Time
+	time     *virtual.Time
 	vms      []*sessionVM
-	flights  []sessionFlight
-	order    int
 	cuts     map[string]bool // "from>to"
 	lines    []string
 	nextCall uint64
@@ -43,16 +41,10 @@
 	view     *View
 }
 
-type sessionFlight struct {
-	at    time.Time
-	order int
-	do    func()
-}
-
 func TestSessions(t *testing.T) {
 	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
 		s := &session{
-			now:     sessionStart,
+			time:    virtual.New(sessionStart),
 			cuts:    make(map[string]bool),
 			answers: make(map[uint64]func(any)),
 			servers: make(map[string]*sessionServer),
@@ -72,14 +64,13 @@
 }
 
 func (s *session) note(format string, args ...any) {
-	since := s.now.Sub(sessionStart)
+	since := s.now().Sub(sessionStart)
 	s.lines = append(s.lines, fmt.Sprintf("%6dms ", since.Milliseconds())+fmt.Sprintf(format, args...))
 }
 
-func (s *session) after(d time.Duration, do func()) {
-	s.order++
-	s.flights = append(s.flights, sessionFlight{at: s.now.Add(d), order: s.order, do: do})
-}
+func (s *session) after(d time.Duration, do func()) { s.time.After(d, do) }
+
+func (s *session) now() time.Time { return s.time.Now() }
 
 func (s *session) find(id string) *sessionVM {
 	for _, vm := range s.vms {
@@ -197,7 +188,7 @@
 		copied.Entries = slices.Clone(vm.disk.Entries)
 		restart = &copied
 	}
-	state, err := New(vm.settings, restart, s.now)
+	state, err := New(vm.settings, restart, s.now())
 	if err != nil {
 		s.note("%s does not start: %v", vm.settings.VM, err)
 		return
@@ -221,26 +212,11 @@
 
 func (s *session) apply(vm *sessionVM, event Event) {
 	if vm.up {
-		s.carryOut(vm, vm.state.Apply(s.now, event))
+		s.carryOut(vm, vm.state.Apply(s.now(), event))
 	}
 }
 
-func (s *session) run(length time.Duration) {
-	end := s.now.Add(length)
-	for {
-		slices.SortFunc(s.flights, func(a, b sessionFlight) int {
-			return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.order, b.order))
-		})
-		if len(s.flights) == 0 || s.flights[0].at.After(end) {
-			break
-		}
-		next := s.flights[0]
-		s.flights = s.flights[1:]
-		s.now = next.at
-		next.do()
-	}
-	s.now = end
-}
+func (s *session) run(length time.Duration) { s.time.Run(s.now().Add(length)) }
 
 // delay is one way: 1 ms between VMs of a region, 20 ms between regions.
 func delay(from, to *sessionVM) time.Duration {
@@ -343,11 +319,11 @@
 // propose finds the leader as the shell does: by hint, else by asking around.
 func (s *session) propose(vm *sessionVM, command ledger.Command, done func(Proposed)) {
 	const limit = 10 * time.Second
-	s.proposeAt(vm, vm, command, done, s.now.Add(limit), 0)
+	s.proposeAt(vm, vm, command, done, s.now().Add(limit), 0)
 }
 
 func (s *session) proposeAt(from, at *sessionVM, command ledger.Command, done func(Proposed), end time.Time, turn int) {
-	if s.now.After(end) {
+	if s.now().After(end) {
 		s.note("%s: no leader confirmed it", from.settings.VM)
 		return
 	}
--- /dev/null
+++ b/internal/reducer/view.go
@@ -0,0 +1,65 @@
+package reducer
+
+import (
+	"slices"
+
+	"github.com/heatherwood/heatherwood/internal/member"
+	"github.com/heatherwood/heatherwood/pkg/document"
+)
+
+// publish gives the shell a new snapshot.
+func (s *State) publish() {
+	view := &View{
+		Document: s.document,
+		Position: s.loadedAt,
+		Owners:   slices.Clone(s.owners),
+		Leader:   s.leader,
+		Domain:   s.Settings.Domain,
+		Stale:    s.stale,
+		Sections: s.copies,
+		HeldAt:   s.copyAt,
+	}
+	view.Versions = s.Versions()
+	if s.document != nil {
+		view.Tables = s.recent.Tables()
+		view.Table = view.Tables[len(view.Tables)-1]
+		view.Domains = s.viewDomains()
+		view.Ready = s.now.Sub(s.started) >= settleDuration
+	}
+	s.emit(PublishView{View: view})
+}
+
+func (s *State) viewDomains() []ViewDomain {
+	known := s.members.Domains(s.now)
+	views := make([]ViewDomain, 0, len(s.document.Places.Domains))
+	for _, named := range s.document.Places.Domains {
+		view := ViewDomain{Name: named.Name, Region: named.Region}
+		for _, domain := range known {
+			if domain.Name != named.Name {
+				continue
+			}
+			view.Alive = domain.Silent < member.DomainSilent
+			for _, entry := range domain.Entries {
+				if !s.document.Stops.Stopped(document.StopVM, entry.ID, s.now, LookupTTL) {
+					view.Entries = append(view.Entries, entry.Entry)
+				}
+			}
+		}
+		if named.Name == s.Settings.Domain {
+			view.Alive = true
+			view.Entries = s.ownEntries()
+		}
+		views = append(views, view)
+	}
+	return views
+}
+
+func (s *State) ownEntries() []string {
+	var entries []string
+	for _, vm := range s.members.Alive() {
+		if !s.document.Stops.Stopped(document.StopVM, vm.ID, s.now, LookupTTL) {
+			entries = append(entries, vm.Entry)
+		}
+	}
+	return entries
+}
--- a/internal/trial/baseline.go
+++ b/internal/trial/baseline.go
@@ -42,10 +42,10 @@
 
 func (b *baseline) tick() {
 	w := b.world
-	if w.now.Sub(b.polled) < pollEvery {
+	if w.now().Sub(b.polled) < pollEvery {
 		return
 	}
-	b.polled = w.now
+	b.polled = w.now()
 	for _, s := range w.servers {
 		b.knows[s] = s.alive && w.entryAlive(s.domain) && !w.stopped(s.domain)
 	}
--- a/internal/trial/cases.go
+++ b/internal/trial/cases.go
@@ -138,8 +138,8 @@
 		service:  service,
 		rank:     len(w.ranks) - 1,
 		client:   netip.AddrFrom4([4]byte{10, 20, 250, 1}),
-		arrived:  w.now,
-		deadline: w.now.Add(time.Second),
+		arrived:  w.now(),
+		deadline: w.now().Add(time.Second),
 		work:     time.Second,
 		killer:   true,
 	})
--- a/internal/trial/stats.go
+++ b/internal/trial/stats.go
@@ -74,7 +74,7 @@
 	if s.counts(r) {
 		s.Ranks[r.rank].Offered++
 	}
-	at := &s.seconds[int(s.world.now.Sub(epoch)/time.Second)]
+	at := &s.seconds[int(s.world.now().Sub(epoch)/time.Second)]
 	if at.offered[r.service] == nil {
 		at.offered[r.service] = make([]int, len(s.Ranks))
 	}
@@ -84,19 +84,19 @@
 
 // served notes a whole answer at the caller.
 func (s *Stats) served(r *request) {
-	if at := &s.seconds[int(s.world.now.Sub(epoch)/time.Second)]; !r.killer && !s.world.now.After(r.deadline) {
+	if at := &s.seconds[int(s.world.now().Sub(epoch)/time.Second)]; !r.killer && !s.world.now().After(r.deadline) {
 		at.served[r.rank]++
 	}
 	if !s.counts(r) {
 		return
 	}
 	rank := &s.Ranks[r.rank]
-	if s.world.now.After(r.deadline) {
+	if s.world.now().After(r.deadline) {
 		s.Late++
 		return
 	}
 	rank.Served++
-	latency := s.world.now.Sub(r.arrived).Seconds()
+	latency := s.world.now().Sub(r.arrived).Seconds()
 	rank.latency = append(rank.latency, latency)
 	if since := r.arrived.Sub(epoch); since >= faultBegin && since < faultEnd {
 		rank.flood = append(rank.flood, latency)
@@ -121,7 +121,7 @@
 
 func (s *Stats) tick() {
 	w := s.world
-	at := &s.seconds[int(w.now.Sub(epoch)/time.Second)]
+	at := &s.seconds[int(w.now().Sub(epoch)/time.Second)]
 	running, slots := 0, 0
 	for _, server := range w.servers {
 		if !server.alive || w.stopped(server.domain) {
@@ -133,11 +133,11 @@
 			at.capacity[server.service] += float64(server.slots) / server.mean.Seconds() * tick.Seconds()
 		}
 	}
-	if w.now.Sub(epoch) >= measureFrom && slots > 0 {
+	if w.now().Sub(epoch) >= measureFrom && slots > 0 {
 		s.headroom += 1 - float64(running)/float64(slots)
 		s.samples++
 	}
-	if !w.now.Before(s.nextShares) {
+	if !w.now().Before(s.nextShares) {
 		s.nextShares = s.nextShares.Add(capInterval)
 		s.closeInterval()
 	}
@@ -166,7 +166,7 @@
 		}
 		s.shares[service] = append(past, shares)
 		noise := 3 * math.Sqrt(float64(len(counts))/float64(4*n))
-		if len(past) > 0 && s.world.now.Sub(epoch) > measureFrom {
+		if len(past) > 0 && s.world.now().Sub(epoch) > measureFrom {
 			s.MaxShift = max(s.MaxShift, moved-noise)
 			if moved > 0.25+noise {
 				s.CapOver++
--- a/internal/trial/system.go
+++ b/internal/trial/system.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/dispatch"
@@ -148,7 +147,7 @@
 			Connections: 360,
 			Load:        float64(server.running),
 			State:       routing.StateServing,
-		}, w.now))
+		}, w.now()))
 	}
 }
 
@@ -166,9 +165,9 @@
 		}
 		arrive := func() {
 			news := other.heard[s.domain.Name]
-			news.at = w.now
+			news.at = w.now()
 			if measured {
-				news.measured, news.summaries = w.now, summaries
+				news.measured, news.summaries = w.now(), summaries
 			}
 			other.heard[s.domain.Name] = news
 		}
@@ -190,39 +189,39 @@
 
 func (s *site) tick() {
 	w := s.system.world
-	if !w.now.Before(s.announceAt) {
-		s.announceAt = w.now.Add(announceEvery)
+	if !w.now().Before(s.announceAt) {
+		s.announceAt = w.now().Add(announceEvery)
 		s.announce()
 	}
-	if !w.now.Before(s.tellDue) {
-		s.tellDue = w.now.Add(tellEvery)
+	if !w.now().Before(s.tellDue) {
+		s.tellDue = w.now().Add(tellEvery)
 		s.tell(1)
 	}
 	for _, pool := range s.pools {
-		s.effects(pool, pool.Tick(w.now, tick))
+		s.effects(pool, pool.Tick(w.now(), tick))
 	}
-	s.quarantine.Sweep(w.now)
-	if !w.now.Before(s.planDue) {
+	s.quarantine.Sweep(w.now())
+	if !w.now().Before(s.planDue) {
 		s.plan(s.table.Blocks)
 	}
 }
 
 func (s *site) plan(blocks *plan.Blocks) {
 	w := s.system.world
-	s.planDue = w.now.Add(plan.TickInterval)
-	moves := s.planner.Tick(w.now, w.Document, s.planSites())
+	s.planDue = w.now().Add(plan.TickInterval)
+	moves := s.planner.Tick(w.now(), w.Document, s.planSites())
 	s.table = s.planner.Table(blocks)
-	s.recent.Add(s.table, w.now)
+	s.recent.Add(s.table, w.now())
 	for i := range w.Document.Services.Services {
 		service := &w.Document.Services.Services[i]
 		if slices.ContainsFunc(moves, func(m plan.Move) bool { return m.Service == service.Name }) {
-			s.moved[service.Name] = w.now
+			s.moved[service.Name] = w.now()
 		}
-		lately := w.now.Sub(s.moved[service.Name]) < service.Interval.Std()
+		lately := w.now().Sub(s.moved[service.Name]) < service.Interval.Std()
 		s.arrivals[service.Name].Cap = shift.ArrivalCap(float64(service.Cap), lately)
 	}
 	for _, pool := range s.pools {
-		pool.Stopped(func(string) bool { return w.stopped(s.domain.Name) }, w.now)
+		pool.Stopped(func(string) bool { return w.stopped(s.domain.Name) }, w.now())
 		pool.Lendable = s.neighbours(pool.Policy.Service)
 	}
 }
@@ -235,8 +234,8 @@
 		site := plan.Site{
 			Name:     domain.Name,
 			Region:   domain.Region,
-			Alive:    w.now.Sub(news.at) < member.DomainSilent,
-			Measured: w.now.Sub(news.measured) < member.DomainSilent/2,
+			Alive:    w.now().Sub(news.at) < member.DomainSilent,
+			Measured: w.now().Sub(news.measured) < member.DomainSilent/2,
 			Stopping: w.stopping(domain.Name),
 		}
 		for _, summary := range news.summaries {
@@ -249,7 +248,7 @@
 
 // stopping reports whether a planned stop is near enough for weights to move.
 func (w *World) stopping(domain string) bool {
-	since := w.now.Sub(epoch)
+	since := w.now().Sub(epoch)
 	return w.Case.Stop && domain == w.domain(stopDomain).Name && since >= faultBegin-stopAhead && since < faultEnd
 }
 
@@ -258,7 +257,7 @@
 	var list []dispatch.Neighbour
 	for _, domain := range w.Document.Places.Domains {
 		news := s.heard[domain.Name]
-		if domain.Name == s.domain.Name || w.now.Sub(news.at) >= member.DomainSilent || w.stopping(domain.Name) {
+		if domain.Name == s.domain.Name || w.now().Sub(news.at) >= member.DomainSilent || w.stopping(domain.Name) {
 			continue
 		}
 		for _, summary := range news.summaries {
@@ -283,7 +282,7 @@
 		switch e := effect.(type) {
 		case dispatch.Reply:
 			if x := s.system.asks[e.Ask]; x != nil {
-				x.step(x.relay.Asked(e.Answer, nil, w.now))
+				x.step(x.relay.Asked(e.Answer, nil, w.now()))
 			}
 		case dispatch.SendWant:
 			s.message(e.Domain, func(other *site) {
@@ -292,13 +291,13 @@
 				if bits := reducer.LinkPart(w.Document, other.domain.Region, e.Want.Region); bits > 0 {
 					limit = lender.LinkSlots(bits)
 				}
-				other.effects(lender, lender.Lend(e.Want, limit, w.now))
+				other.effects(lender, lender.Lend(e.Want, limit, w.now()))
 			})
 		case dispatch.SendLoan:
 			s.message(e.Peer, func(other *site) {
 				borrower := other.pool(e.Loan.Service)
 				oneWay := w.Document.Places.OneWay(other.domain.Region, e.Loan.Region)
-				other.effects(borrower, borrower.Borrow(e.Loan, oneWay, w.now))
+				other.effects(borrower, borrower.Borrow(e.Loan, oneWay, w.now()))
 			})
 		case dispatch.Drained:
 			if w.stopped(s.domain.Name) {
@@ -331,7 +330,7 @@
 	w := s.world
 	key := lookupKey{r.service, r.client}
 	known, found := s.lookup[key]
-	if found && w.now.Before(known.until) {
+	if found && w.now().Before(known.until) {
 		return known.domains
 	}
 	for _, own := range s.sites {
@@ -344,7 +343,7 @@
 		for _, number := range choice.Domains[:choice.Count] {
 			domains = append(domains, own.table.Domains[number])
 		}
-		s.lookup[key] = cached{domains: domains, until: w.now.Add(lookupTTL)}
+		s.lookup[key] = cached{domains: domains, until: w.now().Add(lookupTTL)}
 		return domains
 	}
 	return known.domains
@@ -375,152 +374,3 @@
 		own.take(r, way)
 	})
 }
-
-// take begins a request at an entry.
-func (s *site) take(r *request, way time.Duration) {
-	w := s.system.world
-	limiter := s.arrivals[r.service]
-	limiter.Tick(w.now)
-	limiter.Arrive()
-	foreign := !r.killer && !plan.Home(s.recent.Tables(), r.service, r.client, s.domain.Name)
-	if foreign && !limiter.MayMove(r.rank) {
-		w.Stats.refused(r)
-		return
-	}
-	if foreign {
-		limiter.Move(r.rank)
-	}
-	s.system.next++
-	fingerprint := s.system.next
-	if r.killer {
-		fingerprint = 1 << 63
-	}
-	x := &exchange{site: s, request: r, began: w.now, relay: &relay.Request{
-		ID:          "r",
-		Service:     r.service,
-		Rank:        r.rank,
-		Deadline:    r.deadline.Add(-way),
-		Holder:      s.domain.Name,
-		Fingerprint: fingerprint,
-		Replayable:  true,
-	}}
-	x.step(x.relay.Start(w.now, s.budget(r)))
-}
-
-func (s *site) budget(r *request) *relay.Budget {
-	key := r.service + s.system.world.ranks[r.rank].Name
-	if s.budgets[key] == nil {
-		s.budgets[key] = &relay.Budget{}
-	}
-	return s.budgets[key]
-}
-
-// step follows the relay's decision.
-func (x *exchange) step(step relay.Step) {
-	s, w := x.site, x.site.system.world
-	switch {
-	case step.Ask != nil:
-		pool := s.pool(x.request.service)
-		ask := *step.Ask
-		s.system.next++
-		ask.ID = s.system.next
-		s.system.asks[ask.ID] = x
-		s.effects(pool, pool.Ask(ask, w.now))
-	case step.Send != nil:
-		x.send(step.Send)
-	case step.Refuse != nil:
-		w.Stats.refused(x.request)
-	}
-}
-
-func (x *exchange) send(grant *dispatch.Grant) {
-	s, w := x.site, x.site.system.world
-	x.grant, x.done = grant, false
-	if x.relay.Grant != nil && x.began != w.now && x.request.server != nil {
-		w.Stats.Retries++
-	}
-	target := w.find(grant.Server[strings.LastIndexByte(grant.Server, '/')+1:])
-	if !x.request.killer {
-		w.Stats.granted(x.request, w.domainNumber(target.domain))
-	}
-	way := w.oneWay(s.domain.Name, target.domain)
-	sent := w.now
-	if !w.connected(s.domain.Name, target.domain) {
-		w.after(dialTimeout, func() { x.finish(routing.ResultNoDial, dialTimeout) })
-		return
-	}
-	x.request.answered = func(result outcome) {
-		w.after(way, func() { x.answer(result, w.now.Sub(sent)) })
-	}
-	w.after(x.relay.Deadline.Sub(w.now), func() { x.expire(grant, target, w.now.Sub(sent)) })
-	w.after(way, func() {
-		if !target.alive {
-			w.after(way, func() { x.finish(routing.ResultNoDial, 2*way) })
-			return
-		}
-		w.begin(target, x.request)
-	})
-}
-
-// expire cancels work at the deadline; the server accepts cancellation.
-func (x *exchange) expire(grant *dispatch.Grant, target *server, latency time.Duration) {
-	if x.grant != grant || x.done {
-		return
-	}
-	w := x.site.system.world
-	w.Stats.Late++
-	w.cancel(target, x.request)
-	x.finish(routing.ResultLate, latency)
-}
-
-func (w *World) find(id string) *server {
-	for _, s := range w.servers {
-		if s.id == id {
-			return s
-		}
-	}
-	return nil
-}
-
-func (x *exchange) answer(result outcome, latency time.Duration) {
-	if x.done {
-		return
-	}
-	w := x.site.system.world
-	switch result {
-	case outcomeOK:
-		x.finish(routing.ResultOK, latency)
-		place := w.Document.Places.Places[x.request.place]
-		way := place.OneWay.Std() + w.Document.Places.OneWay(place.Region, x.site.domain.Region)
-		if w.entryAlive(x.site.domain.Name) {
-			w.after(way, func() { w.Stats.served(x.request) })
-		}
-	case outcomeError:
-		x.finish(routing.ResultError, latency)
-	default:
-		x.finish(routing.ResultBroken, latency)
-	}
-}
-
-// finish ends the grant and lets the relay decide what follows a failure.
-func (x *exchange) finish(result routing.Result, latency time.Duration) {
-	if x.done {
-		return
-	}
-	x.done = true
-	s, w := x.site, x.site.system.world
-	pool := s.pool(x.request.service)
-	suspicion := quarantine.Clear
-	effects := pool.Finish(dispatch.Finish{Service: x.request.service, Ticket: x.grant.Ticket, Result: result, Latency: latency}, w.now)
-	for _, effect := range effects {
-		if barring, found := effect.(dispatch.Barring); found && barring.Fingerprint == x.relay.Fingerprint {
-			suspicion = barring.Phase
-		}
-	}
-	s.effects(pool, effects)
-	step := x.relay.Sent(result, suspicion, w.now, s.budget(x.request))
-	if step.Stream && result == routing.ResultError {
-		w.Stats.refused(x.request)
-	}
-	x.step(step)
-}
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -1,7 +1,6 @@
 package trial
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -9,6 +8,7 @@
 	"time"
 
 	"github.com/heatherwood/heatherwood/examples"
+	"github.com/heatherwood/heatherwood/internal/virtual"
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
@@ -50,14 +50,11 @@
 	Case     Case
 	Stats    Stats
 
-	now     time.Time
+	time    *virtual.Time
 	random  *rand.Rand
-	events  events
-	order   uint64
 	servers []*server
 	ranks   []document.Rank
 	policy  policy
-	blocks  []netip.Addr // client blocks by place
 	offered []offered
 }
 
@@ -94,7 +91,6 @@
 	work     time.Duration
 	killer   bool
 	server   *server
-	done     bool
 	began    time.Time
 	answered func(result outcome)
 }
@@ -116,39 +112,7 @@
 	rate    float64 // per second
 }
 
-type event struct {
-	at    time.Time
-	order uint64
-	do    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].order < e[j].order
-	}
-	return e[i].at.Before(e[j].at)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push adds an event; container/heap calls it.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop removes the last event; container/heap calls it.
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	old[len(old)-1] = event{}
-	*e = old[:len(old)-1]
-	return last
-}
-
-func (w *World) after(d time.Duration, do func()) {
-	w.order++
-	heap.Push(&w.events, event{at: w.now.Add(d), order: w.order, do: do})
-}
+func (w *World) after(d time.Duration, do func()) { w.time.After(d, do) }
 
 // NewWorld lays out a site for one case.
 func NewWorld(site string, c Case, seed uint64) (*World, error) {
@@ -160,7 +124,7 @@
 	if err := messages.Err(); err != nil {
 		return nil, err
 	}
-	w := &World{Site: site, Document: parsed, Case: c, now: epoch, random: rand.New(rand.NewPCG(seed, 7))}
+	w := &World{Site: site, Document: parsed, Case: c, time: virtual.New(epoch), random: rand.New(rand.NewPCG(seed, 7))}
 	w.ranks = parsed.Ranks.Order()
 	for i := range parsed.Services.Services {
 		service := &parsed.Services.Services[i]
@@ -239,6 +203,8 @@
 	}
 }
 
+func (w *World) now() time.Time { return w.time.Now() }
+
 // Run plays the whole run.
 func (w *World) Run() {
 	for i := range w.offered {
@@ -246,12 +212,7 @@
 	}
 	w.schedule()
 	w.tickForever()
-	end := epoch.Add(runLength)
-	for len(w.events) > 0 && w.events[0].at.Before(end) {
-		next := heap.Pop(&w.events).(event)
-		w.now = next.at
-		next.do()
-	}
+	w.time.Run(epoch.Add(runLength))
 	w.Stats.close()
 }
 
@@ -291,7 +252,7 @@
 }
 
 func (w *World) during() bool {
-	since := w.now.Sub(epoch)
+	since := w.now().Sub(epoch)
 	return since >= faultBegin && since < faultEnd
 }
 
@@ -306,8 +267,8 @@
 		rank:     o.rank,
 		place:    o.place,
 		client:   netip.AddrFrom4(base),
-		arrived:  w.now,
-		deadline: w.now.Add(target),
+		arrived:  w.now(),
+		deadline: w.now().Add(target),
 		work:     w.workOf(o.service),
 	}
 	w.Stats.offer(r)
@@ -322,7 +283,7 @@
 
 // begin runs a request on a server; answered is called at the end of its work.
 func (w *World) begin(s *server, r *request) {
-	r.server, r.began = s, w.now
+	r.server, r.began = s, w.now()
 	s.inflight[r] = true
 	s.running++
 	if s.running > s.slots {
@@ -352,8 +313,8 @@
 // cold reports whether the server's caches lack the client's block.
 func (w *World) cold(s *server, r *request) bool {
 	last, known := s.seen[r.client]
-	s.seen[r.client] = w.now
-	return !known && w.now.Sub(epoch) > coldAfter || known && w.now.Sub(last) > coldAfter
+	s.seen[r.client] = w.now()
+	return !known && w.now().Sub(epoch) > coldAfter || known && w.now().Sub(last) > coldAfter
 }
 
 func (w *World) end(s *server, r *request, result outcome) {
