--- a/Makefile
+++ b/Makefile
@@ -16,11 +16,21 @@
 	go tool -modfile=tools/go.mod gofumpt -w cmd internal pkg examples
 
 bench:
-	go test -run '^$$' -bench . ./internal/plan ./internal/routing ./internal/callerhttp
+	go test -run '^$$' -bench . ./internal/plan ./internal/routing ./internal/callerhttp ./internal/node ./internal/demo ./pkg/document
+
+capacity:
+	go run ./cmd/capacity
+
+trials:
+	go run ./cmd/trial --site plaques
+	go run ./cmd/trial --site pottery
+
+soak:
+	HEATHERWOOD_SOAK=5m go test ./internal/demo -run TestKilledProcesses -v -timeout 20m
 
 fuzz:
 	go test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./pkg/document
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 30s ./internal/backendhttp
 	go test -run '^$$' -fuzz FuzzReadSegment -fuzztime 30s ./internal/disk
 
-.PHONY: build demo test check format bench fuzz
+.PHONY: build demo test check format bench capacity trials soak fuzz
--- a/cmd/heatherwood/main.go
+++ b/cmd/heatherwood/main.go
@@ -37,19 +37,22 @@
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
 
-// helpShown ends the parsing of a command line that asked for help.
-type helpShown struct{}
+// helpShown ends the parsing of a command line after help was shown.
+type helpShown struct{ status int }
 
 func run(args []string, out, errOut io.Writer) (code int) {
 	app := kingpin.New("heatherwood", help)
 	app.UsageWriter(out)
 	app.ErrorWriter(errOut)
-	app.Terminate(func(int) { panic(helpShown{}) })
+	app.Terminate(func(status int) { panic(helpShown{status}) })
 	defer func() {
 		switch reason := recover().(type) {
 		case nil:
 		case helpShown:
 			code = exitOK
+			if len(args) == 0 || reason.status != 0 {
+				code = exitUsage
+			}
 		default:
 			panic(reason)
 		}
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -305,24 +305,29 @@
 
 // Change proposes a change at the leader.
 func (f *Fleet) Change(section document.Section, base uint64, id string, text []byte) {
-	for _, v := range f.vms {
-		if !v.lead {
-			continue
-		}
-		put := &ledger.Put{Section: section, Base: base, ChangeID: id, Text: text}
-		put.Checked = f.versions()
-		put.Checked.Set(section, base)
-		f.apply(v, reducer.Propose{Command: ledger.Command{Put: put}})
+	leader := f.leader()
+	if leader == nil {
 		return
 	}
+	put := &ledger.Put{Section: section, Base: base, ChangeID: id, Text: text}
+	put.Checked = f.versions()
+	put.Checked.Set(section, base)
+	f.apply(leader, reducer.Propose{Command: ledger.Command{Put: put}})
 }
 
-// versions follows the three sections that load writes.
-func (f *Fleet) versions() ledger.Versions {
+func (f *Fleet) leader() *vm {
 	for _, v := range f.vms {
 		if v.lead {
-			return v.state.Versions()
+			return v
 		}
 	}
+	return nil
+}
+
+// versions follows the sections that the leader holds.
+func (f *Fleet) versions() ledger.Versions {
+	if leader := f.leader(); leader != nil {
+		return leader.state.Versions()
+	}
 	return ledger.Versions{}
 }
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/heatherwood/heatherwood/internal/ledger"
+	"github.com/heatherwood/heatherwood/internal/reducer"
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
@@ -16,8 +18,10 @@
 	Roles map[Role]Rate
 	// InForce is the time of a change until all VMs have it.
 	InForce time.Duration
-	// ChangeBytes is what one change costs the leader.
-	ChangeBytes int64
+	// ChangeMessages is how many messages one change costs the leader.
+	ChangeMessages int
+	// ClaimBytes is what one claim costs the leader beyond being idle.
+	ClaimBytes float64
 }
 
 // Rate is a cost per second.
@@ -54,9 +58,28 @@
 		figures.Roles[role] = dearest(figures.Roles[role], rate)
 	}
 	f.measureChange(&figures)
+	f.measureClaims(&figures)
 	return figures, nil
 }
 
+// measureClaims lets the leader take claims one after the other.
+func (f *Fleet) measureClaims(figures *Figures) {
+	const claims, pause = 500, 10 * time.Millisecond
+	leader := f.leader()
+	if leader == nil {
+		return
+	}
+	f.reset()
+	for i := range claims {
+		key := ledger.Key{Service: "s0", Key: fmt.Sprintf("order-%08d", i)}
+		claim := &ledger.Claim{Key: key, Digest: uint64(i), Holder: "d03-007", Attempt: "8a3f6b52-5f0e-4b39-9f5c-0d3f3a1c9e77", Hold: time.Minute, Keep: time.Hour}
+		f.apply(leader, reducer.Propose{Command: ledger.Command{Claim: claim}})
+		f.Run(pause)
+	}
+	idle := figures.Roles[RoleLeader].Bytes * claims * pause.Seconds()
+	figures.ClaimBytes = (float64(leader.cost.Bytes) - idle) / claims
+}
+
 func dearest(a, b Rate) Rate {
 	return Rate{Messages: max(a.Messages, b.Messages), Bytes: max(a.Bytes, b.Bytes), Busy: max(a.Busy, b.Busy)}
 }
@@ -86,7 +109,11 @@
 	began := f.time.Now()
 	base := f.versions().Stops
 	f.Change(document.SectionStops, base, "measured", []byte("# a planned stop\n"))
+	idle := figures.Roles[RoleLeader].Messages * changeTime.Seconds()
 	f.Run(changeTime)
+	if leader := f.leader(); leader != nil {
+		figures.ChangeMessages = leader.cost.Messages - int(idle)
+	}
 	for _, v := range f.vms {
 		if v.loadedAt.Before(began) {
 			figures.InForce = changeTime
@@ -152,6 +179,7 @@
 // WriteFits prints the slopes by VMs per domain and by domains, and what they
 // give at the size to design for beside the figure measured there, if any.
 func WriteFits(w io.Writer, byVMs, byDomains []Figures, target Figures) {
+	fmt.Fprintf(w, "a change costs the leader %d messages beyond being idle, a claim %.0f bytes with %d replicas\n\n", target.ChangeMessages, target.ClaimBytes, target.Size.Control)
 	fmt.Fprintln(w, "| role | KB/s per VM of the domain | fit error | KB/s per domain | fit error | KB/s from slopes | KB/s measured |")
 	fmt.Fprintln(w, "|---|---|---|---|---|---|---|")
 	for _, role := range Roles() {
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -221,11 +221,11 @@
 		n := random.IntN(510_000)
 		clients[i] = netip.AddrFrom4([4]byte{byte(1 + n>>16), byte(n >> 8), byte(n), 7})
 	}
-	b.ReportMetric(float64(table.Blocks.Bytes())/(1<<20), "MB-table")
 	b.ReportAllocs()
 	i := 0
 	for b.Loop() {
 		table.Look(0, clients[i&(len(clients)-1)])
 		i++
 	}
+	b.ReportMetric(float64(table.Blocks.Bytes())/(1<<20), "MB-table")
 }
