Stop a VM gently and spread suspicions at once

Cause: SIGTERM ended a VM while callers still held look-ups that named it; a crash-causing request sent through all entries killed six servers before gossip told the other domains (whole-path test). Change: a leaving VM hands its services over, leaves the look-ups and answers for as long as callers may keep them; news of a fingerprint goes to all domains at once, and a request proven here is not suspected on the word of others. The document's typical time counts until one is measured.

--- a/cmd/heatherwood/serve.go
+++ b/cmd/heatherwood/serve.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -20,7 +22,7 @@
 	c := app.Command("serve", "Run this VM. Example: heatherwood serve --settings node.toml")
 	path := c.Flag("settings", "Settings file of the VM.").Required().String()
 	check := c.Flag("check", "Only check the settings file.").Bool()
-	drain := c.Flag("drain", "Longest wait for running requests at the end.").Default("30s").Duration()
+	drain := c.Flag("drain", "Longest time from the signal to stop to the end: callers are led elsewhere for 10 s, then running requests end. A second signal ends at once.").Default("40s").Duration()
 	commands[c.FullCommand()] = func(ctx context.Context, out io.Writer) error {
 		own, err := settings.Read(*path)
 		if err != nil {
@@ -63,8 +65,18 @@
 	case err = <-failed:
 	case err = <-n.Failed():
 	}
-	stopCtx, cancel := context.WithTimeout(context.Background(), drain)
-	defer cancel()
-	server.Stop(stopCtx)
+	leave(server, drain, err == nil)
 	return err
 }
+
+// leave ends the VM without cutting off requests, unless a second signal comes.
+func leave(server *entry.Server, drain time.Duration, gently bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), drain)
+	defer cancel()
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if gently {
+		server.Leave(ctx)
+	}
+	server.Stop(ctx)
+}
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -27,6 +27,9 @@
 	Ranks []Rank
 	Limit int // waiting requests of one rank
 
+	// Typical is the time in a slot that counts until one is measured.
+	Typical time.Duration
+
 	lanes    []lane
 	byID     map[uint64]*Item
 	lastTick time.Time
@@ -48,7 +51,7 @@
 	maxCreditSeconds = 0.5 // of the rank's whole floor
 	rateWeight       = 0.2
 	serviceWeight    = 0.05
-	defaultService   = 0.05 // seconds in a slot before any is measured
+	defaultService   = 0.05 // seconds in a slot before any is measured or documented
 	finishSpreads    = 3.0  // spreads above the mean that must remain at the start
 	maxWaitShare     = 0.25 // of the time to the deadline that may pass in the queue
 	maxNeedShare     = 0.6  // of a request's whole time that its work is thought to need
@@ -108,7 +111,7 @@
 	if len(l.waiting) == 0 || capacity == 0 {
 		return 0
 	}
-	rate := q.share(rank, capacity) * float64(capacity) / l.serviceTime()
+	rate := q.share(rank, capacity) * float64(capacity) / q.serviceTime(l)
 	return time.Duration(float64(len(l.waiting)) / rate * float64(time.Second))
 }
 
@@ -123,7 +126,7 @@
 		l := &q.lanes[other]
 		switch {
 		case other < rank:
-			left -= l.rate * l.serviceTime() / float64(capacity)
+			left -= l.rate * q.serviceTime(l) / float64(capacity)
 		case other > rank && len(l.waiting) > 0:
 			left -= q.Ranks[other].Floor
 		}
@@ -141,11 +144,15 @@
 	return min(need, time.Duration(maxNeedShare*float64(whole)))
 }
 
-func (l *lane) serviceTime() float64 {
-	if l.service == 0 {
+func (q *Queue) serviceTime(l *lane) float64 {
+	switch {
+	case l.service > 0:
+		return l.service
+	case q.Typical > 0:
+		return q.Typical.Seconds()
+	default:
 		return defaultService
 	}
-	return l.service
 }
 
 // Cancel removes a waiting request.
@@ -205,7 +212,7 @@
 	l := &q.lanes[rank]
 	l.inUse++
 	l.granted++
-	l.credit -= l.serviceTime()
+	l.credit -= q.serviceTime(l)
 }
 
 // End gives the slot back; held is the time it was in use. The credit was
@@ -213,7 +220,7 @@
 func (q *Queue) End(rank int, held time.Duration) {
 	l := &q.lanes[rank]
 	l.inUse = max(0, l.inUse-1)
-	l.credit += l.serviceTime() - held.Seconds()
+	l.credit += q.serviceTime(l) - held.Seconds()
 	if held <= 0 {
 		return
 	}
@@ -248,7 +255,7 @@
 		share = q.Ranks[rank].Floor * float64(capacity)
 	}
 	l.credit += share * elapsed
-	limit := max(share*maxCreditSeconds, l.serviceTime())
+	limit := max(share*maxCreditSeconds, q.serviceTime(l))
 	if len(l.waiting) == 0 {
 		limit = 0
 	}
@@ -289,7 +296,7 @@
 		}
 	}
 	if known == 0 {
-		return time.Duration(defaultService * float64(time.Second))
+		return time.Duration(q.serviceTime(&lane{}) * float64(time.Second))
 	}
 	return time.Duration(sum / float64(known) * float64(time.Second))
 }
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -6,7 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -102,6 +105,9 @@
 	t.Run("change in force", func(t *testing.T) { changeInForce(t, d) })
 	t.Run("racing operators", func(t *testing.T) { racingOperators(t, d) })
 	t.Run("drain", func(t *testing.T) { drainServer(t, d) })
+	t.Run("crash-causing request", func(t *testing.T) { crashingRequest(t, d) })
+	t.Run("slots", func(t *testing.T) { slotsKept(t, d) })
+	t.Run("entry leaves", func(t *testing.T) { entryLeaves(t, d) })
 	t.Run("entry killed", func(t *testing.T) { entryKilled(t, d) })
 	t.Run("audit", func(t *testing.T) { auditHolds(t, d) })
 }
@@ -280,6 +286,92 @@
 	}
 }
 
+// crashingRequest sends a request that crashes each server which runs it twenty
+// times, through all entries.
+func crashingRequest(t *testing.T, d *Demo) {
+	for i := range 20 {
+		got, err := send("GET", d.Settings[i%len(d.Settings)].Entry, "proofs", "/crash", "", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.status < http.StatusBadRequest || got.run == "" {
+			t.Errorf("crash-causing request was answered %+v", got)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	dead := 0
+	for _, server := range d.Backends {
+		if server.Dead() {
+			dead++
+		}
+	}
+	if dead > 2 {
+		t.Errorf("%d servers died of one request, want at most 2", dead)
+	}
+}
+
+// slotsKept loads one service well beyond its servers and asks them how much they
+// ran at once.
+func slotsKept(t *testing.T, d *Demo) {
+	const callers, requests = 40, 20
+	var group sync.WaitGroup
+	for number := range callers {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for range requests {
+				send("GET", d.Settings[number%len(d.Settings)].Entry, "approvals", "/approvals", "", "")
+			}
+		}()
+	}
+	group.Wait()
+	for _, server := range d.Backends {
+		if most := server.Most(); most > int64(server.Settings.Slots) {
+			t.Errorf("server %s ran %d requests at once in %d slots", server.Settings.ID, most, server.Settings.Slots)
+		}
+	}
+}
+
+// entryLeaves lets an entry leave while it is used: nothing is cut off, and
+// look-ups stop naming it.
+func entryLeaves(t *testing.T, d *Demo) {
+	const vm = 3
+	done := make(chan struct{})
+	failures := make(chan string, 100)
+	go func() {
+		defer close(failures)
+		for {
+			select {
+			case <-done:
+				return
+			default:
+			}
+			got, err := send("GET", d.Settings[vm].Entry, "proofs", "/proof", "", "")
+			if err != nil || got.run == "unknown" {
+				failures <- fmt.Sprintf("%+v %v", got, err)
+			}
+		}
+	}()
+	left := make(chan struct{})
+	go func() {
+		d.Entries[vm].Leave(context.Background())
+		close(left)
+	}()
+	eventually(t, "look-ups stop naming the leaving entry", func() bool {
+		answer, err := caller.Lookup(context.Background(), http.DefaultClient, d.Settings[0].Entry, url.Values{"service": {"proofs"}, "client": {"10.21.0.1"}})
+		return err == nil && !slices.Contains(answer.Entries, d.Settings[vm].Entry)
+	})
+	<-left
+	close(done)
+	for failure := range failures {
+		t.Errorf("request through the leaving entry: %s", failure)
+	}
+	d.Kill(vm)
+	if err := d.Restart(vm); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // entryKilled kills an entry in the middle of an answer: the caller must see an
 // error and never a short whole answer.
 func entryKilled(t *testing.T, d *Demo) {
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -19,6 +19,7 @@
 	Cap          float64 // share of the traffic that may move per Interval
 	Interval     time.Duration
 	Warm         time.Duration
+	Typical      time.Duration // usual time of a request
 	Target       time.Duration // longest time of one request
 	Shed         []int
 	Bytes        int64 // of a typical answer
@@ -118,6 +119,7 @@
 func (p *Pool) Configure(policy Policy) {
 	p.Policy = policy
 	p.Routing.Warm = policy.Warm
+	p.Queue.Typical = policy.Typical
 	p.Spill.Cap = policy.Cap * shift.SpillShare
 	p.Spill.Interval = policy.Interval
 	p.limitQueue()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/heatherwood/heatherwood/internal/callerhttp"
 	"github.com/heatherwood/heatherwood/internal/node"
 	"github.com/heatherwood/heatherwood/internal/operatorhttp"
+	"github.com/heatherwood/heatherwood/internal/reducer"
 )
 
 // Bounds on connections and headers.
@@ -86,6 +87,16 @@
 	return err
 }
 
+// Leave leads callers elsewhere and goes on answering for as long as they may
+// keep a look-up that names this VM, or until the context ends.
+func (s *Server) Leave(ctx context.Context) {
+	s.Node.Apply(reducer.Leave{})
+	select {
+	case <-s.Node.Clock.After(reducer.LookupTTL):
+	case <-ctx.Done():
+	}
+}
+
 // Stop ends the VM: it waits for running requests as long as the context lasts.
 func (s *Server) Stop(ctx context.Context) {
 	s.http.Shutdown(ctx)
--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -27,8 +27,7 @@
 type Network struct {
 	Key     []byte // the site's key
 	Refused func(peer string)
-	Sent    atomic.Int64           // bytes written to peers
-	Blocked func(peer string) bool // tests and drills cut peers off with it
+	Sent    atomic.Int64 // bytes written to peers
 
 	mutex sync.Mutex
 	peers map[string]*peer
@@ -137,14 +136,8 @@
 
 var errBackoff = errors.New("peer refused a connection a moment ago")
 
-var errBlocked = errors.New("peer is cut off")
-
 // connect returns the open connection or dials one.
 func (p *peer) connect() (*rpc.Client, error) {
-	if blocked := p.network.Blocked; blocked != nil && blocked(p.address) {
-		p.drop(nil)
-		return nil, errBlocked
-	}
 	p.dialing.Lock()
 	defer p.dialing.Unlock()
 	p.mutex.Lock()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -74,6 +74,15 @@
 	return &t.Entries[at]
 }
 
+// Find returns what is known of a fingerprint.
+func (t *Table) Find(fingerprint uint64) (Entry, bool) {
+	entry := t.find(fingerprint)
+	if entry == nil {
+		return Entry{}, false
+	}
+	return *entry, true
+}
+
 // Verdict tells whether a request may run.
 type Verdict uint8
 
@@ -175,6 +184,7 @@
 		}
 		entry := t.find(other.Fingerprint)
 		switch {
+		case entry == nil && other.Phase == Suspected && t.proven(other.Fingerprint):
 		case entry == nil:
 			t.add(other)
 		case other.Lifted:
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -7,6 +7,7 @@
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/member"
 	"github.com/heatherwood/heatherwood/internal/plan"
+	"github.com/heatherwood/heatherwood/internal/quarantine"
 	"github.com/heatherwood/heatherwood/internal/quorum"
 	"github.com/heatherwood/heatherwood/internal/relay"
 	"github.com/heatherwood/heatherwood/internal/routing"
@@ -113,6 +114,10 @@
 // LiftQuarantine clears a fingerprint at an operator's request.
 type LiftQuarantine struct{ Fingerprint uint64 }
 
+// Leave tells that this VM will stop: callers are led elsewhere and its services
+// go to other VMs of the failure domain.
+type Leave struct{}
+
 // StatusAsked asks for the status; answered by Status.
 type StatusAsked struct{ Call uint64 }
 
@@ -140,6 +145,7 @@
 func (RequestEnded) reducerEvent()    {}
 func (PeerUnreachable) reducerEvent() {}
 func (LiftQuarantine) reducerEvent()  {}
+func (Leave) reducerEvent()           {}
 func (StatusAsked) reducerEvent()     {}
 func (HistoryAsked) reducerEvent()    {}
 
@@ -157,6 +163,13 @@
 	Finish   *dispatch.Finish
 	Cancel   *CancelAsk
 	Lift     *LiftQuarantine
+	Bar      *Bar
+}
+
+// Bar carries news of crash-causing requests at once, ahead of the gossip.
+type Bar struct {
+	Entries []quarantine.Entry
+	Relay   bool // hand it on to the other VMs of the failure domain
 }
 
 // Leader is the newest word of who leads the control replicas.
--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -18,7 +18,7 @@
 	for _, pool := range s.pools {
 		s.members.Self.Services = append(s.members.Self.Services, pool.Summary())
 	}
-	s.members.Self.Stopping = s.document != nil && s.document.Stops.Stopped(document.StopVM, s.Settings.VM, s.now, 0)
+	s.members.Self.Stopping = s.leaving || s.plannedStop()
 	for _, send := range s.members.Tick(s.now) {
 		s.sendGossip(send)
 	}
@@ -31,6 +31,11 @@
 	}
 }
 
+// plannedStop reports whether a planned stop covers this VM.
+func (s *State) plannedStop() bool {
+	return s.document != nil && s.document.Stops.Stopped(document.StopVM, s.Settings.VM, s.now, 0)
+}
+
 // leaderReplicasEvery is the number of messages of which one names the replicas.
 const leaderReplicasEvery = 8
 
@@ -136,6 +141,47 @@
 	s.log(CodeFingerprint, phase+" "+hex(e.Fingerprint), 0)
 	s.record(Audit{Kind: AuditQuarantine, Service: e.Service, Server: e.Server, Key: hex(e.Fingerprint), Outcome: phase})
 	s.members.Bar(s.quarantine.Entries)
+	s.spreadBar(e.Fingerprint)
+}
+
+// spreadBar tells all failure domains of a suspicion: the caller sends the request
+// again within moments, and perhaps to another domain.
+func (s *State) spreadBar(fingerprint uint64) {
+	entry, found := s.quarantine.Find(fingerprint)
+	if !found {
+		return
+	}
+	news := []quarantine.Entry{entry}
+	s.tellDomain(Message{Bar: &Bar{Entries: news}})
+	s.tellOtherDomains(Message{Bar: &Bar{Entries: news, Relay: true}})
+}
+
+func (s *State) receiveBar(bar Bar) {
+	s.quarantine.Merge(bar.Entries, s.now)
+	if bar.Relay {
+		s.tellDomain(Message{Bar: &Bar{Entries: bar.Entries}})
+	}
+}
+
+// tellDomain sends a message to the other VMs of the failure domain.
+func (s *State) tellDomain(message Message) {
+	for _, vm := range s.members.Alive() {
+		if vm.ID != s.Settings.VM {
+			s.transmit(vm.Peer, message)
+		}
+	}
+}
+
+// tellOtherDomains sends a message to a few VMs of each other failure domain.
+func (s *State) tellOtherDomains(message Message) {
+	for _, domain := range s.members.Domains(s.now) {
+		if domain.Name == s.Settings.Domain {
+			continue
+		}
+		for _, entry := range domain.Entries[:min(relaysPerPush, len(domain.Entries))] {
+			s.transmit(entry.Peer, message)
+		}
+	}
 }
 
 const maxHops = 2
--- a/internal/reducer/owner.go
+++ b/internal/reducer/owner.go
@@ -127,6 +127,7 @@
 		Cap:          float64(service.Cap),
 		Interval:     service.Interval.Std(),
 		Warm:         service.Warm.Std(),
+		Typical:      service.Typical.Std(),
 		Target:       service.Target.Std(),
 		Shed:         service.Shed,
 		Bytes:        service.Bytes,
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -58,6 +58,7 @@
 	leaderHeard time.Time
 	beatDue     time.Time
 	stale       bool
+	leaving     bool
 	silent      map[string]bool
 	stopping    map[string]bool
 	planMoved   map[string]time.Time
@@ -171,6 +172,12 @@
 		s.members.Unreachable(e.Peer)
 	case LiftQuarantine:
 		s.lift(e)
+	case Leave:
+		s.leaving = true
+		s.log(CodeStopping, "leaving", 0)
+		s.tickMembers()
+		s.tickOwners()
+		s.publish()
 	case StatusAsked:
 		s.emit(Answer{Call: e.Call, Value: s.status()})
 	case HistoryAsked:
@@ -250,6 +257,8 @@
 		s.receiveSpread(*m.Spread)
 	case m.Fetch != nil:
 		s.receiveFetch(*m.Fetch)
+	case m.Bar != nil:
+		s.receiveBar(*m.Bar)
 	case m.Lift != nil:
 		s.quarantine.Lift(m.Lift.Fingerprint)
 	default:
@@ -262,11 +271,8 @@
 		return
 	}
 	s.members.Bar(s.quarantine.Entries)
-	for _, vm := range s.members.Alive() {
-		if vm.ID != s.Settings.VM {
-			s.transmit(vm.Peer, Message{Lift: &e})
-		}
-	}
+	s.tellDomain(Message{Lift: &e})
+	s.tellOtherDomains(Message{Lift: &e})
 	s.log(CodeFingerprint, "lifted "+hex(e.Fingerprint), 0)
 	s.record(Audit{Kind: AuditQuarantine, Key: hex(e.Fingerprint), Outcome: "lifted"})
 }
--- a/internal/reducer/spread.go
+++ b/internal/reducer/spread.go
@@ -40,23 +40,12 @@
 	spread.Before = beforeAt
 	s.spreadWithin(spread)
 	spread.Relay = true
-	for _, domain := range s.members.Domains(s.now) {
-		if domain.Name == s.Settings.Domain {
-			continue
-		}
-		for _, entry := range domain.Entries[:min(relaysPerPush, len(domain.Entries))] {
-			s.transmit(entry.Peer, Message{Spread: &spread})
-		}
-	}
+	s.tellOtherDomains(Message{Spread: &spread})
 }
 
 func (s *State) spreadWithin(spread Spread) {
 	spread.Relay = false
-	for _, vm := range s.members.Alive() {
-		if vm.ID != s.Settings.VM {
-			s.transmit(vm.Peer, Message{Spread: &spread})
-		}
-	}
+	s.tellDomain(Message{Spread: &spread})
 }
 
 // patch describes the change of one section from the copies before.
--- a/internal/reducer/view.go
+++ b/internal/reducer/view.go
@@ -57,7 +57,7 @@
 func (s *State) ownEntries() []string {
 	var entries []string
 	for _, vm := range s.members.Alive() {
-		if !s.document.Stops.Stopped(document.StopVM, vm.ID, s.now, LookupTTL) {
+		if !vm.Stopping && !s.document.Stops.Stopped(document.StopVM, vm.ID, s.now, LookupTTL) {
 			entries = append(entries, vm.Entry)
 		}
 	}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -204,6 +204,16 @@
 	})
 }
 
+// Dead reports whether the server was killed or stopped.
+func (s *Server) Dead() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Stop ends the server after its running requests.
 func (s *Server) Stop(ctx context.Context) {
 	s.closing.Do(func() {
