Let urgent ranks wait longer before they are refused

Change: 40% for urgent ranks, a quarter for the least urgent; a metric for the share that ran on leased slots; an open connection is used without the dialling lock.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -53,7 +53,8 @@
 	serviceWeight    = 0.05
 	defaultService   = 0.05 // seconds in a slot before any is measured or documented
 	finishSpreads    = 3.0  // spreads above the mean that must remain at the start
-	maxWaitShare     = 0.25 // of the time to the deadline that may pass in the queue
+	urgentWaitShare  = 0.4  // of the time to the deadline that may pass in the queue
+	lastWaitShare    = 0.25 // of it for the least urgent rank, whose callers want quick answers
 	maxNeedShare     = 0.6  // of a request's whole time that its work is thought to need
 )
 
@@ -94,7 +95,7 @@
 		return Full, wait
 	}
 	remaining := item.Deadline.Sub(now)
-	if wait > time.Duration(maxWaitShare*float64(remaining)) {
+	if wait > time.Duration(q.waitShare(item.Rank)*float64(remaining)) {
 		return Full, wait
 	}
 	if wait+l.need(item) > remaining {
@@ -115,6 +116,13 @@
 	return time.Duration(float64(len(l.waiting)) / rate * float64(time.Second))
 }
 
+func (q *Queue) waitShare(rank int) float64 {
+	if rank == len(q.Ranks)-1 {
+		return lastWaitShare
+	}
+	return urgentWaitShare
+}
+
 const minShare = 0.01 // of the capacity, so that no estimate is endless
 
 // share estimates the part of the capacity that the rank can get: what more
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -111,6 +111,7 @@
 	Spare    int
 	Rate     float64       // requests per second
 	Mean     time.Duration // in a slot
+	Spilled  float64       // share of the last interval's requests that ran on leased slots
 	Servers  int
 }
 
@@ -124,6 +125,7 @@
 		Spare:    p.Spare(),
 		Rate:     p.rate,
 		Mean:     p.Queue.ServiceTime(),
+		Spilled:  p.Spill.Share(),
 		Servers:  len(p.ownServers()),
 	}
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -57,6 +57,7 @@
 		fmt.Fprintf(w, "heatherwood_slots{service=%q} %d\n", name, service.Summary.Capacity)
 		fmt.Fprintf(w, "heatherwood_slots_in_use{service=%q} %d\n", name, service.Summary.InUse)
 		fmt.Fprintf(w, "heatherwood_queue{service=%q} %d\n", name, service.Summary.Waiting)
+		fmt.Fprintf(w, "heatherwood_shift_spill_share{service=%q} %g\n", name, service.Summary.Spilled)
 		fmt.Fprintf(w, "heatherwood_slots_lent{service=%q} %d\n", name, lent(service))
 	}
 }
--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -138,11 +138,12 @@
 
 // connect returns the open connection or dials one.
 func (p *peer) connect() (*rpc.Client, error) {
+	if client, _ := p.present(); client != nil {
+		return client, nil
+	}
 	p.dialing.Lock()
 	defer p.dialing.Unlock()
-	p.mutex.Lock()
-	client, failed := p.client, p.failed
-	p.mutex.Unlock()
+	client, failed := p.present()
 	if client != nil {
 		return client, nil
 	}
@@ -160,6 +161,14 @@
 	return client, nil
 }
 
+// present returns the open connection, if any, and the time of the last failed
+// dial.
+func (p *peer) present() (*rpc.Client, time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.client, p.failed
+}
+
 func (p *peer) dial() (*rpc.Client, error) {
 	select {
 	case <-p.network.done:
