Tell a new owner what still runs on its servers

Change: entries tell a new owner which of its slots their requests still use, and repeat it until it begins to grant; a lessee's word counts where the lender is new.

--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -51,6 +51,11 @@
 // Adopt takes over the pool of the owner before. Its servers can be used at
 // once, because it said that it grants nothing any more.
 func (p *Pool) Adopt(handover Handover, now time.Time) []Effect {
+	if handover.Running {
+		p.orphans = append(p.orphans, handover.Tickets...)
+		p.adoptOrphans(now)
+		return nil
+	}
 	p.HoldUntil = time.Time{}
 	for _, s := range p.ownServers() {
 		s.UsableAt = time.Time{}
@@ -83,6 +88,18 @@
 	l.slots = append(l.slots, lentSlots{server: handed.Announcement.ID, reserved: handed.Reserved})
 }
 
+// adoptOrphans takes over running requests whose servers are known by now; the
+// others wait for the announcement of theirs.
+func (p *Pool) adoptOrphans(now time.Time) {
+	p.orphans = slices.DeleteFunc(p.orphans, func(handed HandedTicket) bool {
+		if p.Routing.Find(handed.Server) == nil {
+			return false
+		}
+		p.adoptTicket(handed, now)
+		return true
+	})
+}
+
 func (p *Pool) adoptTicket(handed HandedTicket, now time.Time) {
 	s := p.Routing.Find(handed.Server)
 	if s == nil || p.tickets[handed.Ticket] != nil {
--- a/internal/dispatch/loan.go
+++ b/internal/dispatch/loan.go
@@ -86,6 +86,14 @@
 
 // confirm lowers reservations once the lessee has seen the lower grant.
 func (p *Pool) confirm(l *loan, want Want) {
+	if l.sequence == 0 && want.Seen > 0 {
+		// The lessee still uses slots that an owner before this one lent.
+		l.sequence = want.Seen
+		for _, held := range want.Held {
+			l.slots = append(l.slots, lentSlots{server: held.Server, reserved: held.InUse})
+		}
+		return
+	}
 	if want.Seen != l.sequence {
 		return
 	}
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -107,6 +107,10 @@
 	Service string
 	Servers []HandedServer
 	Tickets []HandedTicket
+
+	// Running marks a list of tickets from an entry that still uses them, after
+	// the owner before is gone without a word; it does not speak for that owner.
+	Running bool
 }
 
 // HandedServer is a server with its remaining announcement.
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -61,6 +61,7 @@
 	nextQueue  uint64
 	borrowed   []borrowing
 	loans      []loan
+	orphans    []HandedTicket // running requests of servers not announced here yet
 	leaving    []leavingServer
 	wantDue    time.Time
 	lastNeed   int
@@ -336,6 +337,9 @@
 		return nil
 	}
 	p.Routing.Announce(a, p.HoldUntil, now)
+	if before == nil {
+		p.adoptOrphans(now)
+	}
 	if leaving {
 		p.leaving = append(p.leaving, leavingServer{id: a.ID, since: now})
 		p.revoke(a.ID, now)
--- a/internal/reducer/owner.go
+++ b/internal/reducer/owner.go
@@ -1,8 +1,10 @@
 package reducer
 
 import (
+	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/heatherwood/heatherwood/internal/admission"
 	"github.com/heatherwood/heatherwood/internal/dispatch"
@@ -35,6 +37,7 @@
 	}
 	s.owners = owners
 	s.dropPools()
+	s.tickReports()
 	if changed {
 		s.publish()
 	}
@@ -56,7 +59,66 @@
 		s.own(before, after.Service)
 	case before.VM:
 		s.disown(before, after)
+		return
+	}
+	if before.VM != "" {
+		s.reports[after.Service] = report{owner: after, until: s.now.Add(routing.AnnounceLifetime)}
+	}
+}
+
+// report is what this VM still tells a new owner.
+type report struct {
+	owner Owner
+	until time.Time // then the owner begins to grant
+	next  time.Time
+}
+
+const reportInterval = 500 * time.Millisecond
+
+// tickReports repeats what runs while a new owner waits: it may learn of its
+// ownership later than this VM.
+func (s *State) tickReports() {
+	for _, service := range slices.Sorted(maps.Keys(s.reports)) {
+		r := s.reports[service]
+		if !s.now.Before(r.until) {
+			delete(s.reports, service)
+			continue
+		}
+		if s.now.Before(r.next) {
+			continue
+		}
+		r.next = s.now.Add(reportInterval)
+		s.reports[service] = r
+		s.reportRunning(r.owner)
+	}
+}
+
+// reportRunning tells a new owner which of its slots requests of this VM still
+// use: an owner that died cannot hand them over.
+func (s *State) reportRunning(owner Owner) {
+	handover := dispatch.Handover{Service: owner.Service, Running: true}
+	for _, call := range slices.Sorted(maps.Keys(s.requests)) {
+		r := s.requests[call]
+		if r.Service != owner.Service || r.Grant == nil || r.Grant.Ticket == 0 || r.Grant.Shifted {
+			continue
+		}
+		handover.Tickets = append(handover.Tickets, dispatch.HandedTicket{
+			Ticket:      r.Grant.Ticket,
+			Server:      r.Grant.Server,
+			From:        s.Settings.VM,
+			Rank:        r.Rank,
+			Remaining:   r.Deadline.Sub(s.now),
+			Fingerprint: r.Fingerprint,
+		})
+	}
+	if len(handover.Tickets) == 0 {
+		return
+	}
+	if pool := s.pool(owner.Service); pool != nil {
+		s.fromPool(pool, pool.Adopt(handover, s.now))
+		return
 	}
+	s.transmit(owner.Peer, Message{Handover: &handover})
 }
 
 // own begins to grant the slots of a service. After another owner, servers are
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -45,6 +45,7 @@
 
 	pools      []*dispatch.Pool
 	owners     []Owner
+	reports    map[string]report // by service
 	quarantine quarantine.Table
 	requests   map[uint64]*relay.Request
 	budgets    map[budgetKey]*relay.Budget
@@ -121,6 +122,7 @@
 		asks:      make(map[askKey]askTarget),
 		pending:   make(map[uint64]pendingProposal),
 		reads:     make(map[uint64]pendingRead),
+		reports:   make(map[string]report),
 		silent:    make(map[string]bool),
 		stopping:  make(map[string]bool),
 		planMoved: make(map[string]time.Time),
--- a/internal/reducer/session_test.go
+++ b/internal/reducer/session_test.go
@@ -119,6 +119,10 @@
 		s.cut(arg(d, "a"), arg(d, "b"), arg(d, "oneway") != "")
 	case "heal":
 		s.cuts = make(map[string]bool)
+	case "show-owner":
+		s.note("owner of %s: %s", arg(d, "service"), s.owner(arg(d, "service")).settings.VM)
+	case "kill-owner":
+		s.owner(arg(d, "service")).up = false
 	case "kill":
 		vm.up = false
 	case "restart":
@@ -437,6 +441,16 @@
 	s.apply(leader, ChangeReplica{Call: call, Change: quorum.Change{Kind: kinds[action], Replica: quorum.Replica{ID: quorum.ID(id), Address: id}}})
 }
 
+// owner returns the VM of domain a that grants the slots of a service.
+func (s *session) owner(service string) *sessionVM {
+	for _, vm := range s.vms {
+		if vm.up && vm.settings.Domain == "a" && vm.state.pool(service) != nil {
+			return vm
+		}
+	}
+	return s.vms[0]
+}
+
 // show prints what each VM knows.
 func (s *session) show() {
 	for _, vm := range s.vms {
