Count slots at the servers while VMs are killed

Cause: the process test counted runs but not how much ran at once. Change: each stand-in server's highest number of running requests is compared with its slots after the kills.

--- a/internal/demo/process_test.go
+++ b/internal/demo/process_test.go
@@ -257,6 +257,11 @@
 			runs[key] += n
 		}
 	}
+	for _, server := range p.demo.Backends {
+		if most := server.Most(); most > int64(server.Settings.Slots) {
+			p.t.Errorf("server %s ran %d requests at once in %d slots", server.Settings.ID, most, server.Settings.Slots)
+		}
+	}
 	for key, n := range runs {
 		if n > 1 {
 			p.t.Errorf("key %s ran %d times", key, n)
