--- a/internal/trial/exchange.go
+++ b/internal/trial/exchange.go
@@ -93,7 +93,10 @@
 			w.after(way, func() { x.finish(routing.ResultNoDial, 2*way) })
 			return
 		}
-		w.begin(target, x.request)
+		if x.grant == grant && !x.done {
+			// A request cancelled on its way ends with its connection.
+			w.begin(target, x.request)
+		}
 	})
 }
 
