--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -240,31 +240,42 @@
 // serve grants free slots to waiting requests, the most entitled first.
 func (p *Pool) serve(now time.Time) {
 	for p.Queue.AllWaiting() > 0 {
-		rank := p.Queue.Peek(p.Routing.Capacity())
-		shifted := p.Routing.Choose(nil, false) == nil && p.Routing.Choose(nil, true) != nil && p.Spill.MayMove(rank)
-		if p.Routing.Choose(nil, shifted) == nil {
-			return
-		}
-		item := p.Queue.Next(p.Routing.Capacity())
-		if item == nil {
+		capacity := p.Routing.Capacity()
+		server := p.freeServer(p.Queue.Peek(capacity))
+		if server == nil {
 			return
 		}
+		item := p.Queue.Next(capacity)
 		entry := p.asks[item.ID]
 		delete(p.asks, item.ID)
 		delete(p.asked, askKey{entry.ask.From, entry.ask.ID})
-		p.start(entry.ask, item, shifted, now)
+		p.start(entry.ask, item, server, now)
+	}
+}
+
+// freeServer returns a server with a free slot: an own one, or else a leased one
+// if the rank may spill.
+func (p *Pool) freeServer(rank int) *routing.Server {
+	if own := p.Routing.Choose(nil, false); own != nil {
+		return own
+	}
+	leased := p.Routing.Choose(nil, true)
+	if leased == nil || !p.Spill.MayMove(rank) {
+		return nil
 	}
+	return leased
 }
 
-func (p *Pool) start(ask Ask, item *admission.Item, shifted bool, now time.Time) {
+func (p *Pool) start(ask Ask, item *admission.Item, server *routing.Server, now time.Time) {
 	verdict := p.Quarantine.Check(ask.Fingerprint, now)
 	if verdict == quarantine.Wait || verdict == quarantine.Barred {
 		p.deny(ask, ReasonSuspected, time.Second)
 		return
 	}
-	server := p.Routing.Choose(ask.Exclude, shifted)
-	if server == nil {
-		server = p.Routing.Choose(nil, shifted)
+	if slices.Contains(ask.Exclude, server.ID) {
+		if other := p.Routing.Choose(ask.Exclude, server.Borrowed(p.Domain)); other != nil {
+			server = other
+		}
 	}
 	p.nextTicket++
 	t := &ticket{
--- a/internal/trial/stats.go
+++ b/internal/trial/stats.go
@@ -149,7 +149,8 @@
 // standard deviations are allowed for.
 func (s *Stats) closeInterval() {
 	for service, counts := range s.grants {
-		n := s.arrived[service]
+		// Requests that waited run in a later second than they came in.
+		n := max(s.arrived[service], total(counts))
 		s.arrived[service] = 0
 		if n == 0 {
 			continue
@@ -175,6 +176,14 @@
 	}
 }
 
+func total(counts []int) int {
+	sum := 0
+	for _, count := range counts {
+		sum += count
+	}
+	return sum
+}
+
 func highest(past [][]float64, domain int) float64 {
 	most := 0.0
 	for _, shares := range past[max(0, len(past)-warmIntervals):] {
