Bound the writing of the system's own answers

Cause: only relayed answers had a write deadline; a caller that reads a look-up or a section slowly could hold its connection.

--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -1,5 +1,3 @@
-// Command capacity measures the cost of control by the size of the fleet and
-// prints the tables of docs/CAPACITY.md.
 package main
 
 import (
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	headerTimeout  = 5 * time.Second
 	idleTimeout    = 90 * time.Second
 	maxConnections = 20_000
+	answerTimeout  = time.Minute // of an answer of the system itself
 )
 
 // Server is the HTTP side of a VM.
@@ -53,6 +54,9 @@
 	backends := &backendhttp.Handler{Node: s.Node}
 	operators := operatorhttp.New(s.Node)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Callers that read slowly do not hold an answer for ever; the relay sets a
+		// deadline of its own.
+		http.NewResponseController(w).SetWriteDeadline(s.Node.Clock.Now().Add(answerTimeout))
 		switch path := r.URL.Path; {
 		case s.relay.Recognises(r):
 			s.relay.ServeHTTP(w, r)
