Take leased slots back at a planned stop

Cause: slots of a server under a planned stop stayed with lessees until the next Want and the end of the lease, up to 2.5 s after the begin; the bound is 2 s.

--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -153,6 +153,7 @@
 		stopped := covers(s.ID)
 		if stopped && !s.Stopped {
 			p.leaving = append(p.leaving, leavingServer{id: s.ID, since: now})
+			p.revoke(s.ID, now)
 		}
 		s.Stopped = stopped
 	}
