Carry over the fraction of a request that a cap left

Cause: a service with ten requests per interval and a cap of 6% of them never moved more than one: each interval lost the fraction of a request. Change: less than one request is carried into the next interval, and the audit's limit holds it; a test.

--- a/internal/shift/shift.go
+++ b/internal/shift/shift.go
@@ -31,6 +31,7 @@
 	total     int
 	moved     int
 	lastShare float64
+	carry     float64
 
 	wanted     []int // requests that wanted to move, by rank
 	lastWanted []int // of the interval before
@@ -43,6 +44,7 @@
 	Moved  int     // of them sent elsewhere
 	Before float64 // share that went elsewhere in the interval before
 	Cap    float64
+	Carry  float64 // part of a request that the interval before left over
 }
 
 // Share returns the share that went elsewhere.
@@ -50,7 +52,7 @@
 
 // Limit returns the share that was allowed; one request always is.
 func (c Closed) Limit() float64 {
-	return max(min(c.Before+c.Cap, 1), 1/float64(c.Total))
+	return max(min(c.Before+c.Cap, 1)+c.Carry/float64(c.Total), 1/float64(c.Total))
 }
 
 // Tick begins a new interval when the present one is over, and returns that one
@@ -63,8 +65,9 @@
 		return Closed{}, false
 	}
 	l.began = now
-	closed := Closed{Total: l.total, Moved: l.moved, Before: l.lastShare, Cap: l.Cap}
+	closed := Closed{Total: l.total, Moved: l.moved, Before: l.lastShare, Cap: l.Cap, Carry: l.carry}
 	if l.total > 0 {
+		l.carry = min(max(l.limit()-float64(l.moved), 0), mostCarry)
 		l.lastShare = closed.Share()
 	}
 	l.total, l.moved = 0, 0
@@ -87,12 +90,21 @@
 	if l.moved == 0 {
 		return true
 	}
-	limit := min(l.lastShare+l.Cap, 1) * float64(l.total)
 	kept := 0
 	for urgent := range rank {
 		kept += max(0, l.lastWanted[urgent]-l.movedBy[urgent])
 	}
-	return float64(l.moved+1+kept) <= limit
+	return float64(l.moved+1+kept) <= l.limit()
+}
+
+// mostCarry is what an interval passes on of a limit that it could not use up:
+// less than one request, or a service with few requests per interval would lose
+// the fraction each time and never move.
+const mostCarry = 0.999
+
+// limit is the number of requests of the interval so far that may go elsewhere.
+func (l *Limiter) limit() float64 {
+	return min(l.lastShare+l.Cap, 1)*float64(l.total) + l.carry
 }
 
 func (l *Limiter) grow(rank int) {
--- a/internal/shift/shift_test.go
+++ b/internal/shift/shift_test.go
@@ -36,6 +36,37 @@
 	}
 }
 
+// A service with ten requests per interval moves too, though a tenth of its cap is
+// less than one request.
+func TestFewRequestsMoveInTheEnd(t *testing.T) {
+	const perInterval, cap = 10, 0.05
+	l := Limiter{Cap: cap, Interval: time.Second}
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	share := 0.0
+	for interval := range 40 {
+		closed, over := l.Tick(now)
+		if over && closed.Share() > closed.Limit()+1e-9 {
+			t.Fatalf("interval %d: share %.3f above its limit %.3f", interval, closed.Share(), closed.Limit())
+		}
+		moved := 0
+		for range perInterval {
+			l.Arrive()
+			if l.MayMove(0) {
+				l.Move(0)
+				moved++
+			}
+		}
+		share = float64(moved) / perInterval
+		if limit := float64(interval+1)*cap + 2.0/perInterval; share > limit {
+			t.Fatalf("interval %d: share %.2f, the cap allows %.2f by then", interval, share, limit)
+		}
+		now = now.Add(time.Second)
+	}
+	if share < 0.9 {
+		t.Errorf("share %.2f after 40 intervals, want nearly all", share)
+	}
+}
+
 // Two ranks want to move; the budget goes to the more urgent one first.
 func TestBudgetGoesToTheUrgentRankFirst(t *testing.T) {
 	const perInterval = 1000
