Remove fields that are only written

Cause: counts of denials and deaths and the last wanted number had no reader. Change: they are gone.

--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -10,13 +10,12 @@
 
 // borrowing is what this pool may use of another failure domain.
 type borrowing struct {
-	domain   string
-	lender   string
-	sent     uint64
-	sentAt   []sentWant
-	seen     uint64
-	idle     int // Wants in a row without need
-	lastWant int
+	domain string
+	lender string
+	sent   uint64
+	sentAt []sentWant
+	seen   uint64
+	idle   int // Wants in a row without need
 }
 
 type sentWant struct {
@@ -105,7 +104,6 @@
 		b.idle = 0
 	}
 	b.sent++
-	b.lastWant = slots
 	b.sentAt = append(b.sentAt, sentWant{sequence: b.sent, at: now})
 	if len(b.sentAt) > maxSentWants {
 		b.sentAt = slices.Delete(b.sentAt, 0, 1)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -68,7 +68,6 @@
 	arrived    int
 	rate       float64
 	effects    []Effect
-	denied     int
 }
 
 type askKey struct {
@@ -140,7 +139,6 @@
 func (p *Pool) emit(effect Effect) { p.effects = append(p.effects, effect) }
 
 func (p *Pool) deny(ask Ask, reason Reason, retryAfter time.Duration) {
-	p.denied++
 	p.emit(Reply{
 		To:     ask.From,
 		Ask:    ask.ID,
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -225,7 +225,6 @@
 	if s == nil {
 		return
 	}
-	s.deaths++
 	s.ejectedUntil = now.Add(ejectBase)
 	s.probing = true
 	s.refresh(now, p.Warm, p.unknownLatency())
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -79,7 +79,6 @@
 	idleCost     float64 // expected seconds to an answer when nothing else runs
 	busyCost     float64 // added for each request that runs
 	slow         bool    // far slower than the median of its peers
-	deaths       int
 }
 
 // Borrowed reports whether the server belongs to another failure domain.
