Show shifts against their caps in the audit report

Cause: the report listed requests, changes and drains, but not how near shifts came to their caps. Change: per service and way the step that used most of its limit, as a table with bars and in the JSON.

--- a/internal/audit/report.go
+++ b/internal/audit/report.go
@@ -16,9 +16,27 @@
 	Drains  []Record  `json:"drains"`
 	Served  []Served  `json:"served"`
 	Regions []Served  `json:"regions"`
+	Shifts  []Shifted `json:"shifts"`
 	Made    time.Time `json:"made"`
 }
 
+// Shifted is the step of a service that came nearest to its limit.
+type Shifted struct {
+	Service string  `json:"service"`
+	Way     string  `json:"way"` // weights, arrival or spill
+	Steps   int     `json:"steps"`
+	Share   float64 `json:"share"`
+	Limit   float64 `json:"limit"`
+}
+
+// Percent returns the share as a part of its limit.
+func (s Shifted) Percent() int {
+	if s.Limit == 0 {
+		return 0
+	}
+	return int(100 * s.Share / s.Limit)
+}
+
 // Served counts requests of one group.
 type Served struct {
 	Service string `json:"service"`
@@ -35,8 +53,11 @@
 	s.Made = s.Report.To
 	byRank := make(map[string]*Served)
 	byDomain := make(map[string]*Served)
+	shifts := make(map[string]*Shifted)
 	for _, r := range t.Records {
 		switch {
+		case r.Entry.Kind == reducer.AuditPlan:
+			addShift(shifts, r.Entry)
 		case r.Entry.Kind == reducer.AuditChange && r.Entry.Section != "":
 			s.Changes = append(s.Changes, r)
 		case r.Entry.Kind == reducer.AuditDrain:
@@ -49,9 +70,28 @@
 		}
 	}
 	s.Served, s.Regions = listServed(byRank), listServed(byDomain)
+	for _, key := range sortedKeys(shifts) {
+		s.Shifts = append(s.Shifts, *shifts[key])
+	}
 	return s
 }
 
+// addShift keeps the step that used most of its limit.
+func addShift(groups map[string]*Shifted, entry reducer.Audit) {
+	key := entry.Service + "\x00" + entry.Outcome
+	step := Shifted{Service: entry.Service, Way: entry.Outcome, Share: entry.Amount, Limit: entry.Limit}
+	group := groups[key]
+	if group == nil {
+		group = &Shifted{}
+		groups[key] = group
+	}
+	step.Steps = group.Steps + 1
+	if group.Steps > 0 && group.Percent() >= step.Percent() {
+		step.Share, step.Limit = group.Share, group.Limit
+	}
+	*group = step
+}
+
 func addServed(groups map[string]*Served, add Served) {
 	key := add.Service + "\x00" + add.Rank + "\x00" + add.To + "\x00" + add.Outcome
 	if groups[key] == nil {
@@ -134,6 +174,10 @@
 <table><tr><th>Service<th>Domain<th>Outcome<th>Count<th></tr>
 {{range .Regions}}<tr><td>{{.Service}}<td>{{.To}}<td>{{.Outcome}}<td>{{.Count}}<td style="width:30%"><div class="bar" style="width:{{.Share}}%"></div></tr>
 {{end}}</table>
+<h2>Shifts against their caps, the nearest to its limit</h2>
+<table><tr><th>Service<th>Way<th>Steps<th>Share<th>Limit<th></tr>
+{{range .Shifts}}<tr><td>{{.Service}}<td>{{.Way}}<td>{{.Steps}}<td>{{printf "%.3f" .Share}}<td>{{printf "%.3f" .Limit}}<td style="width:30%"><div class="bar" style="width:{{.Percent}}%"></div></tr>
+{{end}}</table>
 <h2>Changes</h2>
 <table><tr><th>At<th>Team<th>Section<th>Version<th>Change<th>Outcome</tr>
 {{range .Changes}}<tr><td>{{.Entry.At}}<td>{{.Entry.Team}}<td>{{.Entry.Section}}<td>{{.Entry.Version}}<td>{{.Entry.ChangeID}}<td>{{.Entry.Outcome}}</tr>
--- a/internal/audit/verify_test.go
+++ b/internal/audit/verify_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -214,3 +215,24 @@
 		t.Errorf("verdict %s, want not shown", got)
 	}
 }
+
+func TestReportShowsShiftsAgainstCaps(t *testing.T) {
+	summary := Summarise(trailsOf(t, append(soundTrail(),
+		at(20*time.Second, reducer.Audit{Kind: reducer.AuditPlan, Outcome: "spill", Service: "pay", Amount: 0.02, Limit: 0.06, Count: 50}),
+		at(25*time.Second, reducer.Audit{Kind: reducer.AuditPlan, Outcome: "spill", Service: "pay", Amount: 0.06, Limit: 0.08, Count: 50}),
+	)))
+	want := []Shifted{
+		{Service: "pay", Way: "spill", Steps: 2, Share: 0.06, Limit: 0.08},
+		{Service: "pay", Way: "weights", Steps: 1, Share: 0.1, Limit: 0.125},
+	}
+	if !slices.Equal(summary.Shifts, want) {
+		t.Errorf("shifts %+v, want %+v", summary.Shifts, want)
+	}
+	var page strings.Builder
+	if err := summary.WriteHTML(&page); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(page.String(), "Shifts against their caps") {
+		t.Error("the page lacks the shifts")
+	}
+}
