--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,8 +24,9 @@
 	Data      string     `toml:"data"`  // data folder; a VM with one is a control replica
 	Key       string     `toml:"key"`   // secret shared by the site's VMs
 	LogLevel  string     `toml:"log_level"`
-	Replicas  []Replica  `toml:"replica"`  // control replicas at the first start
-	Operators []Operator `toml:"operator"` // teams that may read and write sections
+	Memory    int        `toml:"memory_limit"` // MiB that the garbage collector aims to stay below; 0 sets none
+	Replicas  []Replica  `toml:"replica"`      // control replicas at the first start
+	Operators []Operator `toml:"operator"`     // teams that may read and write sections
 }
 
 // Replica names a control replica.
@@ -46,6 +47,7 @@
 	maxSecretBytes = 256
 	maxSeeds       = 1024
 	maxReplicas    = 7
+	minMemory      = 32 // MiB
 )
 
 // Read reads and checks a settings file.
@@ -100,6 +102,7 @@
 	fault(!addressOK(s.Entry), "entry: %q is not an IP number with a port", s.Entry)
 	fault(!addressOK(s.Peer), "peer: %q is not an IP number with a port", s.Peer)
 	fault(!secretOK(s.Key), "key: use %d to %d bytes, the same on all VMs of the site", minSecretBytes, maxSecretBytes)
+	fault(s.Memory < 0 || s.Memory > 0 && s.Memory < minMemory, "memory_limit: use at least %d MiB, or 0 for none", minMemory)
 	fault(len(s.Seeds) > maxSeeds, "seeds: at most %d", maxSeeds)
 	for _, seed := range s.Seeds {
 		fault(!addressOK(seed), "seeds: %q is not an IP number with a port", seed)
