Replace a control VM in the test of the operators' pages

Cause: the procedure was typed only in part. Change: the test starts a further VM, adds, promotes and removes replicas by the command line.

--- a/cmd/heatherwood/cli_test.go
+++ b/cmd/heatherwood/cli_test.go
@@ -69,7 +69,14 @@
 	})
 	t.Run("replica", func(t *testing.T) {
 		invoke(t, exitRefused, with("replica", "promote", "nobody")...)
+		added, err := d.AddVM("zagreb-a-9")
+		if err != nil {
+			t.Fatal(err)
+		}
+		invoke(t, exitOK, with("replica", "add", added.ID, "--peer", added.Peer)...)
+		untilOK(t, with("replica", "promote", added.ID))
 		invoke(t, exitOK, with("replica", "remove", d.Settings[8].ID)...)
+		contains(t, invoke(t, exitOK, "status", "--entry", added.Entry, "--token", d.Token("ranks")), `"ID": "`+added.ID+`"`)
 	})
 	t.Run("planned stop", func(t *testing.T) {
 		file := filepath.Join(folder, "stops.toml")
@@ -92,6 +99,19 @@
 	})
 }
 
+// untilOK repeats a command that is refused until a new replica has caught up.
+func untilOK(t *testing.T, args []string) {
+	t.Helper()
+	const patience = 30 * time.Second
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		var out, errOut bytes.Buffer
+		if run(args, &out, &errOut) == exitOK {
+			return
+		}
+	}
+	t.Fatalf("never done: heatherwood %s", strings.Join(args, " "))
+}
+
 // auditOf verifies a running demo: promises of which nothing happened are not
 // shown, and none is broken.
 func auditOf(t *testing.T, data, html string) string {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -274,6 +274,25 @@
 	return nil
 }
 
+// AddVM starts a further VM with a data folder beside the first one, as a
+// replacement for a control VM.
+func (d *Demo) AddVM(id string) (settings.Settings, error) {
+	own := d.Settings[0]
+	ports, err := freePorts(d.Options.IP, 2)
+	if err != nil {
+		return settings.Settings{}, err
+	}
+	own.ID, own.Entry, own.Peer = id, ports[0], ports[1]
+	own.Data = filepath.Join(d.Options.Data, id)
+	server, err := d.startVM(own)
+	if err != nil {
+		return settings.Settings{}, err
+	}
+	d.Settings = append(d.Settings, own)
+	d.Entries = append(d.Entries, server)
+	return own, nil
+}
+
 // load writes the example sections and waits until all VMs have them.
 func (d *Demo) load(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
