Read the change again: ranks, spares, forced moves, regions of stops

Cause: each request sorted the ranks of the document; a row's forced move and spare domains were computed twice; the audit of a region's stop guessed by the start of a domain's name, while the records of the document name its region.

--- a/internal/audit/document.go
+++ b/internal/audit/document.go
@@ -53,13 +53,10 @@
 		name  string
 	}
 	allowed := make(map[version]string)
-	regions := make(map[string]string)
+	regions := regionsOf(c.trails)
 	for _, r := range c.trails.Records {
-		switch {
-		case r.Entry.Kind == reducer.AuditChange && r.Entry.Outcome == "rule":
+		if r.Entry.Kind == reducer.AuditChange && r.Entry.Outcome == "rule" {
 			allowed[version{r.Entry.Position, r.Entry.Service}] = r.Entry.To
-		case r.Entry.Kind == reducer.AuditChange && r.Entry.Outcome == "domain":
-			regions[r.Entry.From] = r.Entry.To
 		}
 	}
 	for _, r := range c.trails.Records {
@@ -78,3 +75,14 @@
 		}
 	}
 }
+
+// regionsOf returns the region of each failure domain.
+func regionsOf(t *Trails) map[string]string {
+	regions := make(map[string]string)
+	for _, r := range t.Records {
+		if r.Entry.Kind == reducer.AuditChange && r.Entry.Outcome == "domain" {
+			regions[r.Entry.From] = r.Entry.To
+		}
+	}
+	return regions
+}
--- a/internal/audit/verify.go
+++ b/internal/audit/verify.go
@@ -303,6 +303,7 @@
 	type window struct{ begin, end time.Time }
 	open := make(map[string]window)
 	kinds := make(map[string]string)
+	regions := regionsOf(c.trails)
 	for _, r := range c.trails.Records {
 		if r.Entry.Kind != reducer.AuditDrain || !strings.HasPrefix(r.Entry.Outcome, "stop-") {
 			continue
@@ -324,7 +325,10 @@
 		}
 		for _, what := range sortedKeys(open) {
 			w := open[what]
-			covered := kinds[what] == "domain" && r.Entry.To == what || kinds[what] == "region" && strings.HasPrefix(r.Entry.To, what)
+			if kinds[what] == "region" && r.Entry.To != "" && regions[r.Entry.To] == "" {
+				c.missing("region of failure domain %s", r.Entry.To)
+			}
+			covered := kinds[what] == "domain" && r.Entry.To == what || kinds[what] == "region" && regions[r.Entry.To] == what
 			if covered && !r.Entry.At.Before(w.begin) && (w.end.IsZero() || !r.Entry.At.After(w.end)) {
 				c.breach(r, "%d requests of %s were cut off during the planned stop of %s", r.Entry.Count, r.Entry.Service, what)
 			}
--- a/internal/audit/verify_test.go
+++ b/internal/audit/verify_test.go
@@ -133,6 +133,10 @@
 		"request cut off by a stop": {PromiseStop, []reducer.Audit{
 			at(9*time.Second, reducer.Audit{Kind: reducer.AuditTally, Outcome: "body-cut", Service: "pay", To: "north-a", Count: 1, Position: 5}),
 		}},
+		"request cut off by a region's stop": {PromiseStop, []reducer.Audit{
+			at(9*time.Second, reducer.Audit{Kind: reducer.AuditDrain, Outcome: "stop-begin", Key: "region", Server: "north", Section: "region"}),
+			at(10*time.Second, reducer.Audit{Kind: reducer.AuditTally, Outcome: "connection-lost", Service: "pay", To: "north-a", Count: 1, Position: 5}),
+		}},
 		"document reverts": {PromiseForce, []reducer.Audit{
 			at(9*time.Second, reducer.Audit{Kind: reducer.AuditChange, Outcome: "in-force", From: "vm", Position: 4}),
 		}},
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -260,12 +260,12 @@
 }
 
 func (in *inbound) rankNumber() int {
-	for i, rank := range in.view.Document.Ranks.Order() {
+	for i, rank := range in.view.Ranks {
 		if rank.Name == in.rule.Rank {
 			return i
 		}
 	}
-	return len(in.view.Document.Ranks.Ranks) - 1
+	return len(in.view.Ranks) - 1
 }
 
 // foreign reports whether the client's block is placed in another failure
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -191,11 +191,12 @@
 			r.begun = sum(target) > 0
 			continue
 		}
-		if frozen && !w.mustLeave(r, service, document, sites) {
+		forced := w.mustLeave(r, service, sites)
+		if frozen && !forced {
 			continue
 		}
 		before := slices.Clone(r.weights)
-		stepTowards(r.weights, target, step, w.mustLeave(r, service, document, sites))
+		stepTowards(r.weights, target, step, forced)
 		if moved := movedShare(before, r.weights); moved > most.Share {
 			most.Place, most.Share = r.place, moved
 		}
@@ -214,7 +215,7 @@
 }
 
 // mustLeave reports that the row leads to a domain that may not serve at all.
-func (w *serviceWeights) mustLeave(r *row, service *document.Service, document *document.Document, sites []Site) bool {
+func (w *serviceWeights) mustLeave(r *row, service *document.Service, sites []Site) bool {
 	for i, weight := range r.weights {
 		if weight > 0 && !usable(w.domains[i], service, sites) {
 			return true
--- a/internal/plan/table.go
+++ b/internal/plan/table.go
@@ -59,8 +59,9 @@
 
 func candidates(domains []string, r row) tableRow {
 	var result tableRow
+	spares := spareOnly(r)
 	nearest := 0.0
-	for _, spare := range spareOnly(r) {
+	for _, spare := range spares {
 		nearest = max(nearest, spare)
 	}
 	for i, weight := range r.weights {
@@ -68,7 +69,7 @@
 			result.weighted = append(result.weighted, candidate{domain: int16(i), seed: xxhash.Sum64String(domains[i]), inverse: 1 / weight})
 		}
 	}
-	for i, spare := range spareOnly(r) {
+	for i, spare := range spares {
 		if spare > 0 && spare == nearest {
 			result.spares = append(result.spares, int16(i))
 		}
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -60,6 +60,7 @@
 // entries of each failure domain.
 type View struct {
 	Document *document.Document
+	Ranks    []document.Rank // by falling worth
 	Position ledger.Position
 	Versions ledger.Versions
 	Sections []ledger.Section // newest known, perhaps not parsed yet
--- a/internal/reducer/view.go
+++ b/internal/reducer/view.go
@@ -21,6 +21,7 @@
 	}
 	view.Versions = s.Versions()
 	if s.document != nil {
+		view.Ranks = s.document.Ranks.Order()
 		view.Tables = s.recent.Tables()
 		view.Table = view.Tables[len(view.Tables)-1]
 		view.Domains = s.viewDomains()
