--- a/cmd/heatherwood/document.go
+++ b/cmd/heatherwood/document.go
@@ -55,7 +55,7 @@
 			files = append(files, path)
 			continue
 		}
-		for _, section := range document.Sections() {
+		for _, section := range document.Written() {
 			file := filepath.Join(path, string(section)+".toml")
 			if _, err := os.Stat(file); err == nil {
 				files = append(files, file)
@@ -97,7 +97,7 @@
 
 func sectionArg(c *kingpin.CmdClause) *string {
 	var names []string
-	for _, section := range document.Sections() {
+	for _, section := range document.Written() {
 		names = append(names, string(section))
 	}
 	return c.Arg("section", "Section: "+strings.Join(names, ", ")+".").Required().Enum(names...)
--- a/examples/examples.go
+++ b/examples/examples.go
@@ -16,7 +16,7 @@
 // Texts returns the sections of an example site.
 func Texts(site string) (document.Texts, error) {
 	texts := make(document.Texts)
-	for _, section := range document.Sections() {
+	for _, section := range document.Written() {
 		name := fmt.Sprintf("%s/%s.toml", site, section)
 		text, err := files.ReadFile(name)
 		if err != nil {
--- /dev/null
+++ b/internal/callerhttp/dialect.go
@@ -0,0 +1,93 @@
+package callerhttp
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/heatherwood/heatherwood/internal/placing"
+	"github.com/heatherwood/heatherwood/internal/problem"
+)
+
+// Dialect is the headers in which callers and servers of a site speak. A site
+// with other headers than the system's own passes a Dialect of its own.
+type Dialect struct {
+	Request   string // header with the caller's id of an attempt; servers repeat it; empty if callers name none
+	Object    string // header that names the object of a request
+	Digest    string // header that every success of a server carries; empty if they carry none
+	Fraction  bool   // Retry-After may have a fraction of a second
+	Forwarded bool   // tell servers the caller's address
+
+	// Timeout reads how long the caller waits; 0 means that it does not say.
+	Timeout func(http.Header) (time.Duration, error)
+	// Address sets what a server must know of a send.
+	Address func(http.Header, Outbound)
+	// NotRun reports whether a server states that it did not run the request; nil
+	// goes by the statuses that the service lists.
+	NotRun func(*http.Response) bool
+	// Load reads what a server says of its load; nil if servers say nothing.
+	Load func(http.Header) placing.Load
+}
+
+// Outbound is one send to a server.
+type Outbound struct {
+	Request string        // id of the attempt
+	Left    time.Duration // until the caller gives up
+	Server  string        // id of the server that is meant
+}
+
+var errTimeout = errors.New("Heatherwood-Timeout must be a duration such as 800ms, at most 10m")
+
+// Own returns the system's own headers.
+func Own() Dialect {
+	return Dialect{
+		Object:    problem.HeaderObject,
+		Forwarded: true,
+		Timeout: func(header http.Header) (time.Duration, error) {
+			text := header.Get(problem.HeaderTimeout)
+			if text == "" {
+				return 0, nil
+			}
+			given, err := time.ParseDuration(text)
+			if err != nil || given <= 0 || given > maxTimeout {
+				return 0, errTimeout
+			}
+			return given, nil
+		},
+		Address: func(header http.Header, out Outbound) {
+			header.Set(problem.HeaderTimeout, out.Left.Truncate(time.Millisecond).String())
+			header.Set(problem.HeaderRequest, out.Request)
+		},
+	}
+}
+
+func (d Dialect) timeout(header http.Header) (time.Duration, error) { return d.Timeout(header) }
+
+func (d Dialect) address(header http.Header, out Outbound) { d.Address(header, out) }
+
+func (d Dialect) load(header http.Header) placing.Load {
+	if d.Load == nil {
+		return placing.Load{}
+	}
+	return d.Load(header)
+}
+
+// answerID is the header of an answer that names the request.
+func (d Dialect) answerID() string {
+	if d.Request == "" {
+		return problem.HeaderRequest
+	}
+	return d.Request
+}
+
+// check returns why an answer is not the one to the request, or nil.
+func (d Dialect) check(response *http.Response, id string) error {
+	if d.Request != "" && response.Header.Get(d.Request) != id {
+		return errForeign
+	}
+	success := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
+	if d.Digest != "" && success && response.Header.Get(d.Digest) == "" {
+		return errNoDigest
+	}
+	return nil
+}
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -37,17 +37,19 @@
 // Relay answers callers' requests from backend servers.
 type Relay struct {
 	Node      *node.Node
+	Dialect   Dialect
 	Transport *http.Transport
 }
 
 // NewRelay returns a Relay with a connection pool for each backend server.
-func NewRelay(n *node.Node) *Relay {
+func NewRelay(n *node.Node, dialect Dialect) *Relay {
 	const (
 		dialTimeout = 2 * time.Second
 		idlePerHost = 64
 	)
 	return &Relay{
-		Node: n,
+		Node:    n,
+		Dialect: dialect,
 		Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: idlePerHost,
@@ -66,6 +68,8 @@
 	view     *reducer.View
 	service  *document.Service
 	rule     document.Rule
+	route    *document.Route // nil for a request found by a service's hosts and rules
+	target   time.Time       // an answer after it has lost most of its value
 	id       string
 	deadline time.Time
 	began    time.Time
@@ -76,6 +80,7 @@
 	outcome  string // for the metrics
 	server   string
 	domain   string
+	status   int
 }
 
 // ServeHTTP implements http.Handler.
@@ -85,11 +90,11 @@
 		writer:  w,
 		request: r,
 		view:    l.Node.View(),
-		id:      uuid.NewString(),
 		began:   l.Node.Clock.Now(),
 	}
-	w.Header().Set(problem.HeaderRequest, in.id)
+	in.name()
 	if !in.recognise() || !in.readBody() {
+		in.logEnd()
 		return
 	}
 	in.base = r.Context()
@@ -103,6 +108,18 @@
 	in.limitTime()
 	in.serve(ctx)
 	in.count()
+	in.logEnd()
+}
+
+// name takes the caller's id of the attempt, or makes one.
+func (in *inbound) name() {
+	if header := in.relay.Dialect.Request; header != "" {
+		in.id = in.request.Header.Get(header)
+	}
+	if in.id == "" {
+		in.id = uuid.NewString()
+	}
+	in.writer.Header().Set(in.relay.Dialect.answerID(), in.id)
 }
 
 // limitTime keeps slow callers from holding a connection for ever.
@@ -119,7 +136,10 @@
 		return true
 	}
 	view := l.Node.View()
-	return view != nil && view.Document != nil && view.Document.Services.ByHost(r.Host) != nil
+	if view == nil || view.Document == nil {
+		return false
+	}
+	return view.Document.Routes.Serves(r.Host) || view.Document.Services.ByHost(r.Host) != nil
 }
 
 func (in *inbound) refuse(status int, reason, detail string, retryAfter time.Duration) {
@@ -130,7 +150,9 @@
 		Detail:     detail,
 		Run:        string(relay.RunNo),
 		RetryAfter: retryAfter,
+		Fraction:   in.relay.Dialect.Fraction,
 	})
+	in.status = status
 }
 
 // recognise finds the service, the rule and the deadline.
@@ -139,6 +161,13 @@
 		in.refuse(http.StatusServiceUnavailable, "starting", "no steering document is in force yet", retryWhenStarting)
 		return false
 	}
+	if in.request.Header.Get("Upgrade") != "" {
+		in.refuse(http.StatusNotImplemented, "upgrade", "protocol upgrades are not relayed", 0)
+		return false
+	}
+	if in.route = in.view.Document.Routes.Match(in.request.Host, in.request.URL.Path); in.route != nil {
+		return in.recogniseRoute()
+	}
 	services := in.view.Document.Services
 	if name := in.request.Header.Get(problem.HeaderService); name != "" {
 		in.service = services.ByName(name)
@@ -155,11 +184,25 @@
 		in.refuse(http.StatusNotFound, "no-rule", "no rule of the service fits the method and path", 0)
 		return false
 	}
-	if in.request.Header.Get("Upgrade") != "" {
-		in.refuse(http.StatusNotImplemented, "upgrade", "protocol upgrades are not relayed", 0)
+	return in.findDeadline() && in.checkKey()
+}
+
+// recogniseRoute takes what the route says; the reducer chooses the service.
+func (in *inbound) recogniseRoute() bool {
+	in.service = in.view.Document.Services.ByName(in.route.To[0].Service)
+	in.rule = document.Rule{Rank: in.route.Rank, Once: in.route.Kind == document.KindOnce}
+	timeout := in.route.Timeout.Std()
+	given, err := in.relay.Dialect.timeout(in.request.Header)
+	if err != nil {
+		in.refuse(http.StatusBadRequest, "bad-timeout", err.Error(), 0)
 		return false
 	}
-	return in.findDeadline() && in.checkKey()
+	if given > 0 {
+		timeout = min(timeout, given)
+	}
+	in.deadline = in.began.Add(timeout)
+	in.target = in.began.Add(in.route.Target.Std())
+	return in.checkKey()
 }
 
 func (in *inbound) findDeadline() bool {
@@ -169,12 +212,12 @@
 			timeout = rank.Target.Std()
 		}
 	}
-	if text := in.request.Header.Get(problem.HeaderTimeout); text != "" {
-		given, err := time.ParseDuration(text)
-		if err != nil || given <= 0 || given > maxTimeout {
-			in.refuse(http.StatusBadRequest, "bad-timeout", "Heatherwood-Timeout must be a duration such as 800ms, at most 10m", 0)
-			return false
-		}
+	given, err := in.relay.Dialect.timeout(in.request.Header)
+	if err != nil {
+		in.refuse(http.StatusBadRequest, "bad-timeout", err.Error(), 0)
+		return false
+	}
+	if given > 0 {
 		timeout = given
 	}
 	in.deadline = in.began.Add(timeout)
@@ -242,6 +285,11 @@
 		Keep:        in.service.Keep.Std(),
 		Holder:      in.relay.Node.Settings.ID,
 		Replayable:  in.whole,
+		Route:       in.route,
+		Target:      in.target,
+	}
+	if in.route != nil && in.route.Affinity {
+		request.Object = in.request.Header.Get(in.relay.Dialect.Object)
 	}
 	if in.rule.Once {
 		request.Key = ledger.Key{Service: in.service.Name, Key: in.request.Header.Get(problem.HeaderKey)}
@@ -271,6 +319,9 @@
 // foreign reports whether the client's block is placed in another failure
 // domain; addresses outside all blocks are at home everywhere.
 func (in *inbound) foreign() bool {
+	if in.route != nil {
+		return false
+	}
 	client, err := clientAddress("", in.request.RemoteAddr)
 	if err != nil {
 		return false
@@ -351,11 +402,33 @@
 		Detail:     p.Detail,
 		Run:        string(p.Run),
 		RetryAfter: p.RetryAfter,
+		Fraction:   in.relay.Dialect.Fraction,
 	})
+	in.status = p.Status
+}
+
+// logEnd writes the line with which a request ends here.
+func (in *inbound) logEnd() {
+	fields := []reducer.Field{
+		{Name: "status", Value: int64(in.status)},
+		{Name: "took", Value: in.relay.Node.Clock.Now().Sub(in.began)},
+		{Name: "server", Value: in.server},
+	}
+	if in.route != nil {
+		fields = append(fields, reducer.Field{Name: "route", Value: in.route.Name})
+	}
+	if in.view != nil {
+		fields = append(fields, reducer.Field{Name: "document", Value: int64(in.view.Position.Index)})
+	}
+	outcome := in.outcome
+	if outcome == "" {
+		outcome = "answered"
+	}
+	in.relay.Node.Decide(reducer.Decision{Code: reducer.CodeRequestEnded, Request: in.id, Outcome: outcome, Fields: fields})
 }
 
 func (in *inbound) replay(outcome *ledger.Outcome) {
-	in.outcome = "replayed"
+	in.outcome, in.status = "replayed", outcome.Status
 	header := in.writer.Header()
 	if outcome.ContentType != "" {
 		header.Set("Content-Type", outcome.ContentType)
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/problem"
+	"github.com/heatherwood/heatherwood/internal/reducer"
 	"github.com/heatherwood/heatherwood/internal/relay"
 	"github.com/heatherwood/heatherwood/internal/routing"
 )
@@ -25,14 +27,24 @@
 // the caller has been answered.
 func (in *inbound) send(ctx context.Context, grant *dispatch.Grant) (relay.Step, error, bool) {
 	began := in.relay.Node.Clock.Now()
-	response, result := in.roundTrip(ctx, grant)
-	latency := in.relay.Node.Clock.Now().Sub(began)
-	if response != nil && slices.Contains(in.service.Shed, response.StatusCode) {
+	sent := in.roundTrip(ctx, grant)
+	response, result := sent.response, sent.Result
+	if response != nil && in.notRun(response) {
 		result = routing.ResultShed
+		sent.Gone = response.StatusCode == http.StatusMisdirectedRequest
 		drain(response)
 		response = nil
 	}
-	step, err := in.exchange.Sent(context.WithoutCancel(ctx), result, latency)
+	if response != nil && in.route != nil {
+		sent.Load = in.relay.Dialect.load(response.Header)
+		if result, sent.Why = in.readWhole(ctx, response, result); result == routing.ResultBroken || result == routing.ResultLate || result == routing.ResultCancelled {
+			response.Body.Close()
+			response = nil
+		}
+	}
+	latency := in.relay.Node.Clock.Now().Sub(began)
+	sent.Result, sent.Latency = result, latency
+	step, err := in.exchange.Sent(context.WithoutCancel(ctx), sent.RequestSent)
 	if err != nil || !step.Stream {
 		if response != nil {
 			response.Body.Close()
@@ -51,30 +63,114 @@
 	response.Body.Close()
 }
 
+// notRun reports whether the server states that it did not run the request.
+func (in *inbound) notRun(response *http.Response) bool {
+	if in.relay.Dialect.NotRun != nil {
+		return in.relay.Dialect.NotRun(response)
+	}
+	return slices.Contains(in.service.Shed, response.StatusCode)
+}
+
+// sending is a send with the head of its answer, if one came.
+type sending struct {
+	reducer.RequestSent
+	response *http.Response
+}
+
+// connecting measures the dial of one send; the transport may dial in another
+// goroutine and use a connection that became idle meanwhile.
+type connecting struct {
+	wrote atomic.Bool
+	began atomic.Int64 // nanoseconds of the clock
+	took  atomic.Int64
+}
+
+func (c *connecting) trace(now func() time.Time) *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		WroteHeaderField: func(string, []string) { c.wrote.Store(true) },
+		ConnectStart:     func(string, string) { c.began.Store(now().UnixNano()) },
+		ConnectDone: func(_, _ string, err error) {
+			if err == nil {
+				c.took.Store(now().UnixNano() - c.began.Load())
+			}
+		},
+	}
+}
+
 // roundTrip sends the request and waits for the head of the answer. A result
 // says whether anything reached the server: once a byte of the head may have
 // been written, it is never ResultNoDial.
-func (in *inbound) roundTrip(ctx context.Context, grant *dispatch.Grant) (*http.Response, routing.Result) {
-	var wrote atomic.Bool
-	trace := &httptrace.ClientTrace{WroteHeaderField: func(string, []string) { wrote.Store(true) }}
+func (in *inbound) roundTrip(ctx context.Context, grant *dispatch.Grant) sending {
+	var connect connecting
+	trace := connect.trace(in.relay.Node.Clock.Now)
 	request := in.outbound(httptrace.WithClientTrace(ctx, trace), grant)
 	response, err := in.relay.Transport.RoundTrip(request)
+	sent := sending{response: response}
+	sent.Dialled = time.Duration(connect.took.Load())
+	if err != nil {
+		sent.Why = err.Error()
+	}
+	wrote := connect.wrote.Load()
 	switch {
 	case err == nil && response.StatusCode >= http.StatusInternalServerError:
-		return response, routing.ResultError
+		sent.Result = routing.ResultError
 	case err == nil:
-		return response, routing.ResultOK
-	case !wrote.Load() && in.base.Err() == nil && ctx.Err() == nil:
-		return nil, routing.ResultNoDial
-	case !wrote.Load():
-		return nil, routing.ResultUnused
+		sent.Result = routing.ResultOK
+	case !wrote && in.base.Err() == nil && ctx.Err() == nil:
+		sent.Result = routing.ResultNoDial
+	case !wrote:
+		sent.Result = routing.ResultUnused
+	default:
+		sent.Result = in.brokenResult(ctx)
+	}
+	return sent
+}
+
+// brokenResult tells why an answer did not come whole.
+func (in *inbound) brokenResult(ctx context.Context) routing.Result {
+	switch {
 	case in.base.Err() != nil:
-		return nil, routing.ResultCancelled
+		return routing.ResultCancelled
 	case ctx.Err() != nil:
-		return nil, routing.ResultLate
+		return routing.ResultLate
 	default:
-		return nil, routing.ResultBroken
+		return routing.ResultBroken
+	}
+}
+
+const wholeBytes = 256 << 10 // of an answer, read before any of it goes to the caller
+
+var errForeign = errors.New("the answer belongs to another request")
+
+var errNoDigest = errors.New("the answer has no digest")
+
+// readWhole checks that the answer belongs to the request and reads a small one
+// to its end, so that a broken one can still be tried again.
+func (in *inbound) readWhole(ctx context.Context, response *http.Response, result routing.Result) (routing.Result, string) {
+	if err := in.relay.Dialect.check(response, in.id); err != nil {
+		return routing.ResultBroken, err.Error()
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, wholeBytes+1))
+	if err != nil {
+		return in.brokenResult(ctx), err.Error()
+	}
+	if len(body) > wholeBytes {
+		response.Body = &joined{Reader: io.MultiReader(bytes.NewReader(body), response.Body), Closer: response.Body}
+		return result, ""
 	}
+	response.Body.Close()
+	response.Body = io.NopCloser(bytes.NewReader(body))
+	if response.ContentLength < 0 && in.request.Method != http.MethodHead {
+		response.ContentLength = int64(len(body))
+		response.Header.Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	return result, ""
+}
+
+// joined is a body of which the start was read before.
+type joined struct {
+	io.Reader
+	io.Closer
 }
 
 func (in *inbound) outbound(ctx context.Context, grant *dispatch.Grant) *http.Request {
@@ -98,10 +194,12 @@
 	if in.whole {
 		request.ContentLength = int64(len(in.prefix))
 	}
-	remaining := in.deadline.Sub(in.relay.Node.Clock.Now())
-	request.Header.Set(problem.HeaderTimeout, remaining.Truncate(time.Millisecond).String())
-	request.Header.Set(problem.HeaderRequest, in.id)
-	if host, _, err := net.SplitHostPort(incoming.RemoteAddr); err == nil {
+	in.relay.Dialect.address(request.Header, Outbound{
+		Request: in.id,
+		Left:    in.deadline.Sub(in.relay.Node.Clock.Now()),
+		Server:  grant.Server,
+	})
+	if host, _, err := net.SplitHostPort(incoming.RemoteAddr); err == nil && in.relay.Dialect.Forwarded {
 		request.Header.Add("X-Forwarded-For", host)
 	}
 	if _, given := incoming.Header["User-Agent"]; !given {
@@ -121,7 +219,8 @@
 func (in *inbound) stream(response *http.Response, result routing.Result, latency time.Duration) {
 	header := in.writer.Header()
 	copyHeader(header, response.Header)
-	header.Set(problem.HeaderRequest, in.id)
+	header.Set(in.relay.Dialect.answerID(), in.id)
+	in.status = response.StatusCode
 	in.writer.WriteHeader(response.StatusCode)
 	record := &recorder{limit: ledger.MaxOutcomeBytes, active: in.rule.Once}
 	written, err := in.copyBody(response, record)
@@ -141,6 +240,7 @@
 	in.settle(response, record, written, err)
 	if err != nil {
 		in.count()
+		in.logEnd()
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -206,7 +206,7 @@
 
 func (d *Demo) operators() []settings.Operator {
 	var operators []settings.Operator
-	for _, section := range document.Sections() {
+	for _, section := range document.Written() {
 		team := string(section) + "-team"
 		token := "demo-token-of-" + team
 		d.Tokens = append(d.Tokens, Token{Team: team, Token: token})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,7 +37,7 @@
 
 // New returns the HTTP side of a VM.
 func New(n *node.Node) *Server {
-	s := &Server{Node: n, relay: callerhttp.NewRelay(n)}
+	s := &Server{Node: n, relay: callerhttp.NewRelay(n, callerhttp.Own())}
 	s.http = &http.Server{
 		Handler:           s.handler(),
 		ReadHeaderTimeout: headerTimeout,
--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -16,6 +16,8 @@
 	Claim   *Claim
 	Release *Release
 	Settle  *Settle
+	Edition *Edition
+	Close   *Close
 	Anchors []Anchor
 }
 
@@ -35,6 +37,8 @@
 	Services uint64
 	Ranks    uint64
 	Stops    uint64
+	Routes   uint64
+	Closures uint64
 }
 
 // Of returns the version of one section.
@@ -51,6 +55,10 @@
 		return &v.Services
 	case document.SectionRanks:
 		return &v.Ranks
+	case document.SectionRoutes:
+		return &v.Routes
+	case document.SectionClosures:
+		return &v.Closures
 	default:
 		return &v.Stops
 	}
@@ -104,8 +112,10 @@
 
 // Result is the answer of the state machine to one command.
 type Result struct {
-	Put   *PutResult
-	Claim *ClaimResult
+	Put     *PutResult
+	Claim   *ClaimResult
+	Edition *EditionResult
+	Close   *CloseResult
 }
 
 // Encode writes a command for the log.
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -87,6 +87,8 @@
 	Changes  []changeRecord
 	Claims   []ClaimRecord
 	Anchors  []Anchor
+	Edition  Edition // newest whole document, without its sections
+	Closures []document.Closure
 
 	changeIndex map[string]int
 	claims      claimTable
@@ -102,11 +104,20 @@
 // New returns an empty state machine.
 func New() *State {
 	s := &State{changeIndex: make(map[string]int), claims: newClaimTable()}
+	s.addSections()
+	return s
+}
+
+// addSections adds the sections that are missing: a snapshot of an earlier
+// version knows fewer.
+func (s *State) addSections() {
 	for _, name := range document.Sections() {
+		if s.section(name) != nil {
+			continue
+		}
 		s.Sections = append(s.Sections, Section{Name: name})
 		s.History = append(s.History, SectionHistory{Name: name})
 	}
-	return s
 }
 
 // Apply carries out one command at its log position.
@@ -127,6 +138,12 @@
 		s.claims.release(s.Now, command.Release)
 	case command.Settle != nil:
 		s.claims.settle(s.Now, command.Settle)
+	case command.Edition != nil:
+		result := s.edition(position, command.Edition)
+		return Result{Edition: &result}
+	case command.Close != nil:
+		result := s.closure(position, command.Close)
+		return Result{Close: &result}
 	default:
 		for _, anchor := range command.Anchors {
 			s.anchor(anchor)
@@ -144,8 +161,11 @@
 	return nil
 }
 
-// Section returns the present text of a section.
+// Section returns the present text of a section, or of the newest edition.
 func (s *State) Section(name document.Section) (Section, bool) {
+	if name == EditionText {
+		return Section{Name: name, Version: s.Edition.Number, Position: s.Document, Text: s.Edition.Source}, true
+	}
 	found := s.section(name)
 	if found == nil {
 		return Section{}, false
@@ -299,6 +319,7 @@
 	if err := codec.Unmarshal(data, s); err != nil {
 		return nil, fmt.Errorf("decode snapshot: %w", err)
 	}
+	s.addSections()
 	for i, change := range s.Changes {
 		s.changeIndex[change.ID] = i
 	}
--- a/internal/member/domain.go
+++ b/internal/member/domain.go
@@ -97,7 +97,7 @@
 		own.VMs++
 		own.Document = max(own.Document, vm.Document)
 		if !vm.Stopping && len(own.Entries) < maxEntryRefs {
-			own.Entries = append(own.Entries, EntryRef{ID: vm.ID, Peer: vm.Peer, Entry: vm.Entry})
+			own.Entries = append(own.Entries, EntryRef{ID: vm.ID, Peer: vm.Peer, Entry: vm.Entry, Ready: vm.Document > 0})
 		}
 		own.Services = append(own.Services, vm.Services...)
 	}
@@ -121,7 +121,7 @@
 func rosterHash(entries []EntryRef) uint64 {
 	digest := xxhash.New()
 	for _, entry := range entries {
-		fmt.Fprintln(digest, entry.ID, entry.Peer, entry.Entry)
+		fmt.Fprintln(digest, entry.ID, entry.Peer, entry.Entry, entry.Ready)
 	}
 	return digest.Sum64()
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -52,7 +52,8 @@
 type EntryRef struct {
 	ID    string
 	Peer  string // host:port for calls between VMs
-	Entry string // host:port for callers
+	Entry string // host:port for callers; empty for a VM that takes none
+	Ready bool   // it follows a steering document
 }
 
 // Beat is the newest heartbeat heard of a VM.
@@ -87,7 +88,7 @@
 	rosterEvery      = 8  // messages with summaries, one of which names the entries
 	fullRecords      = 1  // VMs in full in one message
 	greetRecords     = 64 // VMs in full in the reply to a greeting
-	maxEntryRefs     = 8  // entries in a summary
+	maxEntryRefs     = 24 // entries in a summary
 	maxBarred        = 32 // quarantine entries in a summary
 	unreachableAfter = 1 * time.Second
 	deadAfter        = 3 * time.Second
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -9,7 +9,9 @@
 	"github.com/heatherwood/heatherwood/internal/peerrpc"
 	"github.com/heatherwood/heatherwood/internal/reducer"
 	"github.com/heatherwood/heatherwood/internal/relay"
+	"github.com/heatherwood/heatherwood/internal/roster"
 	"github.com/heatherwood/heatherwood/internal/routing"
+	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
 // Exchange is one caller's request in the hands of the shell: each report
@@ -80,8 +82,9 @@
 }
 
 // Sent reports the head of an answer or a failed send.
-func (x *Exchange) Sent(ctx context.Context, result routing.Result, latency time.Duration) (relay.Step, error) {
-	return x.report(ctx, reducer.RequestSent{Call: x.call, Result: result, Latency: latency})
+func (x *Exchange) Sent(ctx context.Context, sent reducer.RequestSent) (relay.Step, error) {
+	sent.Call = x.call
+	return x.report(ctx, sent)
 }
 
 // End tells that the exchange is over; the result counts when an answer was
@@ -122,6 +125,32 @@
 	return forwarded, nil
 }
 
+// ServerSeen takes the announcement of a server that entries choose themselves.
+func (n *Node) ServerSeen(ctx context.Context, record roster.Record, gone bool) (reducer.ServerTaken, error) {
+	return ask[reducer.ServerTaken](ctx, n, func(call uint64) reducer.Event {
+		return reducer.ServerSeen{Call: call, Record: record, Gone: gone}
+	})
+}
+
+// Close keeps new work from a failure domain or server, or opens it again. It
+// returns once a quorum has recorded it.
+func (n *Node) Close(ctx context.Context, closure document.Closure, open bool) error {
+	_, err := n.Propose(ctx, ledger.Command{Close: &ledger.Close{Closure: closure, Open: open}})
+	return err
+}
+
+// PutEdition replaces sections in one step and returns how that ended.
+func (n *Node) PutEdition(ctx context.Context, edition ledger.Edition) (ledger.EditionResult, error) {
+	answer, err := n.Propose(ctx, ledger.Command{Edition: &edition})
+	if err != nil {
+		return ledger.EditionResult{}, err
+	}
+	if answer.Result.Edition == nil {
+		return ledger.EditionResult{}, ErrNoLeader
+	}
+	return *answer.Result.Edition, nil
+}
+
 // Status returns the status of this VM.
 func (n *Node) Status(ctx context.Context) (reducer.Status, error) {
 	return ask[reducer.Status](ctx, n, func(call uint64) reducer.Event { return reducer.StatusAsked{Call: call} })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,7 @@
 	loader  *loader
 	trail   *trail
 	tallies tallies
+	replica string // id of the control replica, empty for the VM's id
 	server  *peerrpc.Server
 	folder  *disk.Folder
 	stopped chan struct{}
@@ -99,6 +100,8 @@
 		Replicas:    n.replicas(),
 		Incarnation: uint64(n.Clock.Now().Unix()),
 		Control:     own.Data != "",
+		Replica:     n.replica,
+		Seats:       own.Seats,
 	}
 	return result
 }
@@ -124,6 +127,12 @@
 	}
 	n.folder = folder
 	first := quorum.Snapshot{Config: quorum.Config{Voters: n.replicas()}}
+	if n.Settings.Seats {
+		if err := n.takeSeat(folder, &first); err != nil {
+			folder.Close()
+			return nil, err
+		}
+	}
 	store, restart, err := disk.Open(folder, first)
 	if err != nil {
 		folder.Close()
@@ -233,6 +242,8 @@
 		n.trail.add(e.Entry)
 	case reducer.Log:
 		n.logEvent(e)
+	case reducer.Decision:
+		n.Decide(e)
 	}
 }
 
@@ -253,6 +264,34 @@
 	n.Metrics.Event(e.Code)
 }
 
+// Decide writes the log line of a decision.
+func (n *Node) Decide(d reducer.Decision) {
+	info := d.Code.Info()
+	event := n.Logger.Info()
+	if !event.Enabled() {
+		return
+	}
+	event = event.Str("event", fmt.Sprintf("HW%d", d.Code))
+	if d.Request != "" {
+		event = event.Str("request", d.Request)
+	}
+	for _, field := range d.Fields {
+		switch value := field.Value.(type) {
+		case string:
+			event = event.Str(field.Name, value)
+		case int64:
+			event = event.Int64(field.Name, value)
+		case float64:
+			event = event.Float64(field.Name, value)
+		case bool:
+			event = event.Bool(field.Name, value)
+		case time.Duration:
+			event = event.Float64(field.Name+"_ms", float64(value.Microseconds())/1000)
+		}
+	}
+	event.Str("outcome", d.Outcome).Msg(info.Text)
+}
+
 // calls matches answers to those who wait for them.
 type calls struct {
 	mutex   sync.Mutex
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -15,6 +15,7 @@
 	HeaderService = "Heatherwood-Service"
 	HeaderTimeout = "Heatherwood-Timeout"
 	HeaderKey     = "Idempotency-Key"
+	HeaderObject  = "Heatherwood-Object"
 )
 
 // Problem is the body of a refusal.
@@ -27,6 +28,14 @@
 	Run    string `json:"run,omitempty"`
 
 	RetryAfter time.Duration `json:"-"`
+	Fraction   bool          `json:"-"` // Retry-After may have a fraction
+}
+
+func (p Problem) retryAfter() string {
+	if p.Fraction {
+		return strconv.FormatFloat(p.RetryAfter.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds())))
 }
 
 // Write answers with the problem.
@@ -44,7 +53,7 @@
 		header.Set(HeaderRun, p.Run)
 	}
 	if p.RetryAfter > 0 {
-		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.RetryAfter.Seconds()))))
+		header.Set("Retry-After", p.retryAfter())
 	}
 	w.WriteHeader(p.Status)
 	body, err := json.Marshal(p)
--- a/internal/quorum/change.go
+++ b/internal/quorum/change.go
@@ -81,6 +81,15 @@
 	return next, 0
 }
 
+// Heard returns when the leader last heard of a replica; the zero time means
+// never in this term.
+func (s *State) Heard(id ID) time.Time {
+	if p := s.peers[id]; p != nil {
+		return p.heardAt
+	}
+	return time.Time{}
+}
+
 // CaughtUp reports whether a learner holds every committed entry.
 func (s *State) CaughtUp(id ID) bool {
 	p := s.peers[id]
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -32,6 +32,16 @@
 	CodeClaimLeftOver    Code = 1025
 	CodePanicRecovered   Code = 1026
 	CodeSettingsRejected Code = 1027
+	CodePlaced           Code = 1028
+	CodeNotPlaced        Code = 1029
+	CodeSendFailed       Code = 1030
+	CodeRequestEnded     Code = 1031
+	CodeServerHeard      Code = 1032
+	CodeEdition          Code = 1033
+	CodeClosure          Code = 1034
+	CodeSeats            Code = 1035
+	CodeReload           Code = 1036
+	CodeLogDropped       Code = 1037
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -70,6 +80,16 @@
 	{CodeClaimLeftOver, "warn", "claim could not be settled or released"},
 	{CodePanicRecovered, "error", "handler failed unexpectedly"},
 	{CodeSettingsRejected, "error", "settings do not fit"},
+	{CodePlaced, "info", "server chosen for a request"},
+	{CodeNotPlaced, "info", "no server chosen for a request"},
+	{CodeSendFailed, "info", "send to a server did not succeed"},
+	{CodeRequestEnded, "info", "request answered"},
+	{CodeServerHeard, "info", "backend server announced a change of itself"},
+	{CodeEdition, "info", "whole document applied"},
+	{CodeClosure, "info", "failure domain or server closed for new work or opened"},
+	{CodeSeats, "info", "leader changes the replica set"},
+	{CodeReload, "info", "settings read again"},
+	{CodeLogDropped, "warn", "log lines were dropped: the reader of standard output is slow"},
 }
 
 // Info returns the catalogue entry of a code.
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -124,11 +124,16 @@
 		return ledger.Result{}
 	}
 	result := s.ledger.Apply(position, command)
-	if command.Put != nil {
+	switch {
+	case command.Put != nil:
 		s.noteChange(command.Put, result.Put, position)
 		if result.Put.Code == ledger.PutAccepted && !result.Put.Replayed {
 			s.changed(command.Put.Section)
 		}
+	case command.Edition != nil:
+		s.noteEdition(command.Edition, result.Edition, position)
+	case command.Close != nil:
+		s.noteClosure(command.Close, result.Close, position)
 	}
 	for _, anchor := range command.Anchors {
 		s.record(Audit{
--- /dev/null
+++ b/internal/reducer/edition.go
@@ -0,0 +1,70 @@
+package reducer
+
+import (
+	"github.com/heatherwood/heatherwood/internal/ledger"
+	"github.com/heatherwood/heatherwood/pkg/document"
+)
+
+var editionOutcomes = map[ledger.EditionCode]string{
+	ledger.EditionAccepted:  "accepted",
+	ledger.EditionHeld:      "held",
+	ledger.EditionDifferent: "number-reused",
+	ledger.EditionOlder:     "older",
+}
+
+// noteEdition follows an applied edition: all of its sections change in one step.
+func (s *State) noteEdition(edition *ledger.Edition, result *ledger.EditionResult, position ledger.Position) {
+	outcome := editionOutcomes[result.Code]
+	s.record(Audit{
+		Kind:     AuditChange,
+		Section:  string(ledger.EditionText),
+		Version:  edition.Number,
+		Outcome:  outcome,
+		Position: position.Index,
+		Term:     position.Term,
+	})
+	s.emit(Decision{Code: CodeEdition, Outcome: outcome, Fields: []Field{
+		{"number", int64(edition.Number)},
+		{"held", int64(result.Number)},
+		{"bytes", int64(len(edition.Source))},
+		{"index", int64(position.Index)},
+		{"term", int64(position.Term)},
+	}})
+	if result.Code != ledger.EditionAccepted {
+		return
+	}
+	var names []document.Section
+	for _, part := range edition.Parts {
+		names = append(names, part.Section)
+	}
+	s.changed(names...)
+}
+
+// noteClosure follows an applied closure.
+func (s *State) noteClosure(change *ledger.Close, result *ledger.CloseResult, position ledger.Position) {
+	outcome := "closed"
+	if change.Open {
+		outcome = "opened"
+	}
+	if !result.Changed {
+		outcome += "-before"
+	}
+	s.record(Audit{
+		Kind:     AuditDrain,
+		Key:      string(change.Closure.Kind),
+		Server:   change.Closure.Name,
+		Outcome:  outcome,
+		Position: position.Index,
+		Term:     position.Term,
+	})
+	s.emit(Decision{Code: CodeClosure, Outcome: outcome, Fields: []Field{
+		{"kind", string(change.Closure.Kind)},
+		{"name", change.Closure.Name},
+		{"start", change.Closure.Start},
+		{"index", int64(position.Index)},
+		{"term", int64(position.Term)},
+	}})
+	if result.Changed {
+		s.changed(document.SectionClosures)
+	}
+}
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -48,6 +48,23 @@
 	Count  int64
 }
 
+// Decision is one log line about a request or a belief: what was decided, from
+// which inputs of which age or version.
+type Decision struct {
+	Code    Code
+	Request string // id of the request, if it touches one
+	Outcome string
+	Fields  []Field
+}
+
+// Field is one input of a decision; Value is a string, an int64, a float64, a
+// bool or a time.Duration.
+type Field struct {
+	Name  string
+	Value any
+}
+
+func (Decision) reducerEffect()     {}
 func (Transmit) reducerEffect()     {}
 func (SaveLog) reducerEffect()      {}
 func (Answer) reducerEffect()       {}
@@ -73,6 +90,7 @@
 	Domain   string
 	Stale    bool // the document may be old
 	Ready    bool
+	Leaving  bool // the VM stops; callers are led elsewhere
 }
 
 // ViewDomain is a failure domain in a look-up.
@@ -117,6 +135,15 @@
 	Leader   Leader
 }
 
+// ServerTaken answers ServerSeen.
+type ServerTaken struct {
+	Closed bool   // the log keeps new work from this start
+	Held   bool   // a later announcement is held; nothing changed
+	Known  bool   // the server is in the roster
+	Start  int64  // of the server, milliseconds since 1970
+	Reason string // why the announcement was refused, or ""
+}
+
 // Announcement answers Announced.
 type Announcement struct {
 	RenewAfter time.Duration
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -6,10 +6,12 @@
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/member"
+	"github.com/heatherwood/heatherwood/internal/placing"
 	"github.com/heatherwood/heatherwood/internal/plan"
 	"github.com/heatherwood/heatherwood/internal/quarantine"
 	"github.com/heatherwood/heatherwood/internal/quorum"
 	"github.com/heatherwood/heatherwood/internal/relay"
+	"github.com/heatherwood/heatherwood/internal/roster"
 	"github.com/heatherwood/heatherwood/internal/routing"
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
@@ -54,6 +56,14 @@
 	Blocks   *plan.Blocks
 }
 
+// ServerSeen is an announcement of a server that entries choose by themselves;
+// answered by ServerTaken.
+type ServerSeen struct {
+	Call   uint64
+	Record roster.Record
+	Gone   bool
+}
+
 // Announced is a backend server's announcement; answered by Announcement.
 type Announced struct {
 	Call         uint64
@@ -98,6 +108,10 @@
 	Call    uint64
 	Result  routing.Result
 	Latency time.Duration
+	Load    placing.Load  // what the server said of itself
+	Dialled time.Duration // time to connect, if the send opened a connection
+	Gone    bool          // the address is another server's by now
+	Why     string        // cause of a failed send, for the log
 }
 
 // RequestEnded tells that the shell is done with a request; after a Stream step
@@ -118,6 +132,9 @@
 // go to other VMs of the failure domain.
 type Leave struct{}
 
+// SeedsChanged brings the seeds of changed settings.
+type SeedsChanged struct{ Seeds []string }
+
 // StatusAsked asks for the status; answered by Status.
 type StatusAsked struct{ Call uint64 }
 
@@ -135,6 +152,7 @@
 func (ReadSection) reducerEvent()     {}
 func (ChangeReplica) reducerEvent()   {}
 func (DocumentLoaded) reducerEvent()  {}
+func (ServerSeen) reducerEvent()      {}
 func (Announced) reducerEvent()       {}
 func (Asked) reducerEvent()           {}
 func (RequestBegan) reducerEvent()    {}
@@ -146,6 +164,7 @@
 func (PeerUnreachable) reducerEvent() {}
 func (LiftQuarantine) reducerEvent()  {}
 func (Leave) reducerEvent()           {}
+func (SeedsChanged) reducerEvent()    {}
 func (StatusAsked) reducerEvent()     {}
 func (HistoryAsked) reducerEvent()    {}
 
@@ -154,7 +173,10 @@
 	Hops     int // times that the message was forwarded
 	Quorum   *quorum.Message
 	Gossip   *member.Gossip
-	Leader   *Leader // rides with Gossip
+	Leader   *Leader         // rides with Gossip
+	Roster   []roster.Digest // rides with Gossip
+	Servers  *ServerNews
+	Join     *Join
 	Spread   *Spread
 	Fetch    *Fetch
 	Want     *dispatch.Want
@@ -166,6 +188,17 @@
 	Bar      *Bar
 }
 
+// ServerNews carries records of backend servers.
+type ServerNews struct {
+	Records []roster.Record
+	Relay   bool     // hand them on to the other VMs of the failure domain
+	Domains []string // failure domains that the records cover in full
+	Peer    string   // who wants the receiver's records of Domains in return
+}
+
+// Join asks the leader to take a control VM into the replica set.
+type Join struct{ Replica quorum.Replica }
+
 // Bar carries news of crash-causing requests at once, ahead of the gossip.
 type Bar struct {
 	Entries []quarantine.Entry
--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -46,7 +46,7 @@
 	if s.leaderSends%leaderReplicasEvery != 0 {
 		leader.Replicas = nil
 	}
-	s.transmit(send.Address, Message{Gossip: &gossip, Leader: &leader})
+	s.transmit(send.Address, Message{Gossip: &gossip, Leader: &leader, Roster: s.roster.Digests()})
 }
 
 func (s *State) receiveGossip(gossip member.Gossip, leader *Leader) {
@@ -60,13 +60,16 @@
 		if domain.Name != s.Settings.Domain {
 			s.quarantine.Merge(domain.Barred, s.now)
 		}
-		if domain.Document > s.copyAt.Index && len(domain.Entries) > 0 {
-			s.fetchFrom(domain.Entries[0].Peer)
-		}
 	}
 	if gossip.From.Document > s.copyAt.Index {
 		s.fetchFrom(gossip.From.Peer)
 	}
+	for _, domain := range gossip.Domains {
+		if domain.Document > s.copyAt.Index && len(domain.Entries) > 0 {
+			s.fetchTurn++
+			s.fetchFrom(domain.Entries[s.fetchTurn%len(domain.Entries)].Peer)
+		}
+	}
 }
 
 // fromPool turns a pool's effects into the VM's.
--- a/internal/reducer/owner.go
+++ b/internal/reducer/owner.go
@@ -22,6 +22,9 @@
 	owners := make([]Owner, 0, len(s.document.Services.Services))
 	for i := range s.document.Services.Services {
 		name := s.document.Services.Services[i].Name
+		if s.document.Services.Services[i].Placing == document.PlacingEntry {
+			continue
+		}
 		vm := s.members.Owner(name)
 		owner := Owner{Service: name, VM: vm.ID}
 		if vm.ID != s.Settings.VM {
--- /dev/null
+++ b/internal/reducer/place.go
@@ -0,0 +1,337 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/heatherwood/heatherwood/internal/dispatch"
+	"github.com/heatherwood/heatherwood/internal/placing"
+	"github.com/heatherwood/heatherwood/internal/quarantine"
+	"github.com/heatherwood/heatherwood/internal/relay"
+	"github.com/heatherwood/heatherwood/internal/roster"
+	"github.com/heatherwood/heatherwood/internal/routing"
+	"github.com/heatherwood/heatherwood/pkg/document"
+)
+
+// placedRun is a request on a server that this VM chose itself.
+type placedRun struct {
+	pool    *placing.Pool
+	server  *placing.Server
+	warm    bool
+	load    placing.Load
+	sentAt  time.Time
+	expects time.Duration
+}
+
+// routeBegan begins a request that a route names: the weights choose its
+// service.
+func (s *State) routeBegan(e RequestBegan) {
+	r := e.Request
+	split := s.splits[r.Route.Name]
+	if split == nil {
+		split = newSplit(r.Route)
+		s.splits[r.Route.Name] = split
+	}
+	r.Service = split.Next()
+	service := s.document.Services.ByName(r.Service)
+	if service == nil {
+		// The view that the shell read is older than the document in force.
+		s.emit(Answer{Call: e.Call, Value: relay.Step{Refuse: &relay.Problem{
+			Status:     statusUnavailable,
+			Reason:     string(dispatch.ReasonNoService),
+			Detail:     "the document changed while the request arrived",
+			Run:        relay.RunNo,
+			RetryAfter: documentChangeRetry,
+		}}})
+		return
+	}
+	r.Placed = service.Placing == document.PlacingEntry
+	s.requests[e.Call] = r
+	s.step(e.Call, r, r.Start(s.now, s.budget(r)))
+}
+
+const (
+	statusUnavailable   = 503
+	documentChangeRetry = 100 * time.Millisecond // a document is in force everywhere within that
+)
+
+func newSplit(route *document.Route) *placing.Split {
+	split := &placing.Split{}
+	var services []string
+	var weights []float64
+	for _, target := range route.To {
+		services = append(services, target.Service)
+		weights = append(weights, target.Weight)
+	}
+	split.Configure(services, weights)
+	return split
+}
+
+// place chooses a server for a request, or refuses it.
+func (s *State) place(call uint64, r *relay.Request, ask dispatch.Ask) {
+	answer := s.placeAnswer(r, ask)
+	s.step(call, r, r.Asked(answer, nil, s.now))
+}
+
+func (s *State) placeAnswer(r *relay.Request, ask dispatch.Ask) dispatch.Answer {
+	verdict := s.quarantine.Check(ask.Fingerprint, s.now)
+	switch verdict {
+	case quarantine.Barred:
+		return s.refusePlace(r, ask, dispatch.ReasonBarred, placing.Choice{RetryAfter: barredRetry})
+	case quarantine.Wait:
+		return s.refusePlace(r, ask, dispatch.ReasonSuspected, placing.Choice{RetryAfter: suspectedRetry})
+	}
+	pool := s.places[r.Service]
+	if pool == nil {
+		return s.refusePlace(r, ask, dispatch.ReasonNoServers, placing.Choice{RetryAfter: suspectedRetry})
+	}
+	choice := pool.Choose(placing.Ask{
+		Object:   r.Object,
+		Rank:     r.Rank,
+		Left:     r.Deadline.Sub(s.now),
+		Target:   r.Target.Sub(s.now),
+		Exclude:  ask.Exclude,
+		Allowed:  r.Route.AllowedIn,
+		Fallback: ask.Fingerprint ^ uint64(len(s.requests)),
+	}, s.now)
+	if choice.Server == nil {
+		reason := dispatch.ReasonFull
+		if choice.Refused == placing.NoServers {
+			reason = dispatch.ReasonNoServers
+		}
+		return s.refusePlace(r, ask, reason, choice)
+	}
+	s.tickets++
+	if verdict == quarantine.Trial {
+		s.quarantine.Begin(ask.Fingerprint, s.tickets)
+	}
+	pool.Begin(choice.Server, s.now)
+	s.runs[s.tickets] = placedRun{pool: pool, server: choice.Server, warm: choice.Warm, sentAt: s.now, expects: choice.Expected}
+	s.emit(Decision{Code: CodePlaced, Request: r.ID, Outcome: "sent", Fields: []Field{
+		{"route", r.Route.Name},
+		{"service", r.Service},
+		{"server", choice.Server.ID},
+		{"object", r.Object},
+		{"warm", choice.Warm},
+		{"expected", choice.Expected},
+		{"load", choice.Server.Load(s.now)},
+		{"load_age", choice.Server.LoadAge(s.now)},
+		{"left", r.Deadline.Sub(s.now)},
+		{"candidates", int64(choice.Candidates)},
+		{"document", int64(s.loadedAt.Index)},
+	}})
+	return dispatch.Answer{Grant: &dispatch.Grant{
+		Ticket:  s.tickets,
+		Server:  choice.Server.ID,
+		Address: choice.Server.Address,
+		Domain:  choice.Server.Domain,
+		Shifted: choice.Server.Domain != s.Settings.Domain,
+	}}
+}
+
+const (
+	barredRetry    = 30 * time.Second
+	suspectedRetry = 500 * time.Millisecond // the run under way has shown by then whether it crashes its server
+)
+
+func (s *State) refusePlace(r *relay.Request, ask dispatch.Ask, reason dispatch.Reason, choice placing.Choice) dispatch.Answer {
+	s.emit(Decision{Code: CodeNotPlaced, Request: r.ID, Outcome: string(reason), Fields: []Field{
+		{"route", r.Route.Name},
+		{"service", r.Service},
+		{"rank", int64(r.Rank)},
+		{"object", r.Object},
+		{"left", r.Deadline.Sub(s.now)},
+		{"candidates", int64(choice.Candidates)},
+		{"excluded", int64(len(ask.Exclude))},
+		{"retry_after", choice.RetryAfter},
+		{"document", int64(s.loadedAt.Index)},
+	}})
+	return dispatch.Answer{Denial: &dispatch.Denial{Reason: reason, RetryAfter: choice.RetryAfter}}
+}
+
+// placedSent takes the head of an answer, or a failed send, of a request that
+// this VM placed.
+func (s *State) placedSent(e RequestSent, r *relay.Request) {
+	run, found := s.runs[r.Grant.Ticket]
+	if !found {
+		return
+	}
+	run.load = e.Load
+	s.runs[r.Grant.Ticket] = run
+	if e.Dialled > 0 {
+		run.pool.MeasureWay(run.server.Domain, e.Dialled)
+	}
+	if e.Gone {
+		s.replaced(run.server)
+	}
+	suspicion := quarantine.Clear
+	if e.Result == routing.ResultBroken {
+		suspicion = s.suspect(r, run.server.ID)
+	}
+	step := r.Sent(e.Result, suspicion, s.now, s.budget(r))
+	if e.Result != routing.ResultOK || !step.Stream {
+		s.emit(Decision{Code: CodeSendFailed, Request: r.ID, Outcome: e.Result.String(), Fields: []Field{
+			{"service", r.Service},
+			{"server", run.server.ID},
+			{"took", e.Latency},
+			{"expected", run.expects},
+			{"why", e.Why},
+			{"next", nextOf(step)},
+		}})
+	}
+	if !step.Stream {
+		s.endRun(r, e.Result, e.Latency)
+	}
+	s.step(e.Call, r, step)
+}
+
+func nextOf(step relay.Step) string {
+	switch {
+	case step.Ask != nil:
+		return "another-server"
+	case step.Stream:
+		return "pass-on"
+	default:
+		return "refuse"
+	}
+}
+
+// replaced stops sending to a server whose address another one uses.
+func (s *State) replaced(server *placing.Server) {
+	if entry := s.roster.Find(server.ID); entry != nil && entry.Start == server.Start && !entry.Gone {
+		s.roster.End(server.ID, s.now)
+		s.serversChanged()
+	}
+}
+
+// suspect notes that a server broke off while it ran the request.
+func (s *State) suspect(r *relay.Request, server string) quarantine.Phase {
+	before, _ := s.quarantine.Find(r.Fingerprint)
+	phase := s.quarantine.Died(r.Fingerprint, r.Grant.Ticket, s.now)
+	if phase != before.Phase {
+		s.barred(dispatch.Barring{Service: r.Service, Fingerprint: r.Fingerprint, Phase: phase, Server: server})
+	}
+	return phase
+}
+
+// placedEnded ends a request that this VM placed.
+func (s *State) placedEnded(r *relay.Request, e RequestEnded) {
+	if r.Grant != nil {
+		s.endRun(r, e.Result, e.Latency)
+	}
+}
+
+func (s *State) endRun(r *relay.Request, result routing.Result, latency time.Duration) {
+	run, found := s.runs[r.Grant.Ticket]
+	if !found {
+		return
+	}
+	delete(s.runs, r.Grant.Ticket)
+	if result == routing.ResultOK || result == routing.ResultError {
+		s.quarantine.Survived(r.Fingerprint)
+	} else {
+		s.quarantine.EndTrial(r.Fingerprint, r.Grant.Ticket)
+	}
+	run.pool.End(run.server, placing.Ended{
+		Object:  r.Object,
+		Warm:    run.warm,
+		Result:  result,
+		Latency: latency,
+		Load:    run.load,
+	}, s.now)
+}
+
+// retryShare is the share of further sends that this VM may add to a service; 0
+// means the usual one.
+func (s *State) retryShare(name string) float64 {
+	if s.document == nil {
+		return 0
+	}
+	service := s.document.Services.ByName(name)
+	if service == nil || service.Placing != document.PlacingEntry {
+		return 0
+	}
+	return float64(service.Retries)
+}
+
+// configurePlaces follows a new document: its services, weights and closures.
+func (s *State) configurePlaces() {
+	for name := range s.places {
+		service := s.document.Services.ByName(name)
+		if service == nil || service.Placing != document.PlacingEntry {
+			delete(s.places, name)
+		}
+	}
+	s.splits = make(map[string]*placing.Split)
+	s.updatePlaces()
+}
+
+// updatePlaces gives each pool the servers that may be used.
+func (s *State) updatePlaces() {
+	if s.document == nil || s.Settings.Entry == "" {
+		return
+	}
+	for i := range s.document.Services.Services {
+		service := &s.document.Services.Services[i]
+		if service.Placing != document.PlacingEntry {
+			continue
+		}
+		pool := s.places[service.Name]
+		if pool == nil {
+			own := placing.Site{Domain: s.Settings.Domain, Region: s.Settings.Region}
+			pool = placing.NewPool(placing.Policy{Service: service.Name}, own)
+			s.places[service.Name] = pool
+		}
+		pool.Policy.ColdRate = coldShare(service.ColdRate, s.entries)
+		pool.Update(s.serversOf(service))
+	}
+}
+
+// Parts of a cold server's rate that one entry may use. A server counts what it
+// gets in any second, so an entry that sends at most once a second adds one.
+const (
+	coldSpacing = 1.02 // seconds, the shortest time between two sends of one entry
+	coldPart    = 0.4  // of the rate that the entries use together where each gets less than one a second
+)
+
+// coldShare is the rate at which one of several entries may send to a cold
+// server.
+func coldShare(rate float64, entries int) float64 {
+	if rate <= 0 {
+		return 0
+	}
+	each := rate / float64(max(1, entries))
+	if each >= 1 {
+		return 1 / coldSpacing
+	}
+	return each * coldPart
+}
+
+func (s *State) serversOf(service *document.Service) []placing.Seen {
+	var seen []placing.Seen
+	for _, entry := range s.roster.Entries {
+		if entry.Service != service.Name || entry.Gone || entry.Leaving || entry.Silent {
+			continue
+		}
+		region := s.document.Places.RegionOf(entry.Domain)
+		if region == "" || !service.AllowedIn(region) {
+			continue
+		}
+		seen = append(seen, placing.Seen{
+			ID:        entry.ID,
+			Address:   entry.Address,
+			Start:     entry.Start,
+			Slots:     entry.Slots,
+			ColdUntil: entry.ColdUntil,
+			Closed:    s.closed(entry),
+			Site:      placing.Site{Domain: entry.Domain, Region: region},
+		})
+	}
+	return seen
+}
+
+// closed reports whether the document keeps new work from the server.
+func (s *State) closed(entry *roster.Entry) bool {
+	closures := s.document.Closures
+	return closures.Has(document.Closure{Kind: document.CloseDomain, Name: entry.Domain}) ||
+		closures.Has(document.Closure{Kind: document.CloseServer, Name: entry.ID, Start: entry.Start})
+}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -6,10 +6,13 @@
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/member"
+	"github.com/heatherwood/heatherwood/internal/placing"
 	"github.com/heatherwood/heatherwood/internal/plan"
 	"github.com/heatherwood/heatherwood/internal/quarantine"
 	"github.com/heatherwood/heatherwood/internal/quorum"
 	"github.com/heatherwood/heatherwood/internal/relay"
+	"github.com/heatherwood/heatherwood/internal/roster"
+	"github.com/heatherwood/heatherwood/internal/seats"
 	"github.com/heatherwood/heatherwood/internal/shift"
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
@@ -25,6 +28,15 @@
 	Replicas    []quorum.Replica // control replicas at the first start
 	Incarnation uint64           // rises with each start of the VM
 	Control     bool             // this VM holds a control replica
+	Replica     string           // id of that replica; empty means VM
+	Seats       bool             // the replica set grows and mends itself
+}
+
+func (s Settings) replica() quorum.ID {
+	if s.Replica == "" {
+		return quorum.ID(s.VM)
+	}
+	return quorum.ID(s.Replica)
 }
 
 // State is everything one VM decides from.
@@ -52,6 +64,15 @@
 	arrivals   map[string]*shift.Limiter
 	asks       map[askKey]askTarget
 
+	roster  roster.State
+	places  map[string]*placing.Pool  // by service
+	splits  map[string]*placing.Split // by route
+	runs    map[uint64]placedRun      // by ticket
+	tickets uint64
+	seats   seats.State
+	joinDue time.Time
+	entries int // entries known alive, this VM included
+
 	pending     map[uint64]pendingProposal
 	reads       map[uint64]pendingRead
 	leader      Leader
@@ -69,6 +90,7 @@
 	lastTick  time.Time
 	planDue   time.Time
 	fetchDue  time.Time
+	fetchTurn int // entry of a failure domain that a document was asked of last
 	logBytes  int
 	snapBytes int
 	sequence  uint64
@@ -126,6 +148,9 @@
 		silent:    make(map[string]bool),
 		stopping:  make(map[string]bool),
 		planMoved: make(map[string]time.Time),
+		places:    make(map[string]*placing.Pool),
+		splits:    make(map[string]*placing.Split),
+		runs:      make(map[uint64]placedRun),
 		recent:    plan.Recent{Keep: LookupTTL},
 		started:   now,
 		now:       now,
@@ -139,7 +164,7 @@
 	}
 	s.ledger = restored
 	s.snapBytes = len(restart.Snapshot.Data)
-	s.quorum = quorum.New(quorum.DefaultSettings(quorum.ID(settings.VM)), *restart, now)
+	s.quorum = quorum.New(quorum.DefaultSettings(settings.replica()), *restart, now)
 	s.adopt(s.ledger.Document, s.ledger.Sections)
 	return s, nil
 }
@@ -168,6 +193,8 @@
 		s.documentLoaded(e)
 	case Announced:
 		s.announced(e)
+	case ServerSeen:
+		s.serverSeen(e)
 	case Asked:
 		s.asked(e)
 	case PeerUnreachable:
@@ -180,6 +207,8 @@
 		s.tickMembers()
 		s.tickOwners()
 		s.publish()
+	case SeedsChanged:
+		s.Settings.Seeds, s.members.Seeds = e.Seeds, e.Seeds
 	case StatusAsked:
 		s.emit(Answer{Call: e.Call, Value: s.status()})
 	case HistoryAsked:
@@ -230,6 +259,8 @@
 	for _, pool := range s.pools {
 		s.fromPool(pool, pool.Tick(s.now, elapsed))
 	}
+	s.tickRoster()
+	s.tickSeats()
 	s.quarantine.Sweep(s.now)
 	s.checkStale()
 	if !s.now.Before(s.planDue) {
@@ -245,6 +276,7 @@
 	for _, pool := range s.pools {
 		pool.Stall(s.now)
 	}
+	s.roster.Stalled(s.now)
 }
 
 func (s *State) receive(m Message) {
@@ -255,6 +287,11 @@
 		}
 	case m.Gossip != nil:
 		s.receiveGossip(*m.Gossip, m.Leader)
+		s.compareRoster(m)
+	case m.Servers != nil:
+		s.receiveServers(*m.Servers)
+	case m.Join != nil:
+		s.receiveJoin(m)
 	case m.Spread != nil:
 		s.receiveSpread(*m.Spread)
 	case m.Fetch != nil:
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -38,6 +38,10 @@
 
 func (s *State) requestBegan(e RequestBegan) {
 	r := e.Request
+	if r.Route != nil {
+		s.routeBegan(e)
+		return
+	}
 	limiter := s.arrivals[r.Service]
 	if limiter != nil {
 		if closed, over := limiter.Tick(s.now); over && closed.Moved > 0 {
@@ -66,7 +70,7 @@
 	key := budgetKey{service: r.Service, rank: r.Rank}
 	budget := s.budgets[key]
 	if budget == nil {
-		budget = &relay.Budget{}
+		budget = &relay.Budget{Share: s.retryShare(r.Service)}
 		s.budgets[key] = budget
 	}
 	return budget
@@ -75,6 +79,10 @@
 // step gives the next step to the shell, except an ask that this VM answers
 // itself.
 func (s *State) step(call uint64, r *relay.Request, step relay.Step) {
+	if step.Ask != nil && r.Placed {
+		s.place(call, r, *step.Ask)
+		return
+	}
 	if step.Ask != nil {
 		if pool := s.pool(r.Service); pool != nil {
 			ask := *step.Ask
@@ -140,6 +148,10 @@
 	if r == nil || r.Grant == nil {
 		return
 	}
+	if r.Placed {
+		s.placedSent(e, r)
+		return
+	}
 	answered := e.Result == routing.ResultOK || e.Result == routing.ResultError
 	suspicion := quarantine.Clear
 	if !answered {
@@ -180,6 +192,10 @@
 		return
 	}
 	delete(s.requests, e.Call)
+	if r.Placed {
+		s.placedEnded(r, e)
+		return
+	}
 	if r.Grant != nil && r.Grant.Ticket != 0 {
 		s.finish(r, e.Result, e.Latency)
 		return
--- a/internal/reducer/spread.go
+++ b/internal/reducer/spread.go
@@ -30,15 +30,19 @@
 }
 
 // changed spreads an accepted change: the leader tells two VMs of each failure
-// domain, which tell the rest of theirs. All others learn by pull if that fails.
-func (s *State) changed(name document.Section) {
+// domain, which tell the rest of theirs, and each control VM tells its own
+// failure domain. All others learn by pull if that fails.
+func (s *State) changed(names ...document.Section) {
 	before, beforeAt := s.copies, s.copyAt
-	if !s.adopt(s.ledger.Document, s.ledger.Sections) || s.quorum.Role != quorum.RoleLeader {
+	if !s.adopt(s.ledger.Document, s.ledger.Sections) {
 		return
 	}
-	spread := s.patch(before, name)
+	spread := s.patch(before, names)
 	spread.Before = beforeAt
 	s.spreadWithin(spread)
+	if s.quorum.Role != quorum.RoleLeader {
+		return
+	}
 	spread.Relay = true
 	s.tellOtherDomains(Message{Spread: &spread})
 }
@@ -48,16 +52,16 @@
 	s.tellDomain(Message{Spread: &spread})
 }
 
-// patch describes the change of one section from the copies before.
-func (s *State) patch(before []ledger.Section, name document.Section) Spread {
+// patch describes the change of some sections from the copies before.
+func (s *State) patch(before []ledger.Section, names []document.Section) Spread {
 	spread := Spread{Position: s.copyAt}
 	for _, section := range s.copies {
-		if section.Name != name {
+		if !slices.Contains(names, section.Name) {
 			continue
 		}
 		var old ledger.Section
 		for _, candidate := range before {
-			if candidate.Name == name {
+			if candidate.Name == section.Name {
 				old = candidate
 			}
 		}
@@ -189,6 +193,7 @@
 	s.log(CodeDocumentInForce, "", int64(e.Position.Index))
 	s.noteInForce()
 	s.configurePools()
+	s.configurePlaces()
 	s.tickPlan()
 	s.tickOwners()
 }
--- a/internal/reducer/view.go
+++ b/internal/reducer/view.go
@@ -16,6 +16,7 @@
 		Leader:   s.leader,
 		Domain:   s.Settings.Domain,
 		Stale:    s.stale,
+		Leaving:  s.leaving,
 		Sections: s.copies,
 		HeldAt:   s.copyAt,
 	}
@@ -41,7 +42,7 @@
 			}
 			view.Alive = domain.Silent < member.DomainSilent
 			for _, entry := range domain.Entries {
-				if !s.document.Stops.Stopped(document.StopVM, entry.ID, s.now, LookupTTL) {
+				if entry.Entry != "" && entry.Ready && !s.document.Stops.Stopped(document.StopVM, entry.ID, s.now, LookupTTL) {
 					view.Entries = append(view.Entries, entry.Entry)
 				}
 			}
@@ -58,7 +59,7 @@
 func (s *State) ownEntries() []string {
 	var entries []string
 	for _, vm := range s.members.Alive() {
-		if !vm.Stopping && !s.document.Stops.Stopped(document.StopVM, vm.ID, s.now, LookupTTL) {
+		if vm.Entry != "" && vm.Document > 0 && !vm.Stopping && !s.document.Stops.Stopped(document.StopVM, vm.ID, s.now, LookupTTL) {
 			entries = append(entries, vm.Entry)
 		}
 	}
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -2,6 +2,8 @@
 
 // Budget bounds further tries to a share of first tries.
 type Budget struct {
+	Share float64 // further tries per first try; 0 means the usual share
+
 	tokens float64
 	begun  bool
 }
@@ -18,7 +20,11 @@
 		b.begun = true
 		b.tokens = budgetStart
 	}
-	b.tokens = min(b.tokens+budgetShare, budgetBurst)
+	share := b.Share
+	if share == 0 {
+		share = budgetShare
+	}
+	b.tokens = min(b.tokens+share, budgetBurst)
 }
 
 // Retry takes one further try, or reports that none is left.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/quarantine"
 	"github.com/heatherwood/heatherwood/internal/routing"
+	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
 // Run tells whether a refused or failed request may have run.
@@ -35,11 +36,17 @@
 	Holder      string        // this VM
 	Replayable  bool          // the body can be sent again
 
+	Route  *document.Route // nil for a request found by the hosts of a service
+	Object string          // requests of one object run faster where it ran lately
+	Target time.Time       // an answer after it has lost most of its value
+	Placed bool            // this VM chooses the server itself
+
 	Grant     *dispatch.Grant // of the present send
 	phase     phase
 	claimedAt time.Time // when the claim was asked for
 	claims    int
 	tries     int
+	runs      int // sends that may have run
 	exclude   []string
 	ran       bool // something was sent that may have run
 }
@@ -80,6 +87,7 @@
 // Limits on tries.
 const (
 	maxTries     = 3
+	extraSends   = 2 // sends beyond the runs that a route allows, after proof that one did not run
 	maxClaims    = 50
 	joinInterval = 100 * time.Millisecond // between looks at a running operation
 	claimRetry   = 50 * time.Millisecond  // after a claim that found no leader
@@ -206,7 +214,7 @@
 	if answer.Denial.Reason == dispatch.ReasonNoService {
 		status = http.StatusNotFound
 	}
-	if answer.Denial.Reason == dispatch.ReasonBarred {
+	if answer.Denial.Reason == dispatch.ReasonBarred && r.Route == nil {
 		status = http.StatusForbidden
 	}
 	reason := answer.Denial.Reason
@@ -252,11 +260,15 @@
 		return Step{Stream: true}
 	case routing.ResultError:
 		return r.failed(server, now, budget)
-	case routing.ResultShed, routing.ResultNoDial:
+	case routing.ResultShed:
 		return r.elsewhere(server, now, budget)
+	case routing.ResultNoDial:
+		// Nothing arrived, so another send adds no load to the service.
+		return r.elsewhere(server, now, nil)
 	case routing.ResultBroken:
 		r.ran = true
-		if !r.Once && suspicion == quarantine.Clear {
+		r.runs++
+		if r.repeatable() && suspicion == quarantine.Clear {
 			return r.elsewhere(server, now, budget)
 		}
 		return r.lost(http.StatusBadGateway, "connection-lost", "the backend server's connection broke before the whole answer")
@@ -276,7 +288,8 @@
 // goes to the caller as it is.
 func (r *Request) failed(server string, now time.Time, budget *Budget) Step {
 	r.ran = true
-	if r.Once || !r.mayRetry(now) || !budget.Retry() {
+	r.runs++
+	if !r.repeatable() || !r.mayRetry(now) || !budget.Retry() {
 		r.phase = phaseDone
 		return Step{Stream: true}
 	}
@@ -284,13 +297,23 @@
 	return r.ask(now)
 }
 
+// repeatable reports whether the request may run a second time.
+func (r *Request) repeatable() bool {
+	return !r.Once && (r.Route == nil || r.Route.Kind == document.KindRepeat)
+}
+
 func (r *Request) mayRetry(now time.Time) bool {
-	return r.tries < maxTries && r.Replayable && now.Before(r.Deadline)
+	sends, runs := maxTries, maxTries
+	if r.Route != nil {
+		sends, runs = r.Route.Tries+extraSends, r.Route.Tries
+	}
+	return r.tries < sends && r.runs < runs && r.Replayable && now.Before(r.Deadline)
 }
 
-// elsewhere tries another server, within the budget and the deadline.
+// elsewhere tries another server, within the budget, if there is one, and the
+// deadline.
 func (r *Request) elsewhere(server string, now time.Time, budget *Budget) Step {
-	if r.mayRetry(now) && budget.Retry() {
+	if r.mayRetry(now) && (budget == nil || budget.Retry()) {
 		r.exclude = append(r.exclude, server)
 		return r.ask(now)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,8 @@
 	LogLevel  string     `toml:"log_level"`
 	Memory    int        `toml:"memory_limit"` // MiB that the garbage collector aims to stay below; 0 sets none
 	Replicas  []Replica  `toml:"replica"`      // control replicas at the first start
+	Seats     bool       `toml:"seats"`        // the replica set grows and mends itself; a replica is named by its peer address
+	First     bool       `toml:"first"`        // with seats: the whole site starts for the first time
 	Operators []Operator `toml:"operator"`     // teams that may read and write sections
 }
 
@@ -99,7 +101,7 @@
 	fault(s.ID == "" || len(s.ID) > document.MaxNameBytes, "id: give the VM a name of 1 to %d bytes", document.MaxNameBytes)
 	fault(s.Domain == "", "domain: name the failure domain of the VM")
 	fault(s.Region == "", "region: name the region of the VM")
-	fault(!addressOK(s.Entry), "entry: %q is not an IP number with a port", s.Entry)
+	fault(s.Entry != "" && !addressOK(s.Entry), "entry: %q is not an IP number with a port", s.Entry)
 	fault(!addressOK(s.Peer), "peer: %q is not an IP number with a port", s.Peer)
 	fault(!secretOK(s.Key), "key: use %d to %d bytes, the same on all VMs of the site", minSecretBytes, maxSecretBytes)
 	fault(s.Memory < 0 || s.Memory > 0 && s.Memory < minMemory, "memory_limit: use at least %d MiB, or 0 for none", minMemory)
@@ -111,7 +113,7 @@
 	for _, replica := range s.Replicas {
 		fault(replica.ID == "" || !addressOK(replica.Peer), "replica: %q needs an id and a peer address", replica.ID)
 	}
-	fault(s.Data != "" && len(s.Replicas) == 0, "replica: a VM with a data folder needs the list of control replicas")
+	fault(s.Data != "" && len(s.Replicas) == 0 && (!s.Seats || s.First), "replica: a VM with a data folder needs the list of control replicas")
 	s.checkOperators(fault)
 	return errors.Join(faults...)
 }
@@ -121,7 +123,7 @@
 		fault(operator.Team == "", "operator: name the team")
 		fault(!secretOK(operator.Token), "operator %q: token must have %d to %d bytes", operator.Team, minSecretBytes, maxSecretBytes)
 		for _, section := range operator.Sections {
-			fault(!document.Section(section).Known(), "operator %q: section %q does not exist; use %v", operator.Team, section, document.Sections())
+			fault(!document.Section(section).Known(), "operator %q: section %q does not exist; use %v", operator.Team, section, document.Written())
 		}
 	}
 }
--- a/pkg/document/check.go
+++ b/pkg/document/check.go
@@ -49,6 +49,7 @@
 	c.checkRanks()
 	c.checkServices()
 	c.checkStops()
+	c.checkRoutes()
 }
 
 func (c *checker) add(section Section, path, note, format string, args ...any) {
@@ -223,6 +224,12 @@
 }
 
 func (c *checker) checkNumbers(service *Service, path string) {
+	if service.Placing != PlacingOwner && service.Placing != PlacingEntry {
+		c.add(SectionServices, path+".placing", "use \"owner\" or \"entry\"", "placing %q does not exist", service.Placing)
+	}
+	if !(service.ColdRate >= 0) {
+		c.add(SectionServices, path+".cold_rate", "use 0 or more requests per second", "cold_rate of service %q is not valid", service.Name)
+	}
 	if service.Target.Std() > maxTarget {
 		c.add(SectionServices, path+".target", "the longest target is 10m", "target of service %q is too long", service.Name)
 	}
@@ -246,7 +253,7 @@
 }
 
 func (c *checker) checkRules(service *Service, path string) {
-	if len(service.Rules) == 0 {
+	if len(service.Rules) == 0 && !c.document.Routes.Uses(service.Name) && service.Placing != PlacingEntry {
 		c.add(SectionServices, path, "add a [[service.rule]] with method = \"*\", path = \"/\" and a rank", "service %q has no rules", service.Name)
 	}
 	for j, rule := range service.Rules {
--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -2,10 +2,11 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
-// Section names one of the four parts of the steering document.
+// Section names one part of the steering document.
 type Section string
 
 // The sections, in the order in which they are checked.
@@ -14,22 +15,20 @@
 	SectionServices Section = "services"
 	SectionRanks    Section = "ranks"
 	SectionStops    Section = "stops"
+	SectionRoutes   Section = "routes"
+	SectionClosures Section = "closures"
 )
 
-// Sections lists every section name in checking order.
-func Sections() []Section {
-	return []Section{SectionPlaces, SectionServices, SectionRanks, SectionStops}
+// Written lists the sections that teams write, in checking order.
+func Written() []Section {
+	return []Section{SectionPlaces, SectionServices, SectionRanks, SectionStops, SectionRoutes}
 }
 
-// Known reports whether the section is one of the four.
-func (s Section) Known() bool {
-	for _, known := range Sections() {
-		if s == known {
-			return true
-		}
-	}
-	return false
-}
+// Sections lists every section name in checking order.
+func Sections() []Section { return append(Written(), SectionClosures) }
+
+// Known reports whether the section is one that teams write.
+func (s Section) Known() bool { return slices.Contains(Written(), s) }
 
 // Limits on what one section may hold.
 const (
@@ -45,6 +44,8 @@
 	Services Services
 	Ranks    Ranks
 	Stops    Stops
+	Routes   Routes
+	Closures Closures
 }
 
 // Places holds the sites, their links and the blocks of clients near them.
@@ -109,9 +110,22 @@
 	Queue    int      `toml:"queue"`
 	Shed     []int    `toml:"shed"`
 	Keep     Duration `toml:"keep"`
+	Placing  Placing  `toml:"placing"`
+	Cold     Duration `toml:"cold"`      // after its start a server takes only ColdRate
+	ColdRate float64  `toml:"cold_rate"` // requests per second of a cold server, over all entries
+	Retries  Percent  `toml:"retries"`   // further sends per first send, over all entries
 	Rules    []Rule   `toml:"rule"`
 }
 
+// Placing tells which VM chooses the server of a request.
+type Placing string
+
+// The ways of placing.
+const (
+	PlacingOwner Placing = "owner" // the owner of the service in the failure domain grants slots
+	PlacingEntry Placing = "entry" // each entry chooses among the servers of all failure domains
+)
+
 // Rule gives the rank and repeatability of requests by method and path prefix.
 type Rule struct {
 	Method string `toml:"method"`
@@ -169,6 +183,7 @@
 	defaultBytes    = 16 << 10 // bytes of a typical answer
 	defaultQueue    = 8        // waiting requests per slot
 	defaultKeep     = Duration(24 * time.Hour)
+	defaultRetries  = Percent(0.1)
 )
 
 // FillDefaults sets the optional keys that a section left out.
@@ -176,6 +191,7 @@
 	for i := range d.Services.Services {
 		d.Services.Services[i].fillDefaults()
 	}
+	d.Routes.fillDefaults()
 }
 
 func (s *Service) fillDefaults() {
@@ -206,6 +222,12 @@
 	if s.Keep == 0 {
 		s.Keep = defaultKeep
 	}
+	if s.Placing == "" {
+		s.Placing = PlacingOwner
+	}
+	if s.Retries == 0 {
+		s.Retries = defaultRetries
+	}
 }
 
 // Active reports whether the stop is in force at the time.
--- a/pkg/document/parse.go
+++ b/pkg/document/parse.go
@@ -51,6 +51,10 @@
 		return &d.Services
 	case SectionRanks:
 		return &d.Ranks
+	case SectionRoutes:
+		return &d.Routes
+	case SectionClosures:
+		return &d.Closures
 	default:
 		return &d.Stops
 	}
