Place by the object's order; cold runs only where slots are free

Cause: with work learnt over warm, cold and waiting runs together, entries chose different servers for one object, and under load each busy home sent requests to servers that had to run them cold: load grew threefold and nothing was in time. Ruled out: slots at the owner (the load reports of answers are enough here). Change: run times by class, learnt only from runs that did not wait; copies only on the first servers of the object's order, and none on a server whose slots are mostly in use.

--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -19,6 +19,7 @@
 
 // Ask requests a server for one request.
 type Ask struct {
+	Class    string // requests of one class take about the same time
 	Object   string // requests of one object run faster where it ran lately; may be empty
 	Rank     int    // 0 is the most urgent
 	Left     time.Duration
@@ -63,31 +64,37 @@
 	Region string
 }
 
-// Weights of the way in the cost of a server, as parts of a cold run.
+// Weights in the cost of a server, as parts of a cold run.
 const (
-	otherDomain = 0.02
-	otherRegion = 0.10
+	otherDomain = 0.02 // links between failure domains are shared
+	otherRegion = 0.10 // links between regions are shared and dear
+	latePenalty = 0.50 // an answer after its target has lost most of its value
+	orderStep   = 0.05 // for each place in the order of the object, so that copies gather
+	failPenalty = 1.50 // for a server that fails every request
 )
 
 // Bounds and weights of the estimates.
 const (
-	defaultWork     = 300 * time.Millisecond // a run until one is measured
-	defaultWarm     = 0.3                    // share of a cold run that a warm one takes
-	workWeight      = 0.05                   // of a new run in the moving averages
-	slowWeight      = 0.15
-	slowLimit       = 1.5                     // ratio to the usual time from which a server counts as slow
+	coldTargets     = 1.2 // targets that a cold run takes until one is measured
+	warmTargets     = 0.4 // targets that a warm run takes until one is measured
+	runWeight       = 0.1 // of a new run in the moving averages
+	slowWeight      = 0.2
+	slowMost        = 12.0 // ratio to the usual time that counts, at most
+	othersWeight    = 0.1
 	loadFade        = 1500 * time.Millisecond // after which half of what a server said of others' load counts
 	shareOfLeft     = 0.9                     // of the time left that the expected answer may take
 	objectsKept     = 64                      // objects remembered for each server
-	objectKept      = 30 * time.Second
+	objectKept      = 10 * time.Second
+	ordersKept      = 3   // servers in the order of an object that may get copies
 	defaultQueue    = 2.0 // requests that wait at a server for each slot, at most, for the most urgent rank
 	queueStep       = 0.5 // fewer for each less urgent rank
 	minQueue        = 0.5
+	coldLoad        = 0.7 // of the slots that may be in use before a run without the object
 	ejectFirst      = 500 * time.Millisecond
 	ejectMost       = 4 * time.Second
 	failuresToEject = 4
-	greyWeight      = 0.15
-	greyPenalty     = 1.5 // runs that a failing answer costs
+	failWeight      = 0.15
+	wayWeight       = 0.05
 	minRetry        = 200 * time.Millisecond
 	maxRetry        = 3 * time.Second
 )
@@ -98,14 +105,19 @@
 	Own     Site
 	Servers []*Server // by id
 
-	cold float64 // seconds of a run on a server that did not handle the object lately
-	warm float64 // seconds of a run on one that did
-	ways map[string]float64
+	classes map[string]*runs
+	ways    map[string]float64 // seconds one way, by failure domain
+}
+
+// runs is how long requests of a class run, in seconds; 0 means not measured.
+type runs struct {
+	cold float64 // on a server that did not handle the object lately
+	warm float64 // on one that did
 }
 
 // NewPool returns a pool without servers.
 func NewPool(policy Policy, own Site) *Pool {
-	return &Pool{Policy: policy, Own: own, ways: make(map[string]float64)}
+	return &Pool{Policy: policy, Own: own, classes: make(map[string]*runs), ways: make(map[string]float64)}
 }
 
 // Server is one start of a backend server.
@@ -185,81 +197,147 @@
 	return x ^ x>>29
 }
 
-// candidate is a server with what is expected of it.
-type candidate struct {
+// place is a server that may hold a copy of what an object needs.
+type place struct {
 	server *Server
 	order  uint64
-	warm   bool
-	load   float64
+}
+
+// places are the first servers in the order of an object.
+type places [ordersKept]place
+
+// add keeps the server if it is among the first.
+func (p *places) add(s *Server, order uint64) {
+	for i := range p {
+		if p[i].server == nil || order > p[i].order {
+			copy(p[i+1:], p[i:])
+			p[i] = place{server: s, order: order}
+			return
+		}
+	}
+}
+
+// index returns the place of the server, or ordersKept.
+func (p *places) index(s *Server) int {
+	for i := range p {
+		if p[i].server == s {
+			return i
+		}
+	}
+	return ordersKept
 }
 
 // Choose returns the server on which the request should be answered soonest, or
-// a refusal.
+// a refusal. The first server of the object's order, and the first in the own
+// region, count as warm: all entries send there. The next ones get copies as far
+// as those are loaded.
 func (p *Pool) Choose(ask Ask, now time.Time) Choice {
 	object := ask.Fallback
 	if ask.Object != "" {
 		object = xxhash.Sum64String(ask.Object)
 	}
-	home := p.home(ask, object, now)
-	best, bestCost, bestTime := (*Server)(nil), math.Inf(1), 0.0
-	bestWarm := false
-	candidates := 0
-	soonest := math.Inf(1)
+	var all, near places
+	for _, s := range p.Servers {
+		if s.Closed || now.Before(s.ColdUntil) || !ask.allowed(s.Region) {
+			continue
+		}
+		order := order(object, s.hash)
+		all.add(s, order)
+		if s.Region == p.Own.Region {
+			near.add(s, order)
+		}
+	}
+	usual := p.usual(ask)
+	var best, any option
+	candidates, soonest := 0, math.Inf(1)
 	for _, s := range p.Servers {
 		if !s.usable(ask, now) {
 			continue
 		}
 		candidates++
-		warm := ask.Object != "" && (s == home || s.knows(ask.Object, now))
-		expected, room := p.expect(s, ask, warm, now)
-		soonest = min(soonest, expected)
+		at := min(all.index(s), near.index(s))
+		o := option{server: s, warm: ask.Object != "" && (at == 0 || s.knows(ask.Object, now))}
+		var room bool
+		o.expected, room = p.expect(s, ask, usual, o.warm, now)
+		soonest = min(soonest, o.expected)
 		if !room {
 			continue
 		}
-		cost := expected + p.charge(s) + s.failing*greyPenalty*p.coldRun()
-		if cost < bestCost {
-			best, bestCost, bestTime, bestWarm = s, cost, expected, warm
+		o.cost = p.cost(o, at, usual, ask)
+		if any.better(o) {
+			any = o
+		}
+		if (o.warm || at < ordersKept) && best.better(o) {
+			best = o
 		}
 	}
-	left := ask.Left.Seconds()
+	if best.server == nil {
+		best = any
+	}
 	switch {
 	case candidates == 0:
 		return Choice{Refused: NoServers, RetryAfter: minRetry * 2}
-	case best == nil || bestTime > shareOfLeft*left:
-		return Choice{Refused: TooBusy, RetryAfter: p.retryAfter(soonest, ask), Candidates: candidates}
+	case best.server == nil || p.hopeless(best, ask):
+		return Choice{Refused: TooBusy, RetryAfter: p.retryAfter(soonest, usual, ask), Candidates: candidates}
 	}
-	return Choice{Server: best, Expected: seconds(bestTime), Warm: bestWarm, Candidates: candidates}
+	return Choice{Server: best.server, Expected: seconds(best.expected), Warm: best.warm, Candidates: candidates}
+}
+
+// option is a server with what is expected of it.
+type option struct {
+	server   *Server
+	warm     bool
+	expected float64 // seconds until the answer
+	cost     float64 // seconds, with what the choice costs others
+}
+
+func (o option) better(other option) bool { return o.server == nil || other.cost < o.cost }
+
+// hopeless reports whether the answer would come too late. Nothing is known of a
+// class that was never measured here, so such a request is tried.
+func (p *Pool) hopeless(o option, ask Ask) bool {
+	return p.classes[ask.Class] != nil && o.expected > shareOfLeft*ask.Left.Seconds()
+}
+
+func (p *Pool) cost(o option, at int, usual runs, ask Ask) float64 {
+	cost := o.expected + p.charge(o.server, usual) + o.server.failing*failPenalty*usual.cold
+	if o.expected > ask.Target.Seconds() && o.warm {
+		cost += latePenalty * usual.cold
+	}
+	return cost + orderStep*float64(at)*usual.cold
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// usual returns how long requests of the class run.
+func (p *Pool) usual(ask Ask) runs {
+	var usual runs
+	if known := p.classes[ask.Class]; known != nil {
+		usual = *known
+	}
+	switch {
+	case usual.cold == 0 && usual.warm == 0:
+		target := max(ask.Target.Seconds(), minRetry.Seconds())
+		usual = runs{cold: coldTargets * target, warm: warmTargets * target}
+	case usual.cold == 0:
+		usual.cold = usual.warm * coldTargets / warmTargets
+	case usual.warm == 0:
+		usual.warm = usual.cold * warmTargets / coldTargets
+	}
+	return usual
+}
+
 // retryAfter is when the load above should have run, spread so that callers do
 // not return together.
-func (p *Pool) retryAfter(soonest float64, ask Ask) time.Duration {
-	wait := p.warmRun()
+func (p *Pool) retryAfter(soonest float64, usual runs, ask Ask) time.Duration {
+	wait := usual.warm
 	if !math.IsInf(soonest, 1) {
-		wait = max(wait, soonest-p.warmRun())
+		wait = max(wait, soonest-usual.warm)
 	}
 	spread := 0.75 + 0.5*float64(ask.Fallback%1024)/1024
 	return min(max(seconds(wait*spread), minRetry), maxRetry)
 }
 
-// home returns the server on which requests of the object meet: the first of its
-// order that gets new work at all.
-func (p *Pool) home(ask Ask, object uint64, now time.Time) *Server {
-	var home *Server
-	highest := uint64(0)
-	for _, s := range p.Servers {
-		if s.Closed || now.Before(s.ejected) || now.Before(s.ColdUntil) || !ask.allowed(s.Region) || s.slow > slowLimit {
-			continue
-		}
-		if place := order(object, s.hash); home == nil || place > highest {
-			home, highest = s, place
-		}
-	}
-	return home
-}
-
 func (a Ask) allowed(region string) bool { return a.Allowed == nil || a.Allowed(region) }
 
 func (s *Server) usable(ask Ask, now time.Time) bool {
@@ -278,47 +356,34 @@
 
 // expect estimates the time until the answer, and whether the server may take
 // one more request of the rank.
-func (p *Pool) expect(s *Server, ask Ask, warm bool, now time.Time) (float64, bool) {
-	run := p.coldRun()
+func (p *Pool) expect(s *Server, ask Ask, usual runs, warm bool, now time.Time) (float64, bool) {
+	run := usual.cold
 	if warm {
-		run = p.warmRun()
+		run = usual.warm
 	}
 	slow := max(1, s.slow)
 	load := s.Load(now)
 	slots := float64(s.Slots)
 	expected := 2*p.way(s) + run*slow
 	if over := load + 1 - slots; over > 0 {
-		expected += over / slots * p.typicalRun() * slow
+		expected += over / slots * usual.warm * slow
+	}
+	if !warm {
+		// A cold run takes the slots of several warm ones. Where all slots are in
+		// use, copies would only make the load grow.
+		return expected, load+1 <= slots*coldLoad
 	}
 	queue := max(defaultQueue-queueStep*float64(ask.Rank), minQueue)
 	return expected, load < slots*(1+queue)
 }
 
-func (p *Pool) coldRun() float64 {
-	if p.cold == 0 {
-		return defaultWork.Seconds()
-	}
-	return p.cold
-}
-
-func (p *Pool) warmRun() float64 {
-	if p.warm == 0 {
-		return defaultWarm * p.coldRun()
-	}
-	return p.warm
-}
-
-// typicalRun is a run of the mix that usually waits at a server.
-func (p *Pool) typicalRun() float64 { return p.warmRun() }
-
-// charge is what a longer way costs beyond its time: links between failure
-// domains and regions are shared and dear.
-func (p *Pool) charge(s *Server) float64 {
+// charge is what a longer way costs beyond its time.
+func (p *Pool) charge(s *Server, usual runs) float64 {
 	switch {
 	case s.Region != p.Own.Region:
-		return otherRegion * p.coldRun()
+		return otherRegion * usual.cold
 	case s.Domain != p.Own.Domain:
-		return otherDomain * p.coldRun()
+		return otherDomain * usual.cold
 	default:
 		return 0
 	}
@@ -335,7 +400,7 @@
 		p.ways[domain] = oneWay
 		return
 	}
-	p.ways[domain] = known + workWeight*(oneWay-known)
+	p.ways[domain] = known + wayWeight*(oneWay-known)
 }
 
 // Load is the number of requests thought to be at the server: those of this
@@ -366,8 +431,9 @@
 
 // Ended is how a request on a server ended.
 type Ended struct {
+	Class   string
 	Object  string
-	Warm    bool
+	Alone   bool // no other request was thought to wait at the server at the send
 	Result  routing.Result
 	Latency time.Duration
 	Load    Load
@@ -381,20 +447,20 @@
 	case routing.ResultOK:
 		p.learn(s, e, now)
 		s.failures, s.ejections, s.probing = 0, 0, false
-		s.failing -= greyWeight * s.failing
+		s.failing -= failWeight * s.failing
 	case routing.ResultError, routing.ResultBroken:
-		s.failing += greyWeight * (1 - s.failing)
+		s.failing += failWeight * (1 - s.failing)
 		s.fail(now, failuresToEject)
 	case routing.ResultShed:
 		// A full server says so; its load counts as its slots and queue.
-		s.failing += greyWeight * (1 - s.failing)
+		s.failing += failWeight * (1 - s.failing)
 		s.others, s.othersAt = max(s.others, float64(s.Slots)*(1+defaultQueue)), now
 		s.probing = false
 	case routing.ResultNoDial:
 		s.fail(now, 1)
 	case routing.ResultLate:
 		s.fail(now, failuresToEject)
-		s.slow += slowWeight * (2*slowLimit - s.slow)
+		s.slow += slowWeight * (slowMost - s.slow)
 	}
 }
 
@@ -404,35 +470,44 @@
 	}
 	others := max(0, float64(load.Running+load.Waiting-s.running))
 	s.others, s.othersAt = others, now
-	s.othersMean += workWeight * 2 * (others - s.othersMean)
+	s.othersMean += othersWeight * (others - s.othersMean)
 }
 
+// learn takes the time of a good answer. Only runs that did not wait, and of
+// which is known whether the object was warm, tell how long a run takes.
 func (p *Pool) learn(s *Server, e Ended, now time.Time) {
-	run := max(e.Latency.Seconds()-2*p.way(s), 0.001)
-	usual := p.coldRun()
-	if e.Warm {
-		usual = p.warmRun()
+	last, known := s.objects[e.Object]
+	if e.Object != "" {
+		s.objects[e.Object] = now
 	}
-	if !now.Before(s.ColdUntil) {
-		ratio := min(run/usual, 4*slowLimit)
-		s.slow += slowWeight * (ratio - s.slow)
+	if len(s.objects) > objectsKept {
+		s.forgetOldest()
 	}
-	average := &p.cold
-	if e.Warm {
-		average = &p.warm
+	if !e.Alone || now.Before(s.ColdUntil) {
+		return
 	}
-	switch {
-	case *average == 0:
-		*average = run
-	case run < 4**average:
-		*average += workWeight * (run - *average)
+	run := max(e.Latency.Seconds()-2*p.way(s), 0.001)
+	class := p.classes[e.Class]
+	if class == nil {
+		class = &runs{}
+		p.classes[e.Class] = class
 	}
-	if e.Object == "" {
+	warm := known && now.Sub(last)-e.Latency < objectKept
+	average := &class.cold
+	if warm {
+		average = &class.warm
+	}
+	usual := *average
+	if usual == 0 {
+		*average = run
 		return
 	}
-	s.objects[e.Object] = now
-	if len(s.objects) > objectsKept {
-		s.forgetOldest()
+	if warm {
+		s.slow += slowWeight * (min(run/usual, slowMost) - s.slow)
+	}
+	const outlier = 3 // times the usual run: the server is slow, not the class
+	if run < outlier*usual {
+		*average += runWeight * (run - usual)
 	}
 }
 
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -16,7 +16,7 @@
 type placedRun struct {
 	pool    *placing.Pool
 	server  *placing.Server
-	warm    bool
+	alone   bool // nothing was thought to wait at the server
 	load    placing.Load
 	sentAt  time.Time
 	expects time.Duration
@@ -85,6 +85,7 @@
 		return s.refusePlace(r, ask, dispatch.ReasonNoServers, placing.Choice{RetryAfter: suspectedRetry})
 	}
 	choice := pool.Choose(placing.Ask{
+		Class:    r.Route.Name,
 		Object:   r.Object,
 		Rank:     r.Rank,
 		Left:     r.Deadline.Sub(s.now),
@@ -105,7 +106,7 @@
 		s.quarantine.Begin(ask.Fingerprint, s.tickets)
 	}
 	pool.Begin(choice.Server, s.now)
-	s.runs[s.tickets] = placedRun{pool: pool, server: choice.Server, warm: choice.Warm, sentAt: s.now, expects: choice.Expected}
+	s.runs[s.tickets] = placedRun{pool: pool, server: choice.Server, alone: choice.Server.Load(s.now) <= float64(choice.Server.Slots), sentAt: s.now, expects: choice.Expected}
 	s.emit(Decision{Code: CodePlaced, Request: r.ID, Outcome: "sent", Fields: []Field{
 		{"route", r.Route.Name},
 		{"service", r.Service},
@@ -232,8 +233,9 @@
 		s.quarantine.EndTrial(r.Fingerprint, r.Grant.Ticket)
 	}
 	run.pool.End(run.server, placing.Ended{
+		Class:   r.Route.Name,
 		Object:  r.Object,
-		Warm:    run.warm,
+		Alone:   run.alone,
 		Result:  result,
 		Latency: latency,
 		Load:    run.load,
