Count a server as dead only when it refuses connections

Change: after a broken send the entry looks whether anything listens there; no cold rule without an object.

--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/dispatch"
@@ -44,6 +45,7 @@
 	}
 	latency := in.relay.Node.Clock.Now().Sub(began)
 	sent.Result, sent.Latency = result, latency
+	sent.Died = result == routing.ResultBroken && response == nil && refuses(grant.Address)
 	step, err := in.exchange.Sent(context.WithoutCancel(ctx), sent.RequestSent)
 	if err != nil || !step.Stream {
 		if response != nil {
@@ -63,6 +65,19 @@
 	response.Body.Close()
 }
 
+const refusesLimit = 200 * time.Millisecond // several times the way to any server
+
+// refuses reports whether nothing listens at the address any more: a server that
+// lost one connection lives, one that refuses the next has died.
+func refuses(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, refusesLimit)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	}
+	conn.Close()
+	return false
+}
+
 // notRun reports whether the server states that it did not run the request.
 func (in *inbound) notRun(response *http.Response) bool {
 	if in.relay.Dialect.NotRun != nil {
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -368,7 +368,7 @@
 	if over := load + 1 - slots; over > 0 {
 		expected += over / slots * usual.warm * slow
 	}
-	if !warm {
+	if !warm && ask.Object != "" {
 		// A cold run takes the slots of several warm ones. Where all slots are in
 		// use, copies would only make the load grow.
 		return expected, load+1 <= slots*coldLoad
