--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -75,15 +75,17 @@
 
 // Bounds and weights of the estimates.
 const (
-	coldTargets     = 1.2 // targets that a cold run takes until one is measured
-	warmTargets     = 0.4 // targets that a warm run takes until one is measured
-	runWeight       = 0.1 // of a new run in the moving averages
+	coldTargets     = 1.2  // targets that a cold run takes until one is measured
+	warmTargets     = 0.4  // targets that a warm run takes until one is measured
+	shorterWeight   = 0.15 // of a new run below the moving average
+	longerWeight    = 0.04 // of one above it
 	slowWeight      = 0.2
 	slowMost        = 12.0 // ratio to the usual time that counts, at most
 	othersWeight    = 0.1
 	loadFade        = 1500 * time.Millisecond // after which half of what a server said of others' load counts
-	shareOfLeft     = 0.9                     // of the time left that the expected answer may take
-	objectsKept     = 64                      // objects remembered for each server
+	targetsWaited   = 100.0
+	shareOfLeft     = 0.9 // of the time left that the expected answer may take
+	objectsKept     = 64  // objects remembered for each server
 	objectKept      = 10 * time.Second
 	ordersKept      = 3   // servers in the order of an object that may get copies
 	defaultQueue    = 2.0 // requests that wait at a server for each slot, at most, for the most urgent rank
@@ -296,7 +298,8 @@
 // hopeless reports whether the answer would come too late. Nothing is known of a
 // class that was never measured here, so such a request is tried.
 func (p *Pool) hopeless(o option, ask Ask) bool {
-	return p.classes[ask.Class] != nil && o.expected > shareOfLeft*ask.Left.Seconds()
+	limit := min(shareOfLeft*ask.Left.Seconds(), targetsWaited*ask.Target.Seconds())
+	return p.classes[ask.Class] != nil && o.expected > limit
 }
 
 func (p *Pool) cost(o option, at int, usual runs, ask Ask) float64 {
@@ -505,10 +508,13 @@
 	if warm {
 		s.slow += slowWeight * (min(run/usual, slowMost) - s.slow)
 	}
-	const outlier = 3 // times the usual run: the server is slow, not the class
-	if run < outlier*usual {
-		*average += runWeight * (run - usual)
+	// A run that waited unseen looks longer than it was, never shorter, so the
+	// average follows short runs sooner.
+	weight := longerWeight
+	if run < usual {
+		weight = shorterWeight
 	}
+	*average += weight * (min(run, 2*usual) - usual)
 }
 
 func (s *Server) forgetOldest() {
