Tell warm and cold runs apart by their length

Cause: an entry cannot know whether a server it did not use for an object is warm; others may have sent it there. Runs were learnt under the wrong name, the two averages crossed, and entries left the homes of objects for cold servers. Ruled out: copies in each region from the start (more cold runs, worse first seconds in the load test). Change: a run counts as warm or cold by its ratio to the two averages; the queue at a server may hold three requests a slot; internal/placing plays heavy loads in virtual time with the real decisions.

--- a/cmd/heatherwood/platform.go
+++ b/cmd/heatherwood/platform.go
@@ -5,17 +5,31 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/heatherwood/heatherwood/internal/clock"
+	"github.com/heatherwood/heatherwood/internal/reducer"
+	"github.com/heatherwood/heatherwood/internal/stdout"
 	"github.com/heatherwood/heatherwood/platform"
 )
 
+const closeLimit = 200 * time.Millisecond // for the last log lines
+
+// droppedLine tells how many log lines were lost.
+func droppedLine(lines int64) []byte {
+	info := reducer.CodeLogDropped.Info()
+	return fmt.Appendf(nil, "{\"level\":%q,\"event\":\"HW%d\",\"lines\":%d,\"message\":%q}\n", info.Level, info.Code, lines, info.Text)
+}
+
 func addPlatform(app *kingpin.Application, commands map[string]command) {
 	c := app.Command("platform", "Run this VM on the platform; the settings file is named by "+platform.EnvSettings+".")
 	check := c.Flag("check", "Only check the settings file.").Bool()
 	commands[c.FullCommand()] = func(ctx context.Context, out io.Writer) error {
-		logger := newLogger(os.Stdout, "info")
+		lines := stdout.New(os.Stdout, clock.System{}, droppedLine)
+		defer lines.Close(closeLimit)
+		logger := newLogger(lines, "info")
 		if *check {
 			if _, err := platform.ReadSettings(logger); err != nil {
 				fmt.Fprintln(out, err)
--- /dev/null
+++ b/internal/placing/load_test.go
@@ -0,0 +1,139 @@
+package placing
+
+import (
+	"testing"
+	"time"
+)
+
+// heavy is a load whose warm work needs a bit more than half of the slots, and
+// whose cold work would need more than twice of all.
+func heavy() load {
+	return load{
+		domains:   []int{4, 4, 1, 1, 3, 3},
+		slots:     9,
+		keeps:     39,
+		entries:   10,
+		objects:   53,
+		rate:      func(time.Duration) float64 { return 300 },
+		cold:      880 * time.Millisecond,
+		warm:      264 * time.Millisecond,
+		target:    600 * time.Millisecond,
+		timeout:   2500 * time.Millisecond,
+		regionWay: 20 * time.Millisecond,
+		length:    30 * time.Second,
+		seed:      1,
+	}
+}
+
+// Where warm work fits, the callers of a steady heavy load are nearly all
+// answered in target once the objects are warm.
+func TestSteadyHeavyLoad(t *testing.T) {
+	tests := map[string]func(*load){
+		"plaques": func(*load) {},
+		"pottery": func(l *load) {
+			l.domains, l.slots, l.keeps, l.objects = []int{1, 1, 4, 4, 5, 5}, 5, 49, 75
+			l.cold, l.warm, l.target, l.timeout = 360*time.Millisecond, 108*time.Millisecond, 300*time.Millisecond, 1200*time.Millisecond
+			l.regionWay, l.rate = 35*time.Millisecond, func(time.Duration) float64 { return 450 }
+		},
+	}
+	for name, change := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := heavy()
+			change(&l)
+			w := newWorld(l)
+			w.play()
+			warm := w.between(10, 30)
+			t.Logf("from the start %+v, once warm %+v, cold runs %d", w.between(0, 10), warm, w.colds)
+			if warm.share() < 0.9 {
+				t.Errorf("%.2f of the callers were answered in target, want 0.90", warm.share())
+			}
+			if warm.refused > 0 {
+				t.Errorf("%d callers were refused though all work fits", warm.refused)
+			}
+		})
+	}
+}
+
+// A burst beyond all slots must not leave the servers with cold work that keeps
+// the load above them when the burst is over.
+func TestBurstDoesNotOutlastItself(t *testing.T) {
+	l := heavy()
+	l.rate = func(at time.Duration) float64 {
+		if at > 10*time.Second && at < 14*time.Second {
+			return 800
+		}
+		return 300
+	}
+	w := newWorld(l)
+	w.play()
+	after := w.between(17, 30)
+	t.Logf("in the burst %+v, after it %+v", w.between(10, 14), after)
+	if after.share() < 0.9 {
+		t.Errorf("%.2f of the callers were answered in target after the burst, want 0.90", after.share())
+	}
+}
+
+// Servers that go take their objects with them: those of the others stay warm.
+func TestLostServers(t *testing.T) {
+	l := heavy()
+	l.rate = func(time.Duration) float64 { return 200 }
+	l.at = map[time.Duration]func(*world){10 * time.Second: func(w *world) {
+		for i, s := range w.servers {
+			s.down = i%4 == 0
+		}
+		w.announce()
+	}}
+	w := newWorld(l)
+	w.play()
+	after := w.between(14, 30)
+	t.Logf("at the loss %+v, after it %+v", w.between(10, 14), after)
+	if after.share() < 0.9 {
+		t.Errorf("%.2f of the callers were answered in target after the loss, want 0.90", after.share())
+	}
+}
+
+// One region with few servers must not leave its callers behind the others.
+func TestLopsidedRegionIsServed(t *testing.T) {
+	w := newWorld(heavy())
+	w.play()
+	for region, tally := range w.regions {
+		t.Logf("region %d: %+v", region, tally)
+		if tally.share() < 0.8 {
+			t.Errorf("%.2f of region %d was answered in target, want 0.80", tally.share(), region)
+		}
+	}
+}
+
+// A server that runs far slower than the others keeps no objects for itself.
+func TestSlowServers(t *testing.T) {
+	l := heavy()
+	l.rate = func(time.Duration) float64 { return 200 }
+	l.at = map[time.Duration]func(*world){10 * time.Second: func(w *world) {
+		for i, s := range w.servers {
+			if i%6 == 0 {
+				s.slow = 8
+			}
+		}
+	}}
+	w := newWorld(l)
+	w.play()
+	after := w.between(15, 30)
+	t.Logf("when they turn slow %+v, later %+v", w.between(10, 15), after)
+	if after.share() < 0.85 {
+		t.Errorf("%.2f of the callers were answered in target beside slow servers, want 0.85", after.share())
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	l := heavy()
+	l.domains = []int{10, 10, 10, 10, 10, 10}
+	w := newWorld(l)
+	objects := make([]string, 50)
+	for i := range objects {
+		objects[i] = string(rune('a' + i))
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		w.pools[0].Choose(Ask{Class: "page", Object: objects[i%len(objects)], Left: time.Second, Target: time.Second}, start)
+	}
+}
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -77,7 +77,8 @@
 const (
 	coldTargets     = 1.2  // targets that a cold run takes until one is measured
 	warmTargets     = 0.4  // targets that a warm run takes until one is measured
-	shorterWeight   = 0.15 // of a new run below the moving average
+	coldWeight      = 0.1  // of a new cold run in the moving average
+	shorterWeight   = 0.15 // of a new warm run below the moving average
 	longerWeight    = 0.04 // of one above it
 	slowWeight      = 0.2
 	slowMost        = 12.0 // ratio to the usual time that counts, at most
@@ -88,7 +89,7 @@
 	objectsKept     = 64  // objects remembered for each server
 	objectKept      = 10 * time.Second
 	ordersKept      = 3   // servers in the order of an object that may get copies
-	defaultQueue    = 2.0 // requests that wait at a server for each slot, at most, for the most urgent rank
+	defaultQueue    = 3.0 // requests that wait at a server for each slot, at most, for the most urgent rank
 	queueStep       = 0.5 // fewer for each less urgent rank
 	minQueue        = 0.5
 	coldLoad        = 0.7 // of the slots that may be in use before a run without the object
@@ -111,7 +112,7 @@
 	ways    map[string]float64 // seconds one way, by failure domain
 }
 
-// runs is how long requests of a class run, in seconds; 0 means not measured.
+// runs is how long requests of a class run, in seconds.
 type runs struct {
 	cold float64 // on a server that did not handle the object lately
 	warm float64 // on one that did
@@ -258,7 +259,7 @@
 		}
 		candidates++
 		at := min(all.index(s), near.index(s))
-		o := option{server: s, warm: ask.Object != "" && (at == 0 || s.knows(ask.Object, now))}
+		o := option{server: s, warm: ask.Object != "" && (all.index(s) == 0 || s.knows(ask.Object, now))}
 		var room bool
 		o.expected, room = p.expect(s, ask, usual, o.warm, now)
 		soonest = min(soonest, o.expected)
@@ -314,20 +315,11 @@
 
 // usual returns how long requests of the class run.
 func (p *Pool) usual(ask Ask) runs {
-	var usual runs
 	if known := p.classes[ask.Class]; known != nil {
-		usual = *known
+		return *known
 	}
-	switch {
-	case usual.cold == 0 && usual.warm == 0:
-		target := max(ask.Target.Seconds(), minRetry.Seconds())
-		usual = runs{cold: coldTargets * target, warm: warmTargets * target}
-	case usual.cold == 0:
-		usual.cold = usual.warm * coldTargets / warmTargets
-	case usual.warm == 0:
-		usual.warm = usual.cold * warmTargets / coldTargets
-	}
-	return usual
+	target := max(ask.Target, minRetry).Seconds()
+	return runs{cold: coldTargets * target, warm: warmTargets * target}
 }
 
 // retryAfter is when the load above should have run, spread so that callers do
@@ -436,7 +428,8 @@
 type Ended struct {
 	Class   string
 	Object  string
-	Alone   bool // no other request was thought to wait at the server at the send
+	Target  time.Duration // of the class
+	Alone   bool          // no other request was thought to wait at the server at the send
 	Result  routing.Result
 	Latency time.Duration
 	Load    Load
@@ -476,15 +469,14 @@
 	s.othersMean += othersWeight * (others - s.othersMean)
 }
 
-// learn takes the time of a good answer. Only runs that did not wait, and of
-// which is known whether the object was warm, tell how long a run takes.
+// learn takes the time of a good answer that did not wait.
 func (p *Pool) learn(s *Server, e Ended, now time.Time) {
 	last, known := s.objects[e.Object]
 	if e.Object != "" {
 		s.objects[e.Object] = now
-	}
-	if len(s.objects) > objectsKept {
-		s.forgetOldest()
+		if len(s.objects) > objectsKept {
+			s.forgetOldest()
+		}
 	}
 	if !e.Alone || now.Before(s.ColdUntil) {
 		return
@@ -492,29 +484,31 @@
 	run := max(e.Latency.Seconds()-2*p.way(s), 0.001)
 	class := p.classes[e.Class]
 	if class == nil {
-		class = &runs{}
+		first := p.usual(Ask{Target: e.Target})
+		class = &first
 		p.classes[e.Class] = class
 	}
-	warm := known && now.Sub(last)-e.Latency < objectKept
-	average := &class.cold
-	if warm {
-		average = &class.warm
+	if known && now.Sub(last)-e.Latency < objectKept {
+		s.slow += slowWeight * (min(run/class.warm, slowMost) - s.slow)
 	}
-	usual := *average
-	if usual == 0 {
-		*average = run
+	class.learn(run)
+}
+
+// learn assigns a run to the warm or the cold ones, whichever are nearer by
+// ratio, and moves their average. Who sent a request cannot know whether the
+// server was warm: others may have sent it the object before.
+func (r *runs) learn(run float64) {
+	if run*run > r.warm*r.cold {
+		r.cold += coldWeight * (min(run, 2*r.cold) - r.cold)
 		return
 	}
-	if warm {
-		s.slow += slowWeight * (min(run/usual, slowMost) - s.slow)
-	}
 	// A run that waited unseen looks longer than it was, never shorter, so the
 	// average follows short runs sooner.
 	weight := longerWeight
-	if run < usual {
+	if run < r.warm {
 		weight = shorterWeight
 	}
-	*average += weight * (min(run, 2*usual) - usual)
+	r.warm += weight * (run - r.warm)
 }
 
 func (s *Server) forgetOldest() {
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -235,6 +235,7 @@
 	run.pool.End(run.server, placing.Ended{
 		Class:   r.Route.Name,
 		Object:  r.Object,
+		Target:  r.Route.Target.Std(),
 		Alone:   run.alone,
 		Result:  result,
 		Latency: latency,
--- /dev/null
+++ b/internal/stdout/doc.go
@@ -0,0 +1,3 @@
+// Package stdout writes log lines to standard output without ever blocking those
+// who log.
+package stdout
