--- a/internal/placing/load_test.go
+++ b/internal/placing/load_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/heatherwood/heatherwood/internal/routing"
 )
 
 // heavy is a load whose warm work needs a bit more than half of the slots, and
@@ -137,3 +139,19 @@
 		w.pools[0].Choose(Ask{Class: "page", Object: objects[i%len(objects)], Left: time.Second, Target: time.Second}, start)
 	}
 }
+
+// A class of which little is known, and without objects, is tried and not
+// refused by a guess at its length.
+func TestRareClassIsTried(t *testing.T) {
+	w := newWorld(heavy())
+	pool := w.pools[0]
+	ask := Ask{Class: "rare", Left: 400 * time.Millisecond, Target: time.Second}
+	for i := range 3 {
+		choice := pool.Choose(ask, start)
+		if choice.Server == nil {
+			t.Fatalf("request %d was refused: %s", i, choice.Refused)
+		}
+		pool.Begin(choice.Server, start)
+		pool.End(choice.Server, Ended{Class: "rare", Target: time.Second, Alone: true, Result: routing.ResultOK, Latency: 2 * time.Millisecond}, start)
+	}
+}
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -353,7 +353,7 @@
 // one more request of the rank.
 func (p *Pool) expect(s *Server, ask Ask, usual runs, warm bool, now time.Time) (float64, bool) {
 	run := usual.cold
-	if warm {
+	if warm || ask.Object == "" {
 		run = usual.warm
 	}
 	slow := max(1, s.slow)
