Lead callers to their own failure domain; look for a leader sooner after a start

Cause: after a loss of power on all VMs, entries waited up to 1.4 s for an election before any document was in force; half of the callers of a region used an entry across failure domains. The directory names the region's other entries only where the own failure domain has fewer than two.

--- a/internal/callerhttp/near.go
+++ b/internal/callerhttp/near.go
@@ -2,12 +2,12 @@
 
 import "github.com/heatherwood/heatherwood/internal/reducer"
 
-// fewEntries is the number of entries below which a region's list is filled up
-// from other regions, so that a caller has another one to try.
+// fewEntries is the number of entries below which a list is filled up from
+// farther away, so that a caller has another one to try.
 const fewEntries = 2
 
-// Near lists entries for callers of a failure domain: those of its region, its
-// own failure domain first, and those of other regions where the region has few.
+// Near lists entries for callers of a failure domain: its own, those of its
+// region where it has few, and those of other regions where the region has few.
 func Near(view *reducer.View, region, domain string, most int) []string {
 	if view == nil || !view.Ready {
 		return nil
@@ -24,9 +24,11 @@
 			far = append(far, d.Entries...)
 		}
 	}
-	entries := append(own, near...)
-	if len(entries) < fewEntries {
-		entries = append(entries, far...)
+	entries := own
+	for _, others := range [][]string{near, far} {
+		if len(entries) < fewEntries {
+			entries = append(entries, others...)
+		}
 	}
 	return entries[:min(most, len(entries))]
 }
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -124,10 +124,18 @@
 	}
 	s.savedIndex = s.log.last()
 	s.config, s.configIndex = s.log.config(s.log.last())
-	s.resetElection(now)
+	s.firstElection(now)
 	return s
 }
 
+// firstElection makes a replica that starts look for a leader sooner than one
+// that lost its leader: a live leader makes itself heard within its heartbeat,
+// and a pre-vote does not disturb it.
+func (s *State) firstElection(now time.Time) {
+	base := max(2*s.Settings.Heartbeat, s.Settings.Election/4)
+	s.electionDue = now.Add(base + time.Duration(s.random.Int64N(int64(2*base))))
+}
+
 // Config returns the replica set in use, which may not be committed yet.
 func (s *State) Config() Config { return s.config }
 
