--- /dev/null
+++ b/internal/ledger/edition_test.go
@@ -0,0 +1,111 @@
+package ledger
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/heatherwood/heatherwood/pkg/document"
+)
+
+func edition(number uint64, source string) Command {
+	return Command{Edition: &Edition{Number: number, Source: []byte(source), Parts: []Part{
+		{Section: document.SectionPlaces, Text: []byte("places of " + source)},
+		{Section: document.SectionRoutes, Text: []byte("routes of " + source)},
+	}}}
+}
+
+func TestEditions(t *testing.T) {
+	tests := map[string]struct {
+		commands []Command
+		last     EditionCode
+		held     string
+	}{
+		"first":                        {[]Command{edition(3, "a")}, EditionAccepted, "a"},
+		"higher":                       {[]Command{edition(3, "a"), edition(9, "b")}, EditionAccepted, "b"},
+		"sent again":                   {[]Command{edition(3, "a"), edition(3, "a")}, EditionHeld, "a"},
+		"other content, same number":   {[]Command{edition(3, "a"), edition(3, "b")}, EditionDifferent, "a"},
+		"overtaken":                    {[]Command{edition(3, "a"), edition(2, "b")}, EditionOlder, "a"},
+		"overtaken, then higher again": {[]Command{edition(3, "a"), edition(2, "b"), edition(4, "c")}, EditionAccepted, "c"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := New()
+			var result Result
+			for i, command := range test.commands {
+				result = s.Apply(Position{Term: 1, Index: uint64(i + 1)}, command)
+			}
+			if result.Edition.Code != test.last {
+				t.Errorf("outcome %d, want %d", result.Edition.Code, test.last)
+			}
+			held, _ := s.Section(EditionText)
+			routes, _ := s.Section(document.SectionRoutes)
+			if string(held.Text) != test.held || string(routes.Text) != "routes of "+test.held {
+				t.Errorf("holds edition %q with %q, want %q", held.Text, routes.Text, test.held)
+			}
+		})
+	}
+}
+
+func TestEditionSurvivesSnapshot(t *testing.T) {
+	s := New()
+	s.Apply(Position{Term: 1, Index: 1}, edition(7, "a"))
+	s.Apply(Position{Term: 1, Index: 2}, Command{Close: &Close{Closure: document.Closure{Kind: document.CloseDomain, Name: "a"}}})
+	data, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored, err := Restore(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result := restored.Apply(Position{Term: 1, Index: 3}, edition(7, "b")); result.Edition.Code != EditionDifferent {
+		t.Errorf("outcome %d after the restore, want %d", result.Edition.Code, EditionDifferent)
+	}
+	if len(restored.Closures) != 1 {
+		t.Errorf("closures %+v after the restore, want one", restored.Closures)
+	}
+}
+
+func TestClosures(t *testing.T) {
+	s := New()
+	domain := document.Closure{Kind: document.CloseDomain, Name: "a"}
+	server := document.Closure{Kind: document.CloseServer, Name: "s1", Start: 5}
+	steps := []struct {
+		change  Close
+		changed bool
+		has     string
+	}{
+		{Close{Closure: domain}, true, `name = 'a'`},
+		{Close{Closure: domain}, false, `name = 'a'`},
+		{Close{Closure: server}, true, `start = 5`},
+		{Close{Closure: domain, Open: true}, true, `name = 's1'`},
+		{Close{Closure: domain, Open: true}, false, `name = 's1'`},
+	}
+	for i, step := range steps {
+		result := s.Apply(Position{Term: 1, Index: uint64(i + 1)}, Command{Close: &step.change})
+		if result.Close.Changed != step.changed {
+			t.Errorf("step %d: changed %v, want %v", i, result.Close.Changed, step.changed)
+		}
+		section, _ := s.Section(document.SectionClosures)
+		if !strings.Contains(string(section.Text), step.has) {
+			t.Errorf("step %d: the section lacks %s:\n%s", i, step.has, section.Text)
+		}
+	}
+}
+
+func TestClosuresOfServersAreBounded(t *testing.T) {
+	s := New()
+	domain := document.Closure{Kind: document.CloseDomain, Name: "a"}
+	s.Apply(Position{Term: 1, Index: 1}, Command{Close: &Close{Closure: domain}})
+	for i := range maxServerClosures + 10 {
+		closure := document.Closure{Kind: document.CloseServer, Name: fmt.Sprint("s", i)}
+		s.Apply(Position{Term: 1, Index: uint64(i + 2)}, Command{Close: &Close{Closure: closure}})
+	}
+	if got := len(s.Closures); got != maxServerClosures+1 {
+		t.Errorf("%d closures are kept, want %d", got, maxServerClosures+1)
+	}
+	if s.Closures[0] != domain {
+		t.Error("the closure of a domain was dropped")
+	}
+}
