Queue at a server only what is answered within 1.5 targets; explain requests

Cause: in a burst beyond all slots each server kept three requests a slot waiting, and everything was answered late; refusing all that is expected late, tried before, also refused the cold runs that make copies on free servers.

--- a/cmd/heatherwood/main.go
+++ b/cmd/heatherwood/main.go
@@ -60,6 +60,7 @@
 	commands := make(map[string]command)
 	addServe(app, commands)
 	addPlatform(app, commands)
+	addExplain(app, commands)
 	addDemo(app, commands)
 	addCheck(app, commands)
 	addSection(app, commands)
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -84,9 +84,9 @@
 	slowMost        = 12.0 // ratio to the usual time that counts, at most
 	othersWeight    = 0.1
 	loadFade        = 1500 * time.Millisecond // after which half of what a server said of others' load counts
-	targetsWaited   = 100.0
-	shareOfLeft     = 0.9 // of the time left that the expected answer may take
-	objectsKept     = 64  // objects remembered for each server
+	queueTargets    = 1.5                     // targets within which the answer of a request that must wait at a server is expected, at most
+	shareOfLeft     = 0.9                     // of the time left that the expected answer may take
+	objectsKept     = 64                      // objects remembered for each server
 	objectKept      = 10 * time.Second
 	ordersKept      = 3   // servers in the order of an object that may get copies
 	defaultQueue    = 3.0 // requests that wait at a server for each slot, at most, for the most urgent rank
@@ -299,8 +299,7 @@
 // hopeless reports whether the answer would come too late. Nothing is known of a
 // class that was never measured here, so such a request is tried.
 func (p *Pool) hopeless(o option, ask Ask) bool {
-	limit := min(shareOfLeft*ask.Left.Seconds(), targetsWaited*ask.Target.Seconds())
-	return p.classes[ask.Class] != nil && o.expected > limit
+	return p.classes[ask.Class] != nil && o.expected > shareOfLeft*ask.Left.Seconds()
 }
 
 func (p *Pool) cost(o option, at int, usual runs, ask Ask) float64 {
@@ -362,6 +361,9 @@
 	expected := 2*p.way(s) + run*slow
 	if over := load + 1 - slots; over > 0 {
 		expected += over / slots * usual.warm * slow
+		if expected > queueTargets*ask.Target.Seconds() && ask.Object != "" {
+			return expected, false
+		}
 	}
 	if !warm && ask.Object != "" {
 		// A cold run takes the slots of several warm ones. Where all slots are in
--- /dev/null
+++ b/internal/reducer/fetch_test.go
@@ -0,0 +1,87 @@
+package reducer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/heatherwood/heatherwood/internal/ledger"
+	"github.com/heatherwood/heatherwood/internal/member"
+	"github.com/heatherwood/heatherwood/pkg/document"
+)
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func entryVM(t *testing.T) *State {
+	t.Helper()
+	s, err := New(Settings{VM: "a1", Peer: "a1:1", Entry: "a1:2", Domain: "a", Region: "north", Seeds: []string{"b1:1"}}, nil, begin)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// fetches returns where the VM asks for a document.
+func fetches(effects []Effect) []string {
+	var peers []string
+	for _, effect := range effects {
+		if transmit, ok := effect.(Transmit); ok && transmit.Message.Fetch != nil {
+			peers = append(peers, transmit.Peer)
+		}
+	}
+	return peers
+}
+
+// Who tells of a newer document is alive; the entries that its summaries name
+// may be dead.
+func TestNewerDocumentIsFetchedFromItsTeller(t *testing.T) {
+	s := entryVM(t)
+	gossip := member.Gossip{
+		From: member.VM{ID: "b2", Peer: "b2:1", Domain: "b", Document: 9},
+		Domains: []member.Domain{{
+			Name: "b", Version: 3, Document: 9,
+			Entries: []member.EntryRef{{ID: "b1", Peer: "dead:1"}, {ID: "b2", Peer: "b2:1"}},
+		}},
+	}
+	got := fetches(s.Apply(begin, Received{Message{Gossip: &gossip}}))
+	if len(got) != 1 || got[0] != "b2:1" {
+		t.Errorf("asked %v for the document, want the VM that told of it", got)
+	}
+}
+
+// A change that does not fit is fetched whole from the VM that sent it: the
+// leader that is known here may be gone.
+func TestChangeThatDoesNotFitIsFetchedFromItsSender(t *testing.T) {
+	s := entryVM(t)
+	spread := Spread{
+		From:     "c1:1",
+		Position: ledger.Position{Term: 2, Index: 9},
+		Before:   ledger.Position{Term: 2, Index: 8},
+		Sections: []SectionPatch{{Name: document.SectionRoutes, Base: 3, Version: 4}},
+	}
+	got := fetches(s.Apply(begin, Received{Message{Spread: &spread}}))
+	if len(got) != 1 || got[0] != "c1:1" {
+		t.Errorf("asked %v for the document, want the sender of the change", got)
+	}
+}
+
+// Entries of the log that are applied together reach other VMs as one change.
+func TestEntriesAppliedTogetherAreSpreadOnce(t *testing.T) {
+	s := entryVM(t)
+	s.ledger = ledger.New()
+	for i := range 20 {
+		command := ledger.Command{Close: &ledger.Close{Closure: document.Closure{Kind: document.CloseServer, Name: "s", Start: int64(i)}}}
+		data, err := ledger.Encode(command)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.applyCommand(ledger.Position{Term: 1, Index: uint64(i + 1)}, data)
+	}
+	if got := len(s.changedSections); got != 1 {
+		t.Errorf("%d sections wait to be spread, want the closures once", got)
+	}
+	for _, effect := range s.take() {
+		if _, ok := effect.(LoadDocument); ok {
+			t.Error("a document was loaded before the last entry was applied")
+		}
+	}
+}
