Let only the VM that hears a server judge its silence; keep the roster on disk

After a loss of all VMs, entries placed everything on the first servers that announced themselves. Ruled out: quarantine and ejection (no such lines in the logs of the entries). Change: a later sequence from elsewhere ends the own judgement; control VMs keep the roster in a file, and start with it. Test: a server that moves to another VM (declared silent after 6 s before).

--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -258,14 +258,8 @@
 		return fmt.Errorf("encode snapshot: %w", err)
 	}
 	name := snapshotName(save.Snapshot.Index)
-	if err := s.writeWhole(name+temporarySuffix, frame(payload)); err != nil {
-		return err
-	}
-	if err := s.files.Rename(name+temporarySuffix, name); err != nil {
-		return fmt.Errorf("rename snapshot: %w", err)
-	}
-	if err := s.files.SyncFolder(); err != nil {
-		return fmt.Errorf("sync data folder: %w", err)
+	if err := Replace(s.files, name, frame(payload)); err != nil {
+		return fmt.Errorf("write snapshot: %w", err)
 	}
 	if err := s.nextSegment(); err != nil {
 		return err
@@ -276,22 +270,6 @@
 	return s.removeOlder(name)
 }
 
-func (s *Store) writeWhole(name string, data []byte) error {
-	file, err := s.files.Create(name)
-	if err != nil {
-		return fmt.Errorf("create snapshot: %w", err)
-	}
-	if _, err := file.Write(data); err != nil {
-		file.Close()
-		return fmt.Errorf("write snapshot: %w", err)
-	}
-	if err := file.Sync(); err != nil {
-		file.Close()
-		return fmt.Errorf("sync snapshot: %w", err)
-	}
-	return file.Close()
-}
-
 func (s *Store) removeOlder(snapshot string) error {
 	names, err := s.files.Names()
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/heatherwood/heatherwood/internal/peerrpc"
 	"github.com/heatherwood/heatherwood/internal/quorum"
 	"github.com/heatherwood/heatherwood/internal/reducer"
+	"github.com/heatherwood/heatherwood/internal/roster"
 	"github.com/heatherwood/heatherwood/internal/settings"
 )
 
@@ -35,6 +36,7 @@
 	calls   calls
 	saver   *saver
 	loader  *loader
+	rosters *rosterFile // nil without a data folder
 	trail   *trail
 	tallies tallies
 	replica string // id of the control replica, empty for the VM's id
@@ -68,7 +70,14 @@
 	if err != nil {
 		return nil, err
 	}
-	n.state, err = reducer.New(n.reducerSettings(), restart, clk.Now())
+	var servers []roster.Record
+	n.rosters, servers, err = openRoster(n)
+	if err != nil {
+		return nil, err
+	}
+	start := n.reducerSettings()
+	start.Servers = servers
+	n.state, err = reducer.New(start, restart, clk.Now())
 	if err != nil {
 		return nil, eris.Wrap(err, "restore control state")
 	}
@@ -158,6 +167,9 @@
 	if n.saver != nil {
 		n.run(n.saver.run)
 	}
+	if n.rosters != nil {
+		n.run(n.rosters.run)
+	}
 	n.run(n.loader.run)
 	n.run(n.trail.run)
 	n.run(n.tick)
@@ -240,6 +252,8 @@
 		n.view.Store(e.View)
 	case reducer.Record:
 		n.trail.add(e.Entry)
+	case reducer.SaveRoster:
+		n.rosters.add(e.Records)
 	case reducer.Log:
 		n.logEvent(e)
 	case reducer.Decision:
--- a/internal/node/seat.go
+++ b/internal/node/seat.go
@@ -34,8 +34,8 @@
 		if !n.Settings.First || !original {
 			n.replica += "/" + uuid.NewString()
 		}
-		if err := writeSeat(folder, n.replica); err != nil {
-			return err
+		if err := disk.Replace(folder, seatFile, []byte(n.replica)); err != nil {
+			return fmt.Errorf("keep replica id: %w", err)
 		}
 	}
 	if n.replica != n.Settings.Peer {
@@ -44,26 +44,3 @@
 	}
 	return nil
 }
-
-func writeSeat(folder *disk.Folder, id string) error {
-	const temporary = seatFile + ".tmp"
-	file, err := folder.Create(temporary)
-	if err != nil {
-		return fmt.Errorf("create replica id: %w", err)
-	}
-	if _, err := file.Write([]byte(id)); err != nil {
-		file.Close()
-		return fmt.Errorf("write replica id: %w", err)
-	}
-	if err := file.Sync(); err != nil {
-		file.Close()
-		return fmt.Errorf("sync replica id: %w", err)
-	}
-	if err := file.Close(); err != nil {
-		return fmt.Errorf("close replica id: %w", err)
-	}
-	if err := folder.Rename(temporary, seatFile); err != nil {
-		return fmt.Errorf("rename replica id: %w", err)
-	}
-	return folder.SyncFolder()
-}
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -42,6 +42,7 @@
 	CodeSeats            Code = 1035
 	CodeReload           Code = 1036
 	CodeLogDropped       Code = 1037
+	CodeRosterLost       Code = 1038
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -90,6 +91,7 @@
 	{CodeSeats, "info", "leader changes the replica set"},
 	{CodeReload, "info", "settings read again"},
 	{CodeLogDropped, "warn", "log lines were dropped: the reader of standard output is slow"},
+	{CodeRosterLost, "warn", "roster of servers could not be kept or read; servers announce themselves anew"},
 }
 
 // Info returns the catalogue entry of a code.
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -7,6 +7,7 @@
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/plan"
 	"github.com/heatherwood/heatherwood/internal/quorum"
+	"github.com/heatherwood/heatherwood/internal/roster"
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
@@ -48,6 +49,10 @@
 	Count  int64
 }
 
+// SaveRoster keeps the records in the data folder, as well as that is possible
+// without waiting.
+type SaveRoster struct{ Records []roster.Record }
+
 // Decision is one log line about a request or a belief: what was decided, from
 // which inputs of which age or version.
 type Decision struct {
@@ -64,6 +69,7 @@
 	Value any
 }
 
+func (SaveRoster) reducerEffect()   {}
 func (Decision) reducerEffect()     {}
 func (Transmit) reducerEffect()     {}
 func (SaveLog) reducerEffect()      {}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -30,6 +30,7 @@
 	Control     bool             // this VM holds a control replica
 	Replica     string           // id of that replica; empty means VM
 	Seats       bool             // the replica set grows and mends itself
+	Servers     []roster.Record  // known before the start, from the data folder
 }
 
 func (s Settings) replica() quorum.ID {
@@ -72,8 +73,11 @@
 	runs    map[uint64]placedRun      // by ticket
 	tickets uint64
 	seats   seats.State
-	joinDue time.Time
-	entries int // entries known alive, this VM included
+
+	rosterDue  time.Time // next save of the roster
+	rosterHash uint64    // of the roster saved last
+	joinDue    time.Time
+	entries    int // entries known alive, this VM included
 
 	pending     map[uint64]pendingProposal
 	reads       map[uint64]pendingRead
@@ -157,6 +161,7 @@
 		started:   now,
 		now:       now,
 	}
+	s.roster.Restore(settings.Servers, settings.Domain, now)
 	if restart == nil {
 		return s, nil
 	}
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"time"
+
 	"github.com/heatherwood/heatherwood/internal/roster"
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
@@ -78,12 +80,32 @@
 func (s *State) tickRoster() {
 	s.roster.Tick(s.now)
 	s.serversChanged()
+	s.saveRoster()
 	if entries := s.countEntries(); entries != s.entries {
 		s.entries = entries
 		s.updatePlaces()
 	}
 }
 
+const rosterInterval = 2 * time.Second // between saves, which cost a sync each
+
+// saveRoster keeps what changed in the roster, on VMs with a data folder.
+func (s *State) saveRoster() {
+	if !s.Settings.Control || s.now.Before(s.rosterDue) {
+		return
+	}
+	s.rosterDue = s.now.Add(rosterInterval)
+	hash := uint64(0)
+	for _, digest := range s.roster.Digests() {
+		hash += digest.Hash
+	}
+	if hash == s.rosterHash {
+		return
+	}
+	s.rosterHash = hash
+	s.emit(SaveRoster{Records: s.roster.Live(s.now)})
+}
+
 // countEntries counts the VMs that may send requests to servers.
 func (s *State) countEntries() int {
 	count := 0
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -144,8 +144,10 @@
 	e := s.Entries[at]
 	before := e.Record
 	coldBefore := e.ColdUntil
+	// Who told of a later sequence hears the server; this VM judges its silence no
+	// longer, until the server announces itself here again.
+	e.direct = time.Time{}
 	if before.Start != r.Start {
-		e.direct = time.Time{}
 		e.ColdUntil = time.Time{}
 	}
 	e.Record = r
@@ -290,6 +292,28 @@
 	return differing
 }
 
+// Live returns the records of servers that did not end.
+func (s *State) Live(now time.Time) []Record {
+	var records []Record
+	for _, e := range s.Entries {
+		if !e.Gone {
+			records = append(records, e.sent(now))
+		}
+	}
+	return records
+}
+
+// Restore takes records kept from before a start. Those of the own failure domain
+// count as announced now, so that servers that ended meanwhile go silent.
+func (s *State) Restore(records []Record, domain string, now time.Time) {
+	for _, r := range records {
+		if s.take(r, now) && r.Domain == domain {
+			s.Find(r.ID).direct = now
+		}
+	}
+	s.news = nil
+}
+
 // Of returns the records of a failure domain, those that ended included.
 func (s *State) Of(domain string, now time.Time) []Record {
 	var records []Record
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -134,3 +134,52 @@
 		t.Errorf("a server that is cold again is no news: %+v", news)
 	}
 }
+
+// Servers kept from before a start are used at once, and go silent unless they
+// announce themselves again.
+func TestRestoredServers(t *testing.T) {
+	var before, after State
+	before.Announce(record("s1", 5, 3), now)
+	other := record("s2", 6, 3)
+	other.Address = "10.0.0.2:80"
+	before.Announce(other, now)
+	after.Restore(before.Live(now), "a", now)
+	if len(after.Entries) != 2 || after.Find("s1").Silent {
+		t.Fatalf("restored %+v", after.Of("a", now))
+	}
+	if news := after.TakeNews(); news != nil {
+		t.Errorf("restored records are no news: %+v", news)
+	}
+	later := now.Add(SilentAfter)
+	after.Announce(record("s1", 5, 9), later)
+	after.Tick(later)
+	if after.Find("s1").Silent || !after.Find("s2").Silent {
+		t.Errorf("after the wait: %+v", after.Of("a", later))
+	}
+}
+
+// A server that announces itself at another VM is not declared silent by the one
+// that heard it before.
+func TestServerMovesToAnotherVM(t *testing.T) {
+	var first, second State
+	exchange := func(now time.Time) {
+		for range 3 {
+			second.Merge(first.TakeNews(), now)
+			first.Merge(second.TakeNews(), now)
+		}
+	}
+	first.Announce(record("s1", 5, 1), now)
+	exchange(now)
+	for sequence := uint64(2); sequence < 40; sequence++ {
+		at := now.Add(time.Duration(sequence) * 1500 * time.Millisecond)
+		second.Announce(record("s1", 5, sequence), at)
+		for range 10 {
+			first.Tick(at)
+			second.Tick(at)
+			exchange(at)
+		}
+		if first.Find("s1").Silent || second.Find("s1").Silent {
+			t.Fatalf("the server is silent %v after it moved, although it announces itself", at.Sub(now))
+		}
+	}
+}
