Notice servers that fell silent; short dials; deadlines count as deadlines

Cause: a read deadline on the caller's connection ended requests in the moment of their own deadline, so servers that answered nothing counted as callers that left and were never ejected; a dial to a VM without power held a request for 2 s. Change: a server that answers nothing for longer than a cold run and half of the target gets nothing new; dials take 400 ms at most. Test: servers that go without a word (placing load test).

--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -31,6 +31,7 @@
 	maxTimeout        = 10 * time.Minute
 	holdAfterDeadline = 5 * time.Second // a claim stays held after the deadline
 	writeGrace        = 30 * time.Second
+	readGrace         = time.Second // so that the request's own deadline ends it, and not a failed read
 	retryWhenStarting = time.Second
 )
 
@@ -44,7 +45,7 @@
 // NewRelay returns a Relay with a connection pool for each backend server.
 func NewRelay(n *node.Node, dialect Dialect) *Relay {
 	const (
-		dialTimeout = 2 * time.Second
+		dialTimeout = 400 * time.Millisecond // several round trips between the farthest regions
 		idlePerHost = 64
 	)
 	return &Relay{
@@ -125,7 +126,7 @@
 // limitTime keeps slow callers from holding a connection for ever.
 func (in *inbound) limitTime() {
 	control := http.NewResponseController(in.writer)
-	control.SetReadDeadline(in.deadline)
+	control.SetReadDeadline(in.deadline.Add(readGrace))
 	control.SetWriteDeadline(in.deadline.Add(writeGrace))
 }
 
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -144,6 +144,8 @@
 // brokenResult tells why an answer did not come whole.
 func (in *inbound) brokenResult(ctx context.Context) routing.Result {
 	switch {
+	case !in.relay.Node.Clock.Now().Before(in.deadline):
+		return routing.ResultLate
 	case in.base.Err() != nil:
 		return routing.ResultCancelled
 	case ctx.Err() != nil:
--- a/internal/placing/load_test.go
+++ b/internal/placing/load_test.go
@@ -155,3 +155,25 @@
 		pool.End(choice.Server, Ended{Class: "rare", Target: time.Second, Alone: true, Result: routing.ResultOK, Latency: 2 * time.Millisecond}, start)
 	}
 }
+
+// A server that is gone without a word gets no more than a few requests of each
+// entry.
+func TestServerGoneWithoutAWord(t *testing.T) {
+	l := heavy()
+	l.rate = func(time.Duration) float64 { return 200 }
+	l.at = map[time.Duration]func(*world){10 * time.Second: func(w *world) {
+		for i, s := range w.servers {
+			s.dark = i%5 == 0
+		}
+	}}
+	w := newWorld(l)
+	w.play()
+	first, after := w.between(10, 13), w.between(13, 30)
+	t.Logf("when they go %+v, later %+v", first, after)
+	if lost := float64(after.failed) / float64(after.asked); lost > 0.02 {
+		t.Errorf("%.3f of the later requests got no answer, want at most 0.02", lost)
+	}
+	if after.share() < 0.85 {
+		t.Errorf("%.2f of the later callers were answered in target, want 0.85", after.share())
+	}
+}
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -89,6 +89,8 @@
 	objectsKept     = 64                      // objects remembered for each server
 	objectKept      = 10 * time.Second
 	ordersKept      = 3   // servers in the order of an object that may get copies
+	unheardRuns     = 1.3 // cold runs without any answer after which a server gets nothing new
+	minPatience     = 500 * time.Millisecond
 	defaultQueue    = 3.0 // requests that wait at a server for each slot, at most, for the most urgent rank
 	queueStep       = 0.5 // fewer for each less urgent rank
 	minQueue        = 0.5
@@ -138,9 +140,10 @@
 	others     float64
 	othersAt   time.Time
 	othersMean float64
-	slow       float64 // moving average of the ratio to the usual time
-	failing    float64 // share of failed answers, moving average
-	failures   int     // in a row
+	slow       float64   // moving average of the ratio to the usual time
+	quietSince time.Time // last answer, or the first send since nothing ran
+	failing    float64   // share of failed answers, moving average
+	failures   int       // in a row
 	ejections  int
 	ejected    time.Time // until then
 	probing    bool
@@ -254,7 +257,7 @@
 	var best, any option
 	candidates, soonest := 0, math.Inf(1)
 	for _, s := range p.Servers {
-		if !s.usable(ask, now) {
+		if !s.usable(ask, now) || s.unheard(usual, ask, now) {
 			continue
 		}
 		candidates++
@@ -343,6 +346,13 @@
 		!slices.Contains(ask.Exclude, s.ID)
 }
 
+// unheard reports whether the server answered nothing for longer than any run
+// that waited should take: it may be gone without a word.
+func (s *Server) unheard(usual runs, ask Ask, now time.Time) bool {
+	patience := seconds(unheardRuns*usual.cold) + ask.Target/2
+	return s.running > 0 && now.Sub(s.quietSince) > max(patience, minPatience)
+}
+
 func (s *Server) knows(object string, now time.Time) bool {
 	at, found := s.objects[object]
 	return found && now.Sub(at) < objectKept
@@ -420,6 +430,9 @@
 
 // Begin notes that a request goes to the server.
 func (p *Pool) Begin(s *Server, now time.Time) {
+	if s.running == 0 {
+		s.quietSince = now
+	}
 	s.running++
 	if now.Before(s.ColdUntil) && p.Policy.ColdRate > 0 {
 		s.nextCold = now.Add(seconds(1 / p.Policy.ColdRate))
@@ -441,6 +454,9 @@
 func (p *Pool) End(s *Server, e Ended, now time.Time) {
 	s.running = max(0, s.running-1)
 	s.hear(e.Load, now)
+	if e.Result == routing.ResultOK || e.Result == routing.ResultError || e.Result == routing.ResultShed {
+		s.quietSince = now
+	}
 	switch e.Result {
 	case routing.ResultOK:
 		p.learn(s, e, now)
--- a/internal/placing/world_test.go
+++ b/internal/placing/world_test.go
@@ -54,7 +54,8 @@
 	waiting []func()
 	warm    []string // least recently used first
 	slow    float64
-	down    bool
+	down    bool // refuses connections
+	dark    bool // says nothing any more
 }
 
 func site(domain int) Site {
@@ -194,6 +195,8 @@
 
 func (s *fakeServer) take(object string, end func(routing.Result, Load)) {
 	switch {
+	case s.dark:
+		s.world.time.After(s.world.timeout, func() { end(routing.ResultLate, Load{}) })
 	case s.down:
 		end(routing.ResultNoDial, Load{})
 	case s.running < s.Slots:
