Spare servers of a failure domain that is opened, and those that were down

Change: an opening is noted with its time; from then, or from a start soon after it, and after a refused connection, a server counts as cold for 2 s.

--- a/internal/ledger/edition.go
+++ b/internal/ledger/edition.go
@@ -91,11 +91,12 @@
 	}
 	if change.Open {
 		s.Closures = slices.Delete(s.Closures, at, at+1)
+		s.reopen(change.Closure)
 	} else {
 		s.Closures = append(s.Closures, change.Closure)
 		s.boundClosures()
 	}
-	text, err := toml.Marshal(document.Closures{Closures: s.Closures})
+	text, err := toml.Marshal(document.Closures{Closures: s.Closures, Reopened: s.Reopened})
 	if err != nil {
 		// Closures hold strings and integers only, which always encode.
 		panic(fmt.Sprintf("encode closures: %v", err))
@@ -105,6 +106,15 @@
 	return CloseResult{Changed: true}
 }
 
+// reopen notes when a failure domain was opened.
+func (s *State) reopen(closure document.Closure) {
+	if closure.Kind != document.CloseDomain {
+		return
+	}
+	s.Reopened = slices.DeleteFunc(s.Reopened, func(r document.Reopened) bool { return r.Name == closure.Name })
+	s.Reopened = append(s.Reopened, document.Reopened{Name: closure.Name, At: s.Now.UnixMilli()})
+}
+
 func (s *State) boundClosures() {
 	servers := 0
 	for _, closure := range s.Closures {
--- a/internal/ledger/edition_test.go
+++ b/internal/ledger/edition_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
@@ -109,3 +110,15 @@
 		t.Error("the closure of a domain was dropped")
 	}
 }
+
+func TestReopenedDomainsAreNoted(t *testing.T) {
+	s := New()
+	domain := document.Closure{Kind: document.CloseDomain, Name: "a"}
+	for i, open := range []bool{false, true, false, true} {
+		at := time.UnixMilli(int64(1000 * (i + 1)))
+		s.Apply(Position{Term: 1, Index: uint64(i + 1)}, Command{At: at, Close: &Close{Closure: domain, Open: open}})
+	}
+	if len(s.Reopened) != 1 || s.Reopened[0] != (document.Reopened{Name: "a", At: 4000}) {
+		t.Errorf("reopened %+v, want the last time only", s.Reopened)
+	}
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -89,6 +89,7 @@
 	Anchors  []Anchor
 	Edition  Edition // newest whole document, without its sections
 	Closures []document.Closure
+	Reopened []document.Reopened // one for each failure domain
 
 	changeIndex map[string]int
 	claims      claimTable
--- a/internal/placing/load_test.go
+++ b/internal/placing/load_test.go
@@ -177,3 +177,54 @@
 		t.Errorf("%.2f of the later callers were answered in target, want 0.85", after.share())
 	}
 }
+
+// The rate of a cold server holds over all entries, in every second.
+func TestColdServersAreSpared(t *testing.T) {
+	l := heavy()
+	const allowed = 17 // requests in one second
+	l.coldRate = 1 / 1.02
+	l.at = map[time.Duration]func(*world){10 * time.Second: func(w *world) {
+		for i, s := range w.servers {
+			if i%4 == 0 {
+				s.ColdUntil = w.time.Now().Add(3 * time.Second)
+				s.warm = nil
+			}
+		}
+		w.announce()
+	}}
+	w := newWorld(l)
+	w.play()
+	if w.coldMost > allowed {
+		t.Errorf("a cold server got %d requests in one second, want at most %d", w.coldMost, allowed)
+	}
+	if w.coldMost == 0 {
+		t.Error("cold servers got nothing at all")
+	}
+}
+
+// A server that was down may come back cold before it can say so.
+func TestServerThatWasDownIsSpared(t *testing.T) {
+	p := NewPool(Policy{Service: "web", ColdRate: 1}, site(0))
+	p.Update([]Seen{{ID: "s1", Address: "a", Start: 1, Slots: 9, Site: site(0)}})
+	ask := Ask{Class: "page", Object: "o", Left: 10 * time.Second, Target: 10 * time.Second}
+	send := func(now time.Time, result routing.Result) bool {
+		choice := p.Choose(ask, now)
+		if choice.Server == nil {
+			return false
+		}
+		p.Begin(choice.Server, now)
+		p.End(choice.Server, Ended{Class: "page", Result: result}, now)
+		return true
+	}
+	send(start, routing.ResultNoDial)
+	back := start.Add(ejectMost)
+	sent := 0
+	for i := range 100 {
+		if send(back.Add(time.Duration(i)*10*time.Millisecond), routing.ResultOK) {
+			sent++
+		}
+	}
+	if sent > 2 {
+		t.Errorf("%d requests in the second after it came back, want at most 2", sent)
+	}
+}
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -88,8 +88,9 @@
 	shareOfLeft     = 0.9                     // of the time left that the expected answer may take
 	objectsKept     = 64                      // objects remembered for each server
 	objectKept      = 10 * time.Second
-	ordersKept      = 3   // servers in the order of an object that may get copies
-	unheardRuns     = 1.3 // cold runs without any answer after which a server gets nothing new
+	ordersKept      = 3               // servers in the order of an object that may get copies
+	presumedCold    = 2 * time.Second // the usual time between announcements, and the way of the news
+	unheardRuns     = 1.3             // cold runs without any answer after which a server gets nothing new
 	minPatience     = 500 * time.Millisecond
 	defaultQueue    = 3.0 // requests that wait at a server for each slot, at most, for the most urgent rank
 	queueStep       = 0.5 // fewer for each less urgent rank
@@ -147,6 +148,8 @@
 	ejections  int
 	ejected    time.Time // until then
 	probing    bool
+	wasDown    bool      // refused connections since its last answer
+	presumed   time.Time // thought to be cold until then
 	nextCold   time.Time
 	objects    map[string]time.Time // last good answer
 }
@@ -244,7 +247,7 @@
 	}
 	var all, near places
 	for _, s := range p.Servers {
-		if s.Closed || now.Before(s.ColdUntil) || !ask.allowed(s.Region) {
+		if s.Closed || s.isCold(now) || !ask.allowed(s.Region) {
 			continue
 		}
 		order := order(object, s.hash)
@@ -341,7 +344,7 @@
 	return !s.Closed &&
 		!now.Before(s.ejected) &&
 		!(s.probing && s.running > 0) &&
-		!(now.Before(s.ColdUntil) && now.Before(s.nextCold)) &&
+		!(s.isCold(now) && now.Before(s.nextCold)) &&
 		ask.allowed(s.Region) &&
 		!slices.Contains(ask.Exclude, s.ID)
 }
@@ -434,11 +437,18 @@
 		s.quietSince = now
 	}
 	s.running++
-	if now.Before(s.ColdUntil) && p.Policy.ColdRate > 0 {
-		s.nextCold = now.Add(seconds(1 / p.Policy.ColdRate))
+	if s.isCold(now) && p.Policy.ColdRate > 0 {
+		s.paceCold(p.Policy.ColdRate, now)
 	}
 }
 
+// isCold reports whether the server says, or may be thought, that it is cold.
+func (s *Server) isCold(now time.Time) bool {
+	return now.Before(s.ColdUntil) || now.Before(s.presumed)
+}
+
+func (s *Server) paceCold(rate float64, now time.Time) { s.nextCold = now.Add(seconds(1 / rate)) }
+
 // Ended is how a request on a server ended.
 type Ended struct {
 	Class   string
@@ -461,6 +471,7 @@
 	case routing.ResultOK:
 		p.learn(s, e, now)
 		s.failures, s.ejections, s.probing = 0, 0, false
+		p.returned(s, now)
 		s.failing -= failWeight * s.failing
 	case routing.ResultError, routing.ResultBroken:
 		s.failing += failWeight * (1 - s.failing)
@@ -471,6 +482,7 @@
 		s.others, s.othersAt = max(s.others, float64(s.Slots)*(1+defaultQueue)), now
 		s.probing = false
 	case routing.ResultNoDial:
+		s.wasDown = true
 		s.fail(now, 1)
 	case routing.ResultLate:
 		s.fail(now, failuresToEject)
@@ -478,6 +490,16 @@
 	}
 }
 
+// returned holds a server that was down to the rate of a cold one until it has
+// announced itself: it may have started anew.
+func (p *Pool) returned(s *Server, now time.Time) {
+	if s.wasDown && p.Policy.ColdRate > 0 {
+		s.presumed = now.Add(presumedCold)
+		s.paceCold(p.Policy.ColdRate, now)
+	}
+	s.wasDown = false
+}
+
 func (s *Server) hear(load Load, now time.Time) {
 	if !load.Known {
 		return
@@ -496,7 +518,7 @@
 			s.forgetOldest()
 		}
 	}
-	if !e.Alone || now.Before(s.ColdUntil) {
+	if !e.Alone || s.isCold(now) {
 		return
 	}
 	run := max(e.Latency.Seconds()-2*p.way(s), 0.001)
--- a/internal/placing/world_test.go
+++ b/internal/placing/world_test.go
@@ -27,6 +27,7 @@
 	regionWay time.Duration // one way between regions
 	length    time.Duration
 	seed      uint64
+	coldRate  float64 // of one entry to a cold server
 	at        map[time.Duration]func(w *world)
 }
 
@@ -45,6 +46,8 @@
 	periods []tally // by second of arrival
 	regions []tally // by region of the entry
 	colds   int
+
+	coldMost int // requests that a cold server got within one second
 }
 
 type fakeServer struct {
@@ -54,8 +57,10 @@
 	waiting []func()
 	warm    []string // least recently used first
 	slow    float64
-	down    bool // refuses connections
-	dark    bool // says nothing any more
+
+	arrivals []time.Time // of the last second, while cold
+	down     bool        // refuses connections
+	dark     bool        // says nothing any more
 }
 
 func site(domain int) Site {
@@ -76,7 +81,7 @@
 		}
 	}
 	for i := range l.entries {
-		pool := NewPool(Policy{Service: "web"}, site(i%len(l.domains)))
+		pool := NewPool(Policy{Service: "web", ColdRate: l.coldRate}, site(i%len(l.domains)))
 		w.pools = append(w.pools, pool)
 	}
 	w.announce()
@@ -162,7 +167,10 @@
 			})
 		})
 	}
-	w.time.After(way, func() { server.take(object, end) })
+	w.time.After(way, func() {
+		server.countCold()
+		server.take(object, end)
+	})
 }
 
 func (w *world) server(id string) *fakeServer {
@@ -191,6 +199,17 @@
 	return sum
 }
 
+// countCold notes what a cold server gets within one second.
+func (s *fakeServer) countCold() {
+	now := s.world.time.Now()
+	if !now.Before(s.ColdUntil) {
+		return
+	}
+	s.arrivals = slices.DeleteFunc(s.arrivals, func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	s.arrivals = append(s.arrivals, now)
+	s.world.coldMost = max(s.world.coldMost, len(s.arrivals))
+}
+
 const queuePerSlot = 3
 
 func (s *fakeServer) take(object string, end func(routing.Result, Load)) {
--- a/internal/reducer/fetch_test.go
+++ b/internal/reducer/fetch_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/member"
+	"github.com/heatherwood/heatherwood/internal/roster"
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
@@ -85,3 +86,33 @@
 		}
 	}
 }
+
+// Servers of a failure domain that is opened may be cold; they are spared until
+// they announce themselves, also by a VM that started meanwhile.
+func TestReopenedDomainCountsAsCold(t *testing.T) {
+	record := roster.Record{ID: "s1", Service: "web", Address: "10.0.0.1:80", Domain: "b", Slots: 4, Start: 5, Sequence: 1}
+	reopened := document.Closures{Reopened: []document.Reopened{{Name: "b", At: begin.UnixMilli()}}}
+	tests := map[string]struct {
+		before *document.Document
+		age    time.Duration
+		cold   bool
+	}{
+		"seen to open":             {&document.Document{}, time.Hour, true},
+		"opened before":            {&document.Document{Closures: reopened}, time.Second, false},
+		"started just after":       {nil, time.Second, true},
+		"started long after":       {nil, time.Hour, false},
+		"started, clock is behind": {nil, -2 * time.Second, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := entryVM(t)
+			s.roster.Announce(record, begin)
+			s.document = test.before
+			s.now = begin.Add(test.age)
+			s.presumeCold(reopened)
+			if cold := s.now.Before(s.roster.Find("s1").ColdUntil); cold != test.cold {
+				t.Errorf("cold %v, want %v", cold, test.cold)
+			}
+		})
+	}
+}
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/dispatch"
@@ -268,6 +269,27 @@
 	s.updatePlaces()
 }
 
+// A failure domain that was opened may have cold servers, which say so with their
+// next announcement.
+const (
+	presumedCold = 2 * time.Second // the usual time between announcements, and the way of the news
+	reopenedAge  = 8 * time.Second // for a VM that starts: presumedCold, and clocks that differ by seconds
+)
+
+// presumeCold holds servers of failure domains that a new document opens to the
+// rate of cold ones. A VM that starts has seen no opening and goes by its time.
+func (s *State) presumeCold(closures document.Closures) {
+	for _, reopened := range closures.Reopened {
+		lately := s.document == nil && s.now.Sub(time.UnixMilli(reopened.At)).Abs() < reopenedAge
+		if s.document != nil {
+			lately = !slices.Contains(s.document.Closures.Reopened, reopened)
+		}
+		if lately {
+			s.roster.PresumeCold(reopened.Name, s.now.Add(presumedCold))
+		}
+	}
+}
+
 // updatePlaces gives each pool the servers that may be used.
 func (s *State) updatePlaces() {
 	if s.document == nil || s.Settings.Entry == "" {
--- a/internal/reducer/spread.go
+++ b/internal/reducer/spread.go
@@ -189,6 +189,7 @@
 		return
 	}
 	s.loadedAt = e.Position
+	s.presumeCold(e.Document.Closures)
 	s.document, s.blocks = e.Document, e.Blocks
 	s.members.Self.Document = e.Position.Index
 	s.log(CodeDocumentInForce, "", int64(e.Position.Index))
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -292,6 +292,17 @@
 	return differing
 }
 
+// PresumeCold makes the servers of a failure domain count as cold until then, as
+// far as they did not say otherwise.
+func (s *State) PresumeCold(domain string, until time.Time) {
+	for _, e := range s.Entries {
+		if e.Domain == domain && e.ColdUntil.Before(until) {
+			e.ColdUntil = until
+			s.Changed = true
+		}
+	}
+}
+
 // Live returns the records of servers that did not end.
 func (s *State) Live(now time.Time) []Record {
 	var records []Record
--- a/pkg/document/routes.go
+++ b/pkg/document/routes.go
@@ -59,7 +59,15 @@
 // Closures holds what must get no new work until it is opened again. It is
 // written by calls, not by a team.
 type Closures struct {
-	Closures []Closure `toml:"closure"`
+	Closures []Closure  `toml:"closure"`
+	Reopened []Reopened `toml:"reopened"`
+}
+
+// Reopened tells when a failure domain was opened again: its servers may have
+// turned cold while they got nothing.
+type Reopened struct {
+	Name string `toml:"name"`
+	At   int64  `toml:"at"` // milliseconds since 1970, by the clock of the leader
 }
 
 // Closure keeps new work from a failure domain or from one start of a backend
