--- a/cmd/heatherwood/serve.go
+++ b/cmd/heatherwood/serve.go
@@ -43,6 +43,7 @@
 	if err != nil || level == "" {
 		parsed = zerolog.InfoLevel
 	}
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	return zerolog.New(w).Level(parsed).With().Timestamp().Logger()
 }
 
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -40,19 +40,16 @@
 // around is how long before the end of a request a changed belief may matter.
 const around = 15 * time.Second
 
-// maxLine bounds one line of a log.
-const maxLine = 1 << 20
-
 // Read finds a request in logs. Lines that are not in the system's format are
 // skipped.
 func Read(request string, logs ...io.Reader) (Report, error) {
 	r := Report{Request: request}
 	var beliefs []Line
 	for _, log := range logs {
-		scanner := bufio.NewScanner(log)
-		scanner.Buffer(make([]byte, 0, 64<<10), maxLine)
-		for scanner.Scan() {
-			line, ok := parse(scanner.Bytes())
+		reader := bufio.NewReader(log)
+		for {
+			text, err := reader.ReadBytes('\n')
+			line, ok := parse(text)
 			switch {
 			case !ok:
 			case line.Request == request:
@@ -60,9 +57,12 @@
 			case line.Request == "" && !slices.Contains(quiet, line.Event):
 				beliefs = append(beliefs, line)
 			}
-		}
-		if err := scanner.Err(); err != nil {
-			return Report{}, fmt.Errorf("read log: %w", err)
+			if errors.Is(err, io.EOF) {
+				break
+			}
+			if err != nil {
+				return Report{}, fmt.Errorf("read log: %w", err)
+			}
 		}
 	}
 	if len(r.Lines) == 0 {
@@ -140,7 +140,7 @@
 		case event(reducer.CodeNotPlaced):
 			refused = line
 		case event(reducer.CodeSendFailed):
-			failed = line
+			failed, refused = line, nil
 		case event(reducer.CodePlaced):
 			sent = line
 		case event(reducer.CodeRequestEnded):
@@ -154,7 +154,10 @@
 		return "its end is not logged: the VM died or its last lines were lost"
 	case ended.number("status") < 400 && ended.number("status") > 0:
 		return r.answered(ended, sent, failed)
-	case refused != nil && (failed == nil || refused.At.After(failed.At)):
+	case refused != nil && failed != nil:
+		return fmt.Sprintf("the send to server %s ended %s after %.0f ms (%s); then %s",
+			failed.text("server"), failed.Outcome, failed.number("took_ms"), orNone(failed.text("why")), refusal(refused))
+	case refused != nil:
 		return refusal(refused)
 	case failed != nil:
 		return fmt.Sprintf("the send to server %s ended %s after %.0f ms (%s); then: %s",
