--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -166,6 +167,10 @@
 		in.refuse(http.StatusNotImplemented, "upgrade", "protocol upgrades are not relayed", 0)
 		return false
 	}
+	if !in.headerFits() {
+		in.refuse(http.StatusRequestHeaderFieldsTooLarge, "header-too-large", "the header is larger than allowed", 0)
+		return false
+	}
 	if in.route = in.view.Document.Routes.Match(in.request.Host, in.request.URL.Path); in.route != nil {
 		return in.recogniseRoute()
 	}
@@ -247,7 +252,7 @@
 	if in.rule.Once {
 		limit = maxOnceBytes
 	}
-	if in.request.ContentLength > maxBodyBytes || (in.rule.Once && in.request.ContentLength > maxOnceBytes) {
+	if in.request.ContentLength > in.maxBody() || (in.rule.Once && in.request.ContentLength > maxOnceBytes) {
 		in.refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body is larger than allowed", 0)
 		return false
 	}
@@ -258,20 +263,50 @@
 	http.NewResponseController(in.writer).SetReadDeadline(in.deadline)
 	prefix, err := io.ReadAll(io.LimitReader(in.request.Body, limit+1))
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		in.refuse(http.StatusRequestTimeout, "body-late", "the body did not arrive in time", 0)
+		return false
 	case err != nil:
 		in.refuse(http.StatusBadRequest, "body-cut", "the body ended early", 0)
 		return false
+	case int64(len(prefix)) > in.maxBody():
+		in.refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body is larger than allowed", 0)
+		return false
 	case int64(len(prefix)) <= limit:
 		in.prefix, in.whole = prefix, true
 	case in.rule.Once:
 		in.refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body is larger than allowed", 0)
 		return false
 	default:
-		in.prefix, in.rest = prefix, http.MaxBytesReader(in.writer, in.request.Body, maxBodyBytes)
+		in.prefix, in.rest = prefix, http.MaxBytesReader(in.writer, in.request.Body, in.maxBody()-int64(len(prefix)))
 	}
 	return true
 }
 
+// maxBody bounds the body by the document, which may set less than the entry.
+func (in *inbound) maxBody() int64 {
+	if limit := in.view.Document.Routes.Limits.Body; limit > 0 {
+		return min(limit, maxBodyBytes)
+	}
+	return maxBodyBytes
+}
+
+// headerFits reports whether the header is within the document's bound.
+func (in *inbound) headerFits() bool {
+	limit := in.view.Document.Routes.Limits.Header
+	if limit <= 0 {
+		return true
+	}
+	const line = len(": \r\n")
+	size := int64(len(in.request.Method) + len(in.request.RequestURI) + len(in.request.Host) + 2*line)
+	for name, values := range in.request.Header {
+		for _, value := range values {
+			size += int64(len(name) + len(value) + line)
+		}
+	}
+	return size <= limit
+}
+
 func (in *inbound) relayRequest() *relay.Request {
 	fingerprint := in.digest()
 	request := &relay.Request{
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -419,7 +419,7 @@
 	if s.othersAt.IsZero() {
 		return float64(s.running)
 	}
-	fresh := math.Exp2(-float64(now.Sub(s.othersAt)) / float64(loadFade))
+	fresh := float64(loadFade) / float64(loadFade+now.Sub(s.othersAt))
 	return float64(s.running) + s.others*fresh + s.othersMean*(1-fresh)
 }
 
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -92,7 +92,7 @@
 		Left:     r.Deadline.Sub(s.now),
 		Target:   r.Target.Sub(s.now),
 		Exclude:  ask.Exclude,
-		Allowed:  r.Route.AllowedIn,
+		Allowed:  allowed(r.Route),
 		Fallback: ask.Fingerprint ^ uint64(len(s.requests)),
 	}, s.now)
 	if choice.Server == nil {
@@ -130,6 +130,14 @@
 	}}
 }
 
+// allowed is nil for a route that may run everywhere, which costs nothing to ask.
+func allowed(route *document.Route) func(region string) bool {
+	if len(route.Regions) == 0 {
+		return nil
+	}
+	return route.AllowedIn
+}
+
 const (
 	barredRetry    = 30 * time.Second
 	suspectedRetry = 500 * time.Millisecond // the run under way has shown by then whether it crashes its server
