--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,7 +155,11 @@
 
 // Start listens for peers and begins to tick.
 func (n *Node) Start() error {
-	listener, err := net.Listen("tcp", n.Settings.Peer)
+	address := n.Settings.Peer
+	if n.Settings.Listen != "" {
+		address = n.Settings.Listen
+	}
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
