Never promise "not run" after a send that may have run

Cause: a repeatable request whose first server broke off was tried again, found no server and was refused with 503, which promises that it did not run. Change: after a send that may have run, a refusal has the status 502, also when the VM stops meanwhile. Test: four ways to such a refusal; all had 503 before.

--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -83,6 +83,7 @@
 	server   string
 	domain   string
 	status   int
+	sent     bool // something went to a server
 }
 
 // ServeHTTP implements http.Handler.
@@ -386,6 +387,7 @@
 			step, err = exchange.Ask(ctx, *step.Ask)
 		case step.Send != nil:
 			in.server, in.domain = step.Send.Server, step.Send.Domain
+			in.sent = true
 			in.countSend()
 			step, err, ended = in.send(ctx, step.Send)
 			if ended {
@@ -419,6 +421,15 @@
 		key := ledger.Key{Service: in.service.Name, Key: in.request.Header.Get(problem.HeaderKey)}
 		in.relay.Node.Record(ledger.Command{Release: &ledger.Release{Key: key, Attempt: in.id}})
 	}
+	if in.sent {
+		in.fail(&relay.Problem{
+			Status: http.StatusBadGateway,
+			Reason: "stopping",
+			Detail: "the VM stopped before the end of the request was known",
+			Run:    relay.RunUnknown,
+		})
+		return
+	}
 	reason, detail := "deadline", "the deadline passed before a slot was free"
 	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		reason, detail = "cancelled", "the request was cancelled"
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -341,11 +341,25 @@
 	return step
 }
 
+// promisesNotRun reports whether callers take the status for a promise that the
+// request did not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
 func (r *Request) refuse(status int, reason, detail string, retryAfter time.Duration) Step {
 	r.phase = phaseDone
 	run := RunNo
 	if r.ran {
 		run = RunUnknown
+		if promisesNotRun(status) {
+			status = http.StatusBadGateway
+		}
 	}
 	return Step{Refuse: &Problem{Status: status, Reason: reason, Detail: detail, Run: run, RetryAfter: retryAfter}}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/quarantine"
 	"github.com/heatherwood/heatherwood/internal/routing"
+	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -140,3 +141,46 @@
 		t.Errorf("run %q after a broken try, want unknown", step.Refuse.Run)
 	}
 }
+
+// A request that may have run is never refused with a status that promises that
+// it did not.
+func TestRefusalAfterARunPromisesNothing(t *testing.T) {
+	route := &document.Route{Name: "web", Kind: document.KindRepeat, Tries: 2}
+	denial := dispatch.Answer{Denial: &dispatch.Denial{Reason: dispatch.ReasonFull}}
+	tests := map[string]func(r *Request, budget *Budget) Step{
+		"broken, then no server": func(r *Request, budget *Budget) Step {
+			r.Sent(routing.ResultBroken, quarantine.Clear, start, budget)
+			return r.Asked(denial, nil, start)
+		},
+		"broken, then shed, then no server": func(r *Request, budget *Budget) Step {
+			r.Sent(routing.ResultBroken, quarantine.Clear, start, budget)
+			r.Asked(granted(), nil, start)
+			r.Sent(routing.ResultShed, quarantine.Clear, start, budget)
+			return r.Asked(denial, nil, start)
+		},
+		"failed, then refused for good": func(r *Request, budget *Budget) Step {
+			r.Sent(routing.ResultError, quarantine.Clear, start, budget)
+			return r.Asked(denial, nil, start)
+		},
+		"broken, then the owner is gone": func(r *Request, budget *Budget) Step {
+			r.Sent(routing.ResultBroken, quarantine.Clear, start, budget)
+			return r.Asked(dispatch.Answer{}, errors.New("gone"), start)
+		},
+	}
+	for name, play := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := request(false)
+			r.Route = route
+			budget := &Budget{}
+			r.Start(start, budget)
+			r.Asked(granted(), nil, start)
+			step := play(r, budget)
+			if step.Refuse == nil {
+				t.Fatalf("step %+v, want a refusal", step)
+			}
+			if step.Refuse.Run != RunUnknown || promisesNotRun(step.Refuse.Status) {
+				t.Errorf("status %d, run %s", step.Refuse.Status, step.Refuse.Run)
+			}
+		})
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,12 +18,12 @@
 	ID        string     `toml:"id"`
 	Domain    string     `toml:"domain"`
 	Region    string     `toml:"region"`
-	Entry     string     `toml:"entry"` // host:port for callers, backend servers and operators
-	Peer      string     `toml:"peer"`  // host:port for other VMs
+	Entry     string     `toml:"entry"`  // host:port for callers, backend servers and operators
+	Peer      string     `toml:"peer"`   // host:port for other VMs
 	Listen    string     `toml:"listen"` // host:port to listen on for other VMs, where it differs from peer
-	Seeds     []string   `toml:"seeds"` // peer addresses of other VMs
-	Data      string     `toml:"data"`  // data folder; a VM with one is a control replica
-	Key       string     `toml:"key"`   // secret shared by the site's VMs
+	Seeds     []string   `toml:"seeds"`  // peer addresses of other VMs
+	Data      string     `toml:"data"`   // data folder; a VM with one is a control replica
+	Key       string     `toml:"key"`    // secret shared by the site's VMs
 	LogLevel  string     `toml:"log_level"`
 	Memory    int        `toml:"memory_limit"` // MiB that the garbage collector aims to stay below; 0 sets none
 	Replicas  []Replica  `toml:"replica"`      // control replicas at the first start
