--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	bash .ci/run
 
 format:
-	go tool -modfile=tools/go.mod gofumpt -w cmd internal pkg examples
+	go tool -modfile=tools/go.mod gofumpt -w cmd internal pkg examples platform
 
 bench:
 	go test -run '^$$' -bench . ./internal/plan ./internal/routing ./internal/callerhttp ./internal/node ./internal/demo ./pkg/document
--- a/cmd/heatherwood/demo.go
+++ b/cmd/heatherwood/demo.go
@@ -113,10 +113,10 @@
 		}
 		for _, service := range status.Services {
 			if sums[service.Service] == nil {
-				sums[service.Service] = &serviceSum{}
+				sums[service.Service] = &serviceSum{seen: make(map[string]bool)}
 				names = append(names, service.Service)
 			}
-			sums[service.Service].add(service)
+			sums[service.Service].add(status.Domain, service)
 		}
 	}
 	var lines []string
@@ -128,14 +128,16 @@
 }
 
 type serviceSum struct {
+	seen                                  map[string]bool // failure domains; two VMs of one may think they own the service
 	domains, slots, inUse, waiting, spare int
 	rate                                  float64
 }
 
-func (s *serviceSum) add(service reducer.ServiceStatus) {
-	if service.Summary.Service == "" {
+func (s *serviceSum) add(domain string, service reducer.ServiceStatus) {
+	if service.Summary.Service == "" || s.seen[domain] {
 		return
 	}
+	s.seen[domain] = true
 	s.domains++
 	s.slots += service.Summary.Capacity
 	s.inUse += service.Summary.InUse
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -130,7 +130,7 @@
 		service := &parsed.Services.Services[i]
 		service.Interval = document.Duration(capInterval)
 		service.Warm = document.Duration(2 * time.Second)
-		service.Target = document.Duration(2 * time.Second)
+		service.Target = document.PositiveDuration(2 * time.Second)
 	}
 	if c.Link > 0 {
 		for i := range parsed.Places.Links {
--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -97,24 +97,24 @@
 
 // Service is a group of backend servers that answer the same hosts.
 type Service struct {
-	Name     string   `toml:"name"`
-	Hosts    []string `toml:"hosts"`
-	Regions  []string `toml:"regions"`
-	Target   Duration `toml:"target"`
-	Headroom Percent  `toml:"headroom"`
-	Cap      Percent  `toml:"cap"`
-	Interval Duration `toml:"interval"`
-	Warm     Duration `toml:"warm"`
-	Typical  Duration `toml:"typical"`
-	Bytes    int64    `toml:"bytes"`
-	Queue    int      `toml:"queue"`
-	Shed     []int    `toml:"shed"`
-	Keep     Duration `toml:"keep"`
-	Placing  Placing  `toml:"placing"`
-	Cold     Duration `toml:"cold"`      // after its start a server takes only ColdRate
-	ColdRate float64  `toml:"cold_rate"` // requests per second of a cold server, over all entries
-	Retries  Percent  `toml:"retries"`   // further sends per first send, over all entries
-	Rules    []Rule   `toml:"rule"`
+	Name     string           `toml:"name"`
+	Hosts    []string         `toml:"hosts"`
+	Regions  []string         `toml:"regions"`
+	Target   PositiveDuration `toml:"target,omitempty"`
+	Headroom Percent          `toml:"headroom"`
+	Cap      Percent          `toml:"cap"`
+	Interval Duration         `toml:"interval"`
+	Warm     Duration         `toml:"warm"`
+	Typical  Duration         `toml:"typical"`
+	Bytes    int64            `toml:"bytes"`
+	Queue    int              `toml:"queue"`
+	Shed     []int            `toml:"shed"`
+	Keep     Duration         `toml:"keep"`
+	Placing  Placing          `toml:"placing"`
+	Cold     Duration         `toml:"cold"`      // after its start a server takes only ColdRate
+	ColdRate float64          `toml:"cold_rate"` // requests per second of a cold server, over all entries
+	Retries  Percent          `toml:"retries"`   // further sends per first send, over all entries
+	Rules    []Rule           `toml:"rule"`
 }
 
 // Placing tells which VM chooses the server of a request.
@@ -174,7 +174,7 @@
 
 // Default values of optional keys.
 const (
-	defaultTarget   = Duration(2 * time.Second)
+	defaultTarget   = PositiveDuration(2 * time.Second)
 	defaultCap      = Percent(0.25)
 	defaultHeadroom = Percent(0.1)
 	defaultInterval = Duration(5 * time.Second)
--- a/pkg/document/routes_test.go
+++ b/pkg/document/routes_test.go
@@ -94,3 +94,12 @@
 		})
 	}
 }
+
+func TestTargetOfNothingIsRefused(t *testing.T) {
+	texts := routeTexts(routesText)
+	texts[SectionServices] = Text{Bytes: []byte("[[service]]\nname = \"web\"\nplacing = \"entry\"\ntarget = \"0s\"\n[[service]]\nname = \"spare\"\nplacing = \"entry\"\n")}
+	_, messages := Parse(texts)
+	if err := messages.Err(); err == nil || !strings.Contains(err.Error(), "is not above 0") {
+		t.Errorf("messages %v, want one on the target", err)
+	}
+}
--- a/pkg/document/value.go
+++ b/pkg/document/value.go
@@ -29,6 +29,28 @@
 // MarshalText writes the duration as Go does.
 func (d Duration) MarshalText() ([]byte, error) { return []byte(d.Std().String()), nil }
 
+// PositiveDuration is a Duration above 0; a key that is left out has its default.
+type PositiveDuration time.Duration
+
+// Std returns the value as a time.Duration.
+func (d PositiveDuration) Std() time.Duration { return time.Duration(d) }
+
+// UnmarshalText parses a Go duration above 0.
+func (d *PositiveDuration) UnmarshalText(text []byte) error {
+	var value Duration
+	if err := value.UnmarshalText(text); err != nil {
+		return err
+	}
+	if value == 0 {
+		return fmt.Errorf("duration %q is not above 0; leave the key out for its default", text)
+	}
+	*d = PositiveDuration(value)
+	return nil
+}
+
+// MarshalText writes the duration as Go does.
+func (d PositiveDuration) MarshalText() ([]byte, error) { return []byte(d.Std().String()), nil }
+
 // Percent is a share from 0 to 1 that is written as "25%" in the document.
 type Percent float64
 
