Estimate waiting by each server's mix of runs

Cause: what waits at a server was thought to be warm runs; with cold ones among them the queues were longer than thought, and answers late. Ruled out: copies of objects in the entry's own failure domain (tried, reverted: fewer bytes between regions, fewer answers in target). Change: a server's waiting counts by the moving average of all its runs; a run as long as a cold one says nothing of slowness.

--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -81,13 +81,14 @@
 	shorterWeight   = 0.15 // of a new warm run below the moving average
 	longerWeight    = 0.04 // of one above it
 	slowWeight      = 0.2
+	mixWeight       = 0.1
 	slowMost        = 12.0 // ratio to the usual time that counts, at most
 	othersWeight    = 0.1
 	loadFade        = 1500 * time.Millisecond // after which half of what a server said of others' load counts
 	queueTargets    = 1.5                     // targets within which the answer of a request that must wait at a server is expected, at most
 	shareOfLeft     = 0.9                     // of the time left that the expected answer may take
 	objectsKept     = 64                      // objects remembered for each server
-	objectKept      = 10 * time.Second
+	objectKept      = 20 * time.Second
 	ordersKept      = 3               // servers in the order of an object that may get copies
 	presumedCold    = 2 * time.Second // the usual time between announcements, and the way of the news
 	unheardRuns     = 1.3             // cold runs without any answer after which a server gets nothing new
@@ -142,6 +143,7 @@
 	othersAt   time.Time
 	othersMean float64
 	slow       float64   // moving average of the ratio to the usual time
+	mix        float64   // moving average of all runs, warm and cold, as a ratio to a warm one: what a waiting request waits for
 	quietSince time.Time // last answer, or the first send since nothing ran
 	failing    float64   // share of failed answers, moving average
 	failures   int       // in a row
@@ -183,7 +185,7 @@
 	for _, v := range seen {
 		s := p.Find(v.ID)
 		if s == nil || s.Start != v.Start || s.Address != v.Address {
-			s = &Server{hash: xxhash.Sum64String(v.ID), slow: 1, objects: make(map[string]time.Time)}
+			s = &Server{hash: xxhash.Sum64String(v.ID), slow: 1, mix: 1, objects: make(map[string]time.Time)}
 		}
 		if v.ColdUntil.After(s.ColdUntil) && !s.ColdUntil.IsZero() {
 			clear(s.objects)
@@ -373,7 +375,7 @@
 	slots := float64(s.Slots)
 	expected := 2*p.way(s) + run*slow
 	if over := load + 1 - slots; over > 0 {
-		expected += over / slots * usual.warm * slow
+		expected += over / slots * usual.warm * max(slow, s.mix)
 		if expected > queueTargets*ask.Target.Seconds() && ask.Object != "" {
 			return expected, false
 		}
@@ -528,12 +530,23 @@
 		class = &first
 		p.classes[e.Class] = class
 	}
+	s.mix += mixWeight * (min(run/class.warm, slowMost) - s.mix)
 	if known && now.Sub(last)-e.Latency < objectKept {
-		s.slow += slowWeight * (min(run/class.warm, slowMost) - s.slow)
+		s.judge(run, *class)
 	}
 	class.learn(run)
 }
 
+// judge learns from a run that should have been warm whether the server is slow. One
+// as long as a cold run tells rather that the server no longer kept the object.
+func (s *Server) judge(run float64, usual runs) {
+	const longestCold = 1.3 // times the usual cold run
+	if run*run > usual.warm*usual.cold && run < longestCold*usual.cold {
+		return
+	}
+	s.slow += slowWeight * (min(run/usual.warm, slowMost) - s.slow)
+}
+
 // learn assigns a run to the warm or the cold ones, whichever are nearer by
 // ratio, and moves their average. Who sent a request cannot know whether the
 // server was warm: others may have sent it the object before.
--- a/internal/placing/world_test.go
+++ b/internal/placing/world_test.go
@@ -39,14 +39,13 @@
 // world plays a load in virtual time with the real decisions and no network.
 type world struct {
 	load
-	time    *virtual.Time
-	random  *rand.Rand
-	servers []*fakeServer
-	pools   []*Pool
-	periods []tally // by second of arrival
-	regions []tally // by region of the entry
-	colds   int
-
+	time     *virtual.Time
+	random   *rand.Rand
+	servers  []*fakeServer
+	pools    []*Pool
+	periods  []tally // by second of arrival
+	regions  []tally // by region of the entry
+	colds    int
 	coldMost int // requests that a cold server got within one second
 }
 
@@ -133,6 +132,7 @@
 	now := w.time.Now()
 	choice := pool.Choose(Ask{
 		Class:    "page",
+		Rank:     1,
 		Object:   object,
 		Left:     began.Add(w.timeout).Sub(now),
 		Target:   began.Add(w.target).Sub(now),
