Follow changes that arrive out of order; fetch only the sections that lack

Cause: on grown sites a hundred servers leave within seconds. Each change also recomputed all servers' closures by linear search. Change: a change fits by the versions of all sections; one that does not fit waits 150 ms for the ones before it; a fetch brings only the sections that differ; pools follow servers and closures once a tick; digests of records are kept. Test: changes out of order need no fetch (each fetched before).

--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -226,7 +226,7 @@
 type Spread struct {
 	From     string // peer address of a VM that holds the document
 	Position ledger.Position
-	Before   ledger.Position // document that a part changes
+	Versions ledger.Versions // of all sections, those that did not change included
 	Sections []SectionPatch
 	Relay    bool // hand it on to the other VMs of the failure domain
 }
@@ -248,6 +248,8 @@
 type Fetch struct {
 	Peer string // where to send the Spread
 	Have ledger.Position
+
+	Versions ledger.Versions // of the sections held
 }
 
 // CancelAsk withdraws an Ask at the owner.
--- a/internal/reducer/fetch_test.go
+++ b/internal/reducer/fetch_test.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -49,20 +50,63 @@
 	}
 }
 
-// A change that does not fit is fetched whole from the VM that sent it: the
-// leader that is known here may be gone.
-func TestChangeThatDoesNotFitIsFetchedFromItsSender(t *testing.T) {
-	s := entryVM(t)
-	spread := Spread{
+// routesSpread changes the section of routes from one version to the next.
+func routesSpread(version uint64) Spread {
+	return Spread{
 		From:     "c1:1",
-		Position: ledger.Position{Term: 2, Index: 9},
-		Before:   ledger.Position{Term: 2, Index: 8},
-		Sections: []SectionPatch{{Name: document.SectionRoutes, Base: 3, Version: 4}},
+		Position: ledger.Position{Term: 2, Index: version},
+		Versions: ledger.Versions{Routes: version},
+		Sections: []SectionPatch{{Name: document.SectionRoutes, Base: version - 1, Version: version, Middle: []byte(strings.Repeat("#\n", int(version)))}},
 	}
-	got := fetches(s.Apply(begin, Received{Message{Spread: &spread}}))
+}
+
+// Changes that arrive out of order are followed without a fetch.
+func TestChangesOutOfOrder(t *testing.T) {
+	s := entryVM(t)
+	for _, version := range []uint64{1, 4, 3, 2, 5} {
+		spread := routesSpread(version)
+		if got := fetches(s.Apply(begin, Received{Message{Spread: &spread}})); got != nil {
+			t.Errorf("asked %v for the document at version %d", got, version)
+		}
+	}
+	if s.copyAt.Index != 5 || s.Versions().Routes != 5 {
+		t.Errorf("holds index %d, routes version %d, want 5", s.copyAt.Index, s.Versions().Routes)
+	}
+}
+
+// Where a change stays missing, the document is fetched from the VM that sent the
+// newest one: the leader that is known here may be gone.
+func TestMissingChangeIsFetchedFromTheSender(t *testing.T) {
+	s := entryVM(t)
+	spread := routesSpread(3)
+	s.Apply(begin, Received{Message{Spread: &spread}})
+	got := fetches(s.Apply(begin.Add(holdTime), Tick{}))
 	if len(got) != 1 || got[0] != "c1:1" {
 		t.Errorf("asked %v for the document, want the sender of the change", got)
 	}
+	if again := fetches(s.Apply(begin.Add(holdTime+50*time.Millisecond), Tick{})); again != nil {
+		t.Errorf("asked %v again within the interval", again)
+	}
+}
+
+// A VM that lacks one section gets that one only.
+func TestFetchBringsWhatIsMissing(t *testing.T) {
+	s := entryVM(t)
+	s.copyAt = ledger.Position{Term: 1, Index: 9}
+	for _, name := range document.Sections() {
+		s.copies = append(s.copies, ledger.Section{Name: name, Version: 2, Text: []byte(name)})
+	}
+	have := s.Versions()
+	have.Closures = 1
+	for _, effect := range s.Apply(begin, Received{Message{Fetch: &Fetch{Peer: "b1:1", Versions: have}}}) {
+		transmit, ok := effect.(Transmit)
+		if !ok {
+			continue
+		}
+		if sections := transmit.Message.Spread.Sections; len(sections) != 1 || sections[0].Name != document.SectionClosures {
+			t.Errorf("sent %d sections, want the closures only", len(sections))
+		}
+	}
 }
 
 // Entries of the log that are applied together reach other VMs as one change.
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -274,6 +274,10 @@
 		}
 	}
 	s.splits = make(map[string]*placing.Split)
+	s.closures = make(map[document.Closure]bool, len(s.document.Closures.Closures))
+	for _, closure := range s.document.Closures.Closures {
+		s.closures[closure] = true
+	}
 	s.updatePlaces()
 }
 
@@ -364,7 +368,6 @@
 
 // closed reports whether the document keeps new work from the server.
 func (s *State) closed(entry *roster.Entry) bool {
-	closures := s.document.Closures
-	return closures.Has(document.Closure{Kind: document.CloseDomain, Name: entry.Domain}) ||
-		closures.Has(document.Closure{Kind: document.CloseServer, Name: entry.ID, Start: entry.Start})
+	return s.closures[document.Closure{Kind: document.CloseDomain, Name: entry.Domain}] ||
+		s.closures[document.Closure{Kind: document.CloseServer, Name: entry.ID, Start: entry.Start}]
 }
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -53,6 +53,9 @@
 	copyAt ledger.Position
 	copies []ledger.Section
 
+	held      []Spread // changes of which one before is missing
+	heldSince time.Time
+
 	changedSections []document.Section // by entries that are being applied
 	document        *document.Document
 	loadedAt        ledger.Position
@@ -67,17 +70,20 @@
 	arrivals   map[string]*shift.Limiter
 	asks       map[askKey]askTarget
 
-	roster  roster.State
-	places  map[string]*placing.Pool  // by service
-	splits  map[string]*placing.Split // by route
-	runs    map[uint64]placedRun      // by ticket
-	tickets uint64
-	seats   seats.State
+	roster roster.State
+	places map[string]*placing.Pool  // by service
+	splits map[string]*placing.Split // by route
+
+	closures map[document.Closure]bool // of the document in force
+	runs     map[uint64]placedRun      // by ticket
+	tickets  uint64
+	seats    seats.State
 
-	rosterDue  time.Time // next save of the roster
-	rosterHash uint64    // of the roster saved last
-	joinDue    time.Time
-	entries    int // entries known alive, this VM included
+	placesStale bool      // the pools of placed services do not follow the newest servers or document yet
+	rosterDue   time.Time // next save of the roster
+	rosterHash  uint64    // of the roster saved last
+	joinDue     time.Time
+	entries     int // entries known alive, this VM included
 
 	pending     map[uint64]pendingProposal
 	reads       map[uint64]pendingRead
@@ -266,6 +272,7 @@
 	for _, pool := range s.pools {
 		s.fromPool(pool, pool.Tick(s.now, elapsed))
 	}
+	s.tickHeld()
 	s.tickRoster()
 	s.tickSeats()
 	s.quarantine.Sweep(s.now)
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -83,6 +83,10 @@
 	s.saveRoster()
 	if entries := s.countEntries(); entries != s.entries {
 		s.entries = entries
+		s.placesStale = true
+	}
+	if s.placesStale {
+		s.placesStale = false
 		s.updatePlaces()
 	}
 }
@@ -128,9 +132,14 @@
 		s.tellDomain(Message{Servers: &ServerNews{Records: batch}})
 		s.tellOtherDomains(Message{Servers: &ServerNews{Records: batch, Relay: true}})
 	}
+	s.noteRosterChange()
+}
+
+// noteRosterChange lets the pools follow at the next tick: news comes in bursts.
+func (s *State) noteRosterChange() {
 	if s.roster.Changed {
 		s.roster.Changed = false
-		s.updatePlaces()
+		s.placesStale = true
 	}
 }
 
@@ -155,10 +164,7 @@
 			s.tellOtherDomains(Message{Servers: &ServerNews{Records: []roster.Record{r}, Relay: true}})
 		}
 	}
-	if s.roster.Changed {
-		s.roster.Changed = false
-		s.updatePlaces()
-	}
+	s.noteRosterChange()
 }
 
 // compareRoster exchanges records with a VM whose digests differ.
--- a/internal/reducer/spread.go
+++ b/internal/reducer/spread.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -11,7 +12,7 @@
 )
 
 const (
-	fetchInterval  = 500 * time.Millisecond
+	fetchInterval  = 300 * time.Millisecond
 	relaysPerPush  = 2
 	staleAfter     = 5 * time.Second
 	settleDuration = 600 * time.Millisecond // after the start, in which the newest document is looked for
@@ -34,12 +35,11 @@
 // domain, which tell the rest of theirs, and each control VM tells its own
 // failure domain. All others learn by pull if that fails.
 func (s *State) changed(names ...document.Section) {
-	before, beforeAt := s.copies, s.copyAt
+	before := s.copies
 	if !s.adopt(s.ledger.Document, s.ledger.Sections) {
 		return
 	}
 	spread := s.patch(before, names)
-	spread.Before = beforeAt
 	s.spreadWithin(spread)
 	if s.quorum.Role != quorum.RoleLeader {
 		return
@@ -55,7 +55,7 @@
 
 // patch describes the change of some sections from the copies before.
 func (s *State) patch(before []ledger.Section, names []document.Section) Spread {
-	spread := Spread{From: s.Settings.Peer, Position: s.copyAt}
+	spread := Spread{From: s.Settings.Peer, Position: s.copyAt, Versions: s.Versions()}
 	for _, section := range s.copies {
 		if !slices.Contains(names, section.Name) {
 			continue
@@ -112,23 +112,70 @@
 }
 
 func (s *State) receiveSpread(spread Spread) {
-	if !spread.Position.After(s.copyAt) {
+	if !s.takeSpread(spread) {
+		s.holdSpread(spread)
 		return
 	}
+	s.takeHeld()
+}
+
+// takeSpread follows a spread; false means that a change before it is missing.
+func (s *State) takeSpread(spread Spread) bool {
+	if !spread.Position.After(s.copyAt) {
+		return true
+	}
 	sections, fits := s.patchAll(spread)
 	if !fits {
-		s.fetchDue = time.Time{}
-		s.fetchFrom(spread.From)
-		return
+		return false
 	}
 	if s.adopt(spread.Position, sections) && spread.Relay {
 		s.spreadWithin(spread)
 	}
+	return true
+}
+
+// Changes in quick succession reach a VM by several ways and out of order.
+const (
+	maxHeld  = 64                     // spreads that wait for the ones before them
+	holdTime = 150 * time.Millisecond // after which the document is fetched instead
+)
+
+func (s *State) holdSpread(spread Spread) {
+	if len(s.held) == 0 {
+		s.heldSince = s.now
+	}
+	s.held = append(s.held, spread)
+	if len(s.held) > maxHeld {
+		s.held = s.held[1:]
+	}
 }
 
-// patchAll builds all sections of a Spread. One that lacks sections fits only
-// when no change was missed in between: then every other section is unchanged
-// since its position.
+// takeHeld follows the spreads that waited, as far as they fit now.
+func (s *State) takeHeld() {
+	if len(s.held) == 0 {
+		return
+	}
+	slices.SortStableFunc(s.held, func(a, b Spread) int { return cmp.Compare(a.Position.Index, b.Position.Index) })
+	waiting := s.held[:0]
+	for _, spread := range s.held {
+		if !s.takeSpread(spread) {
+			waiting = append(waiting, spread)
+		}
+	}
+	s.held = waiting
+	s.heldSince = s.now
+}
+
+// tickHeld fetches the document where a change stays missing.
+func (s *State) tickHeld() {
+	if len(s.held) == 0 || s.now.Sub(s.heldSince) < holdTime {
+		return
+	}
+	s.fetchFrom(s.held[len(s.held)-1].From)
+}
+
+// patchAll builds all sections of a Spread. It fits when every section then has
+// the version that it has in the sender's document.
 func (s *State) patchAll(spread Spread) ([]ledger.Section, bool) {
 	sections := slices.Clone(s.copies)
 	if len(sections) == 0 {
@@ -136,7 +183,6 @@
 			sections = append(sections, ledger.Section{Name: name})
 		}
 	}
-	whole := len(spread.Sections) == len(sections)
 	for _, patch := range spread.Sections {
 		for i := range sections {
 			if sections[i].Name != patch.Name {
@@ -149,22 +195,24 @@
 			sections[i] = patched
 		}
 	}
-	if !whole && !s.follows(spread) {
-		return nil, false
+	for _, section := range sections {
+		if section.Version != spread.Versions.Of(section.Name) {
+			return nil, false
+		}
 	}
 	return sections, true
 }
 
-// follows reports whether the spread changes the document that is held, and not
-// a later one of which a change was missed.
-func (s *State) follows(spread Spread) bool { return spread.Before == s.copyAt }
-
+// receiveFetch sends the sections that the asking VM lacks.
 func (s *State) receiveFetch(fetch Fetch) {
 	if !s.copyAt.After(fetch.Have) {
 		return
 	}
-	spread := Spread{Position: s.copyAt}
+	spread := Spread{From: s.Settings.Peer, Position: s.copyAt, Versions: s.Versions()}
 	for _, section := range s.copies {
+		if section.Version == fetch.Versions.Of(section.Name) {
+			continue
+		}
 		spread.Sections = append(spread.Sections, SectionPatch{
 			Name:     section.Name,
 			Version:  section.Version,
@@ -181,7 +229,7 @@
 		return
 	}
 	s.fetchDue = s.now.Add(fetchInterval)
-	s.transmit(peer, Message{Fetch: &Fetch{Peer: s.Settings.Peer, Have: s.copyAt}})
+	s.transmit(peer, Message{Fetch: &Fetch{Peer: s.Settings.Peer, Have: s.copyAt, Versions: s.Versions()}})
 }
 
 func (s *State) documentLoaded(e DocumentLoaded) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -29,6 +29,7 @@
 type Entry struct {
 	Record
 	ColdUntil time.Time
+	hash      uint64    // of what VMs compare
 	direct    time.Time // last announcement that reached this VM itself; zero for none
 	goneAt    time.Time
 }
@@ -151,6 +152,7 @@
 		e.ColdUntil = time.Time{}
 	}
 	e.Record = r
+	e.hash = e.digest()
 	if r.Cold > 0 {
 		e.ColdUntil = now.Add(r.Cold)
 	}
@@ -249,7 +251,7 @@
 	sums := make(map[string]uint64)
 	for _, e := range s.Entries {
 		if !e.Gone {
-			sums[e.Domain] += e.hash()
+			sums[e.Domain] += e.hash
 		}
 	}
 	digests := make([]Digest, 0, len(sums))
@@ -261,7 +263,7 @@
 	return digests
 }
 
-func (e *Entry) hash() uint64 {
+func (e *Entry) digest() uint64 {
 	return xxhash.Sum64String(fmt.Sprint(e.ID, e.Service, e.Address, e.Slots, e.Start, e.Leaving, e.Silent))
 }
 
