Go on after a disk was full or refused writes

Ruled out: going on with the state in memory (a failed sync leaves it unknown what is durable). Change: the disk is opened again once a second; what was read back is written anew and synced, and the replica begins with it as after a restart.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -147,7 +147,7 @@
 		folder.Close()
 		return nil, err
 	}
-	n.saver = newSaver(n, store)
+	n.saver = newSaver(n, folder, first, store)
 	return &restart, nil
 }
 
--- a/internal/node/saver.go
+++ b/internal/node/saver.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"fmt"
 	"sync"
+	"time"
 
 	"github.com/heatherwood/heatherwood/internal/disk"
 	"github.com/heatherwood/heatherwood/internal/quorum"
@@ -12,14 +14,16 @@
 // with one sync.
 type saver struct {
 	node  *Node
+	files disk.Files
+	first quorum.Snapshot // of an empty folder
 	store *disk.Store
 	mutex sync.Mutex
 	queue []quorum.Save
 	wake  chan struct{}
 }
 
-func newSaver(node *Node, store *disk.Store) *saver {
-	return &saver{node: node, store: store, wake: make(chan struct{}, 1)}
+func newSaver(node *Node, files disk.Files, first quorum.Snapshot, store *disk.Store) *saver {
+	return &saver{node: node, files: files, first: first, store: store, wake: make(chan struct{}, 1)}
 }
 
 func (s *saver) add(save quorum.Save) {
@@ -54,6 +58,7 @@
 	if err := s.store.Save(saves); err != nil {
 		s.node.logEvent(reducer.Log{Code: reducer.CodeDiskFailed, Detail: err.Error()})
 		s.node.Apply(reducer.LogFailed{})
+		s.reopen()
 		return
 	}
 	s.node.Metrics.Syncs.Inc()
@@ -65,6 +70,47 @@
 	s.node.Apply(reducer.LogSaved{Sequence: saves[len(saves)-1].Sequence})
 }
 
+const reopenPause = time.Second // between tries of a disk that failed
+
+// reopen tries the disk until it takes writes again. What the replica holds is then
+// what was read back, as after a restart, and it is written anew: after a failed
+// sync, what can be read need not be durable.
+func (s *saver) reopen() {
+	for {
+		select {
+		case <-s.node.stopped:
+			return
+		case <-s.node.Clock.After(reopenPause):
+		}
+		restart, err := s.rewrite()
+		if err != nil {
+			s.node.logEvent(reducer.Log{Code: reducer.CodeDiskFailed, Detail: err.Error()})
+			continue
+		}
+		s.mutex.Lock()
+		s.queue = nil
+		s.mutex.Unlock()
+		s.node.Apply(reducer.LogReopened{Restart: restart})
+		return
+	}
+}
+
+func (s *saver) rewrite() (quorum.Restart, error) {
+	if err := s.store.Close(); err != nil {
+		s.node.logEvent(reducer.Log{Code: reducer.CodeDiskFailed, Detail: err.Error()})
+	}
+	store, restart, err := disk.Open(s.files, s.first)
+	if err != nil {
+		return quorum.Restart{}, fmt.Errorf("open the log again: %w", err)
+	}
+	s.store = store
+	whole := quorum.Save{Hard: restart.Hard, Snapshot: &restart.Snapshot, Entries: restart.Entries}
+	if err := store.Save([]quorum.Save{whole}); err != nil {
+		return quorum.Restart{}, fmt.Errorf("write the log again: %w", err)
+	}
+	return restart, nil
+}
+
 // sendQuorum sends a message that had to wait for a sync.
 func (n *Node) sendQuorum(message quorum.Message) {
 	n.mutex.Lock()
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -43,6 +43,7 @@
 	CodeReload           Code = 1036
 	CodeLogDropped       Code = 1037
 	CodeRosterLost       Code = 1038
+	CodeDiskBack         Code = 1039
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -63,7 +64,7 @@
 	{CodeDocumentFresh, "info", "word from the control leader again"},
 	{CodeVMDied, "warn", "VM of this failure domain is dead or restarted"},
 	{CodeOwnerChanged, "info", "service has a new owner in this failure domain"},
-	{CodeDiskFailed, "error", "data folder failed; this replica acknowledges nothing more"},
+	{CodeDiskFailed, "error", "data folder failed; this replica acknowledges nothing until it takes writes again"},
 	{CodeServerNew, "info", "backend server announced itself"},
 	{CodeServerDrained, "info", "backend server that stopped taking work runs nothing"},
 	{CodeFingerprint, "warn", "request is suspected or quarantined for crashing backend servers"},
@@ -92,6 +93,7 @@
 	{CodeReload, "info", "settings read again"},
 	{CodeLogDropped, "warn", "log lines were dropped: the reader of standard output is slow"},
 	{CodeRosterLost, "warn", "roster of servers could not be kept or read; servers announce themselves anew"},
+	{CodeDiskBack, "info", "data folder takes writes again; the replica goes on with what it holds"},
 }
 
 // Info returns the catalogue entry of a code.
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -325,6 +325,22 @@
 	s.fromQuorum(s.quorum.Compact(data, s.now))
 }
 
+// logReopened begins anew with what the disk holds, as after a restart of the VM;
+// the document in force stays.
+func (s *State) logReopened(restart quorum.Restart) {
+	restored, err := ledger.Restore(restart.Snapshot.Data)
+	if err != nil {
+		s.log(CodeDiskFailed, err.Error(), 0)
+		return
+	}
+	s.fromQuorum(s.quorum.DiskFailed(s.now))
+	s.roleChanged(quorum.RoleChanged{Role: quorum.RoleFollower, Term: restart.Hard.Term})
+	s.ledger = restored
+	s.logBytes, s.snapBytes = 0, len(restart.Snapshot.Data)
+	s.quorum = quorum.New(quorum.DefaultSettings(s.Settings.replica()), restart, s.now)
+	s.log(CodeDiskBack, "", int64(s.quorum.LastIndex()))
+}
+
 func (s *State) restore(snapshot quorum.Snapshot) {
 	restored, err := ledger.Restore(snapshot.Data)
 	if err != nil {
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -31,6 +31,9 @@
 // LogFailed tells that the disk failed.
 type LogFailed struct{}
 
+// LogReopened tells that the disk takes writes again, and what it holds.
+type LogReopened struct{ Restart quorum.Restart }
+
 // Propose asks the leader to replicate a command; answered by Proposed.
 type Propose struct {
 	Call    uint64
@@ -149,6 +152,7 @@
 func (Received) reducerEvent()        {}
 func (LogSaved) reducerEvent()        {}
 func (LogFailed) reducerEvent()       {}
+func (LogReopened) reducerEvent()     {}
 func (Propose) reducerEvent()         {}
 func (ReadSection) reducerEvent()     {}
 func (ChangeReplica) reducerEvent()   {}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -196,6 +196,8 @@
 	case LogFailed:
 		s.log(CodeDiskFailed, "", 0)
 		s.fromQuorum(s.quorum.DiskFailed(now))
+	case LogReopened:
+		s.logReopened(e.Restart)
 	case Propose:
 		s.propose(e)
 	case ReadSection:
