Tell news of servers once a tick, through control VMs; try lost servers seldom

Cause: at the start of a grown site each entry that served as a relay sent 1.2 MB in 2 s, one message for each of 621 servers and each of nine VMs, over a link of 2 Mbit/s; 127 servers that went without a word cost each of 76 entries a failed dial every few seconds for each of them. Change: news is collected for a tick, passed on once, and by a control VM where the failure domain has one; servers in doubt get one request in ten; dials take 300 ms.

--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -46,7 +46,7 @@
 // NewRelay returns a Relay with a connection pool for each backend server.
 func NewRelay(n *node.Node, dialect Dialect) *Relay {
 	const (
-		dialTimeout = 400 * time.Millisecond // several round trips between the farthest regions
+		dialTimeout = 300 * time.Millisecond // several round trips between the farthest regions
 		idlePerHost = 64
 	)
 	return &Relay{
--- a/internal/member/domain.go
+++ b/internal/member/domain.go
@@ -100,7 +100,7 @@
 		own.VMs++
 		own.Document = max(own.Document, vm.Document)
 		if !vm.Stopping && len(own.Entries) < maxEntryRefs {
-			own.Entries = append(own.Entries, EntryRef{ID: vm.ID, Peer: vm.Peer, Entry: vm.Entry, Ready: vm.Document > 0})
+			own.Entries = append(own.Entries, EntryRef{ID: vm.ID, Peer: vm.Peer, Entry: vm.Entry, Ready: vm.Document > 0, Control: vm.Control})
 		}
 		own.Services = append(own.Services, vm.Services...)
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -54,6 +54,8 @@
 	Peer  string // host:port for calls between VMs
 	Entry string // host:port for callers; empty for a VM that takes none
 	Ready bool   // it follows a steering document
+
+	Control bool // it holds a control replica
 }
 
 // Beat is the newest heartbeat heard of a VM.
--- a/internal/placing/load_test.go
+++ b/internal/placing/load_test.go
@@ -228,3 +228,23 @@
 		t.Errorf("%d requests in the second after it came back, want at most 2", sent)
 	}
 }
+
+// Where a third of many servers is gone without a word, an entry with few requests
+// does not spend them on trying the gone ones again and again.
+func TestManyGoneServersAreTriedSeldom(t *testing.T) {
+	l := heavy()
+	l.domains = []int{20, 20, 20, 20, 20, 20}
+	l.entries, l.objects, l.rate = 20, 120, func(time.Duration) float64 { return 300 }
+	l.at = map[time.Duration]func(*world){8 * time.Second: func(w *world) {
+		for i, s := range w.servers {
+			s.unreachable = i%3 == 0
+		}
+	}}
+	w := newWorld(l)
+	w.play()
+	later := w.between(14, 30)
+	t.Logf("when they go %+v, later %+v", w.between(8, 14), later)
+	if later.share() < 0.85 {
+		t.Errorf("%.2f of the later callers were answered in target, want 0.85", later.share())
+	}
+}
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -100,6 +100,8 @@
 	ejectFirst      = 500 * time.Millisecond
 	ejectMost       = 4 * time.Second
 	failuresToEject = 4
+	probeShare      = 0.1 // requests that may go to servers in doubt, for each request: where a third of many servers is gone, all requests would meet them
+	probesSaved     = 3.0
 	failWeight      = 0.15
 	wayWeight       = 0.01
 	minRetry        = 200 * time.Millisecond
@@ -112,6 +114,7 @@
 	Own     Site
 	Servers []*Server // by id
 
+	probes  float64 // requests that may go to servers in doubt
 	classes map[string]*runs
 	ways    map[string]float64 // seconds one way, by failure domain
 }
@@ -261,8 +264,9 @@
 	usual := p.usual(ask)
 	var best, any option
 	candidates, soonest := 0, math.Inf(1)
+	p.probes = min(p.probes+probeShare, probesSaved)
 	for _, s := range p.Servers {
-		if !s.usable(ask, now) || s.unheard(usual, ask, now) {
+		if !s.usable(ask, now) || s.unheard(usual, ask, now) || s.probing && p.probes < 1 && !p.allProbing(now) {
 			continue
 		}
 		candidates++
@@ -291,9 +295,19 @@
 	case best.server == nil || p.hopeless(best, ask):
 		return Choice{Refused: TooBusy, RetryAfter: p.retryAfter(soonest, usual, ask), Candidates: candidates}
 	}
+	if best.server.probing {
+		p.probes = max(0, p.probes-1)
+	}
 	return Choice{Server: best.server, Expected: seconds(best.expected), Warm: best.warm, Candidates: candidates}
 }
 
+// allProbing reports whether no server is beyond doubt: then all may be tried.
+func (p *Pool) allProbing(now time.Time) bool {
+	return !slices.ContainsFunc(p.Servers, func(s *Server) bool {
+		return !s.Closed && !s.probing && !now.Before(s.ejected)
+	})
+}
+
 // option is a server with what is expected of it.
 type option struct {
 	server   *Server
--- a/internal/placing/world_test.go
+++ b/internal/placing/world_test.go
@@ -60,6 +60,8 @@
 	arrivals []time.Time // of the last second, while cold
 	down     bool        // refuses connections
 	dark     bool        // says nothing any more
+
+	unreachable bool // connections to it time out
 }
 
 func site(domain int) Site {
@@ -154,6 +156,11 @@
 	end := func(result routing.Result, load Load) {
 		w.time.After(way, func() {
 			now := w.time.Now()
+			if result == routing.ResultNoDial {
+				pool.End(choice.Server, Ended{Class: "page", Object: object, Result: result}, now)
+				w.ask(entry, object, began, returns)
+				return
+			}
 			pool.End(choice.Server, Ended{Class: "page", Object: object, Target: w.target, Alone: alone, Result: result, Latency: now.Sub(began), Load: load}, now)
 			w.count(entry, began, func(t *tally) {
 				switch took := now.Sub(began); {
@@ -210,10 +217,15 @@
 	s.world.coldMost = max(s.world.coldMost, len(s.arrivals))
 }
 
-const queuePerSlot = 3
+const (
+	queuePerSlot = 3
+	dialTime     = 300 * time.Millisecond
+)
 
 func (s *fakeServer) take(object string, end func(routing.Result, Load)) {
 	switch {
+	case s.unreachable:
+		s.world.time.After(dialTime, func() { end(routing.ResultNoDial, Load{}) })
 	case s.dark:
 		s.world.time.After(s.world.timeout, func() { end(routing.ResultLate, Load{}) })
 	case s.down:
--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -187,6 +187,26 @@
 	}
 }
 
+// tellRelays sends a message to one VM of each other failure domain that passes it
+// on: a control VM, whose link is made for it, or else a few others.
+func (s *State) tellRelays(message Message) {
+	for _, domain := range s.members.Domains(s.now) {
+		if domain.Name == s.Settings.Domain {
+			continue
+		}
+		relays := domain.Entries[:min(relaysPerPush, len(domain.Entries))]
+		for i, entry := range domain.Entries {
+			if entry.Control {
+				relays = domain.Entries[i : i+1]
+				break
+			}
+		}
+		for _, entry := range relays {
+			s.transmit(entry.Peer, message)
+		}
+	}
+}
+
 const maxHops = 2
 
 // receivePool hands a message to the pool that it is for, or on to the owner.
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -209,7 +209,7 @@
 func (s *State) replaced(server *placing.Server) {
 	if entry := s.roster.Find(server.ID); entry != nil && entry.Start == server.Start && !entry.Gone {
 		s.roster.End(server.ID, s.now)
-		s.serversChanged()
+		s.noteRosterChange()
 	}
 }
 
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -79,9 +79,11 @@
 	tickets  uint64
 	seats    seats.State
 
-	placesStale bool      // the pools of placed services do not follow the newest servers or document yet
-	rosterDue   time.Time // next save of the roster
-	rosterHash  uint64    // of the roster saved last
+	ownNews     []roster.Record // for all failure domains, at the next tick
+	relayNews   []roster.Record // for the own failure domain, at the next tick
+	placesStale bool            // the pools of placed services do not follow the newest servers or document yet
+	rosterDue   time.Time       // next save of the roster
+	rosterHash  uint64          // of the roster saved last
 	joinDue     time.Time
 	entries     int // entries known alive, this VM included
 
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/roster"
@@ -18,7 +19,6 @@
 			answer.Closed = s.closedInLog(r.ID, held.Start)
 			s.noteServer("ended", held.Record)
 			s.roster.End(r.ID, s.now)
-			s.serversChanged()
 		}
 		s.emit(Answer{Call: e.Call, Value: answer})
 		return
@@ -34,7 +34,6 @@
 		if !answer.Held && (before.Start != r.Start || before.Leaving != r.Leaving || before.Silent) {
 			s.noteServer("announced", r)
 		}
-		s.serversChanged()
 	}
 	answer.Closed = s.closedInLog(r.ID, r.Start)
 	s.emit(Answer{Call: e.Call, Value: answer})
@@ -79,7 +78,7 @@
 
 func (s *State) tickRoster() {
 	s.roster.Tick(s.now)
-	s.serversChanged()
+	s.tellServers()
 	s.saveRoster()
 	if entries := s.countEntries(); entries != s.entries {
 		s.entries = entries
@@ -123,15 +122,18 @@
 	return max(1, count)
 }
 
-// serversChanged tells other VMs the news of the roster and follows it here.
-func (s *State) serversChanged() {
-	news := s.roster.TakeNews()
-	for len(news) > 0 {
-		batch := news[:min(len(news), roster.MaxBatch)]
-		news = news[len(batch):]
+// tellServers sends the news of the roster that came up since the last tick: what
+// this VM heard itself to all failure domains, and what it passes on to its own.
+func (s *State) tellServers() {
+	s.ownNews = append(s.ownNews, s.roster.TakeNews()...)
+	for batch := range slices.Chunk(s.ownNews, roster.MaxBatch) {
 		s.tellDomain(Message{Servers: &ServerNews{Records: batch}})
-		s.tellOtherDomains(Message{Servers: &ServerNews{Records: batch, Relay: true}})
+		s.tellRelays(Message{Servers: &ServerNews{Records: batch, Relay: true}})
 	}
+	for batch := range slices.Chunk(s.relayNews, roster.MaxBatch) {
+		s.tellDomain(Message{Servers: &ServerNews{Records: batch}})
+	}
+	s.ownNews, s.relayNews = nil, nil
 	s.noteRosterChange()
 }
 
@@ -143,27 +145,22 @@
 	}
 }
 
-// receiveServers takes records of another VM. News that it brings is passed on
-// within the failure domain only by a relay.
+// receiveServers takes records of another VM. What is new here is passed on within
+// the failure domain by a relay; what this VM knows better is told to all.
 func (s *State) receiveServers(n ServerNews) {
+	s.ownNews = append(s.ownNews, s.roster.TakeNews()...)
 	s.roster.Merge(n.Records, s.now)
-	if n.Relay {
-		s.tellDomain(Message{Servers: &ServerNews{Records: n.Records}})
+	for _, r := range s.roster.TakeNews() {
+		switch entry := s.roster.Find(r.ID); {
+		case entry != nil && entry.Direct():
+			s.ownNews = append(s.ownNews, r)
+		case n.Relay:
+			s.relayNews = append(s.relayNews, r)
+		}
 	}
 	if n.Peer != "" {
 		s.sendServers(n.Peer, n.Domains, "")
 	}
-	s.followServers()
-}
-
-// followServers uses what other VMs told; they tell the rest themselves.
-func (s *State) followServers() {
-	for _, r := range s.roster.TakeNews() {
-		if entry := s.roster.Find(r.ID); entry != nil && entry.Direct() {
-			s.tellDomain(Message{Servers: &ServerNews{Records: []roster.Record{r}}})
-			s.tellOtherDomains(Message{Servers: &ServerNews{Records: []roster.Record{r}, Relay: true}})
-		}
-	}
 	s.noteRosterChange()
 }
 
