Bound the suspicions that a VM spreads, and send them once a tick

Change: suspicions go out once a tick, at most four for each VM, through control VMs; quarantines are always told.

--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -147,22 +147,36 @@
 	s.spreadBar(e.Fingerprint)
 }
 
-// spreadBar tells all failure domains of a suspicion: the caller sends the request
-// again within moments, and perhaps to another domain.
+// barsPerTick bounds the suspicions that a VM tells the others at once. A request
+// that crashes servers kills one at a time; when many servers go together, each
+// request that they ran is suspected, and next to none of them rightly.
+const barsPerTick = 4
+
+// spreadBar tells all failure domains of a suspicion at the next tick: the caller
+// sends the request again within moments, and perhaps to another domain.
 func (s *State) spreadBar(fingerprint uint64) {
 	entry, found := s.quarantine.Find(fingerprint)
-	if !found {
-		return
+	if found && (len(s.ownBars) < barsPerTick || entry.Phase == quarantine.Quarantined) {
+		s.ownBars = append(s.ownBars, entry)
+	}
+}
+
+// tellBars sends the suspicions of the last tick.
+func (s *State) tellBars() {
+	if len(s.ownBars) > 0 {
+		s.tellDomain(Message{Bar: &Bar{Entries: s.ownBars}})
+		s.tellRelays(Message{Bar: &Bar{Entries: s.ownBars, Relay: true}})
+	}
+	if len(s.relayBars) > 0 {
+		s.tellDomain(Message{Bar: &Bar{Entries: s.relayBars}})
 	}
-	news := []quarantine.Entry{entry}
-	s.tellDomain(Message{Bar: &Bar{Entries: news}})
-	s.tellOtherDomains(Message{Bar: &Bar{Entries: news, Relay: true}})
+	s.ownBars, s.relayBars = nil, nil
 }
 
 func (s *State) receiveBar(bar Bar) {
 	s.quarantine.Merge(bar.Entries, s.now)
 	if bar.Relay {
-		s.tellDomain(Message{Bar: &Bar{Entries: bar.Entries}})
+		s.relayBars = append(s.relayBars, bar.Entries...)
 	}
 }
 
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -79,11 +79,13 @@
 	tickets  uint64
 	seats    seats.State
 
-	ownNews     []roster.Record // for all failure domains, at the next tick
-	relayNews   []roster.Record // for the own failure domain, at the next tick
-	placesStale bool            // the pools of placed services do not follow the newest servers or document yet
-	rosterDue   time.Time       // next save of the roster
-	rosterHash  uint64          // of the roster saved last
+	ownBars     []quarantine.Entry // suspicions for all failure domains, at the next tick
+	relayBars   []quarantine.Entry // for the own failure domain, at the next tick
+	ownNews     []roster.Record    // for all failure domains, at the next tick
+	relayNews   []roster.Record    // for the own failure domain, at the next tick
+	placesStale bool               // the pools of placed services do not follow the newest servers or document yet
+	rosterDue   time.Time          // next save of the roster
+	rosterHash  uint64             // of the roster saved last
 	joinDue     time.Time
 	entries     int // entries known alive, this VM included
 
@@ -276,6 +278,7 @@
 	for _, pool := range s.pools {
 		s.fromPool(pool, pool.Tick(s.now, elapsed))
 	}
+	s.tellBars()
 	s.tickHeld()
 	s.tickRoster()
 	s.tickSeats()
