Ship audit records to the control VM of the own failure domain

Cause: all entries shipped to the first control VM of the list, most of them across regions, five times a second. Change: the own failure domain's control VM first; once a second.

--- a/internal/node/trail.go
+++ b/internal/node/trail.go
@@ -16,7 +16,8 @@
 
 // Timings and bounds of a VM's audit trail.
 const (
-	trailInterval  = 200 * time.Millisecond // between syncs or shipments
+	trailInterval  = 200 * time.Millisecond // between syncs
+	shipInterval   = time.Second            // between shipments
 	tallyInterval  = time.Second
 	anchorInterval = 10 * time.Second
 	anchorLimit    = 5 * time.Second
@@ -88,7 +89,7 @@
 		select {
 		case <-t.node.stopped:
 			return
-		case <-t.node.Clock.After(trailInterval):
+		case <-t.node.Clock.After(t.interval()):
 			t.tally()
 			if t.writer != nil {
 				t.store()
@@ -100,6 +101,13 @@
 	}
 }
 
+func (t *trail) interval() time.Duration {
+	if t.writer == nil {
+		return shipInterval
+	}
+	return trailInterval
+}
+
 // tally turns the counts of the last second into records.
 func (t *trail) tally() {
 	now := t.node.Clock.Now()
@@ -196,7 +204,7 @@
 // ship sends queued records to a control VM until it acknowledges them.
 func (t *trail) ship() {
 	records := t.take(shipBatch)
-	peers := t.node.controlPeers()
+	peers := t.shipPeers()
 	if len(records) == 0 || len(peers) == 0 {
 		return
 	}
@@ -211,6 +219,16 @@
 	t.done(reply.Next)
 }
 
+// shipPeers returns control VMs to ship to: those of the own failure domain, whose
+// links cost nothing, and others only where there is none or one does not answer.
+func (t *trail) shipPeers() []string {
+	view := t.node.View()
+	if view == nil || t.shipTurn%2 == 1 || len(view.LocalControl) == 0 {
+		return t.node.controlPeers()
+	}
+	return view.LocalControl
+}
+
 // receive stores records of another VM and acknowledges them once synced.
 func (t *trail) receive(args peerrpc.ShipArgs) (peerrpc.ShipReply, error) {
 	if t.writer == nil || len(args.Records) == 0 {
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -97,6 +97,8 @@
 	Stale    bool // the document may be old
 	Ready    bool
 	Leaving  bool // the VM stops; callers are led elsewhere
+
+	LocalControl []string // peer addresses of live control VMs of the own failure domain
 }
 
 // ViewDomain is a failure domain in a look-up.
--- a/internal/reducer/view.go
+++ b/internal/reducer/view.go
@@ -21,6 +21,11 @@
 		HeldAt:   s.copyAt,
 	}
 	view.Versions = s.Versions()
+	for _, vm := range s.members.Alive() {
+		if vm.Control && vm.ID != s.Settings.VM {
+			view.LocalControl = append(view.LocalControl, vm.Peer)
+		}
+	}
 	if s.document != nil {
 		view.Ranks = s.document.Ranks.Order()
 		view.Tables = s.recent.Tables()
