Compare rosters by index, one failure domain at a time

Cause: VMs whose digests differ sent each other all records of all failure domains that differ; while 250 servers came and went that was 1.2 MB in 2 s from single entries with links of 2 Mbit/s. Change: an index of 16 bytes a record, then only what differs; a VM that has just started compares all failure domains at once.

--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -181,6 +181,7 @@
 	Leader   *Leader         // rides with Gossip
 	Roster   []roster.Digest // rides with Gossip
 	Servers  *ServerNews
+	Index    *ServerIndex
 	Join     *Join
 	Spread   *Spread
 	Fetch    *Fetch
@@ -196,9 +197,16 @@
 // ServerNews carries records of backend servers.
 type ServerNews struct {
 	Records []roster.Record
-	Relay   bool     // hand them on to the other VMs of the failure domain
-	Domains []string // failure domains that the records cover in full
-	Peer    string   // who wants the receiver's records of Domains in return
+	Relay   bool // hand them on to the other VMs of the failure domain
+}
+
+// ServerIndex lists what a VM holds of a failure domain; the receiver sends what the
+// VM lacks, and its own index if that is wanted.
+type ServerIndex struct {
+	Peer   string
+	Domain string
+	Known  []roster.Known
+	Answer bool // send an index in return
 }
 
 // Join asks the leader to take a control VM into the replica set.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -83,9 +83,10 @@
 	relayBars   []quarantine.Entry // for the own failure domain, at the next tick
 	ownNews     []roster.Record    // for all failure domains, at the next tick
 	relayNews   []roster.Record    // for the own failure domain, at the next tick
-	placesStale bool               // the pools of placed services do not follow the newest servers or document yet
-	rosterDue   time.Time          // next save of the roster
-	rosterHash  uint64             // of the roster saved last
+	compareTurn int
+	placesStale bool      // the pools of placed services do not follow the newest servers or document yet
+	rosterDue   time.Time // next save of the roster
+	rosterHash  uint64    // of the roster saved last
 	joinDue     time.Time
 	entries     int // entries known alive, this VM included
 
@@ -311,6 +312,8 @@
 		s.compareRoster(m)
 	case m.Servers != nil:
 		s.receiveServers(*m.Servers)
+	case m.Index != nil:
+		s.receiveIndex(*m.Index)
 	case m.Join != nil:
 		s.receiveJoin(m)
 	case m.Spread != nil:
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -158,31 +158,43 @@
 			s.relayNews = append(s.relayNews, r)
 		}
 	}
-	if n.Peer != "" {
-		s.sendServers(n.Peer, n.Domains, "")
-	}
 	s.noteRosterChange()
 }
 
-// compareRoster exchanges records with a VM whose digests differ.
+// youngAge is the time after its start in which a VM learns all servers.
+const youngAge = 5 * time.Second
+
+// compareRoster exchanges indexes with a VM whose digests differ. While news is on
+// its way all VMs differ a little, so only a VM that has just started compares more
+// than one failure domain at a time.
 func (s *State) compareRoster(m Message) {
-	if differing := s.roster.Differing(m.Roster, s.now); len(differing) > 0 {
-		s.sendServers(m.Gossip.From.Peer, differing, s.Settings.Peer)
+	differing := s.roster.Differing(m.Roster, s.now)
+	if len(differing) > 1 && s.now.Sub(s.started) > youngAge {
+		s.compareTurn++
+		at := s.compareTurn % len(differing)
+		differing = differing[at : at+1]
+	}
+	for _, domain := range differing {
+		s.sendIndex(m.Gossip.From.Peer, domain, true)
 	}
 }
 
-func (s *State) sendServers(peer string, domains []string, reply string) {
-	var records []roster.Record
-	for _, domain := range domains {
-		records = append(records, s.roster.Of(domain, s.now)...)
-	}
-	for {
-		batch := records[:min(len(records), roster.MaxBatch)]
-		records = records[len(batch):]
-		if len(records) == 0 {
-			s.transmit(peer, Message{Servers: &ServerNews{Records: batch, Domains: domains, Peer: reply}})
-			return
-		}
-		s.transmit(peer, Message{Servers: &ServerNews{Records: batch}})
+func (s *State) sendIndex(peer, domain string, answer bool) {
+	s.transmit(peer, Message{Index: &ServerIndex{
+		Peer:   s.Settings.Peer,
+		Domain: domain,
+		Known:  s.roster.Index(domain),
+		Answer: answer,
+	}})
+}
+
+// receiveIndex sends the other VM what it lacks.
+func (s *State) receiveIndex(index ServerIndex) {
+	lacking := s.roster.Lacking(index.Domain, index.Known, s.now)
+	for batch := range slices.Chunk(lacking, roster.MaxBatch) {
+		s.transmit(index.Peer, Message{Servers: &ServerNews{Records: batch}})
+	}
+	if index.Answer {
+		s.sendIndex(index.Peer, index.Domain, false)
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -327,11 +327,46 @@
 	s.news = nil
 }
 
-// Of returns the records of a failure domain, those that ended included.
-func (s *State) Of(domain string, now time.Time) []Record {
-	var records []Record
+// Known identifies one record without naming what it holds.
+type Known struct {
+	Name uint64 // hash of the server's id
+	Hash uint64 // of what VMs compare, the end of the server included
+}
+
+func (e *Entry) known() Known {
+	const ended = 0x9e3779b97f4a7c15
+	k := Known{Name: xxhash.Sum64String(e.ID), Hash: e.hash}
+	if e.Gone {
+		k.Hash ^= ended
+	}
+	return k
+}
+
+// Index lists what is held of a failure domain, ends included.
+func (s *State) Index(domain string) []Known {
+	var index []Known
 	for _, e := range s.Entries {
 		if e.Domain == domain {
+			index = append(index, e.known())
+		}
+	}
+	return index
+}
+
+// Lacking returns the records of a failure domain that a VM with the index lacks or
+// holds otherwise.
+func (s *State) Lacking(domain string, index []Known, now time.Time) []Record {
+	held := make(map[uint64]uint64, len(index))
+	for _, k := range index {
+		held[k.Name] = k.Hash
+	}
+	var records []Record
+	for _, e := range s.Entries {
+		if e.Domain != domain {
+			continue
+		}
+		own := e.known()
+		if hash, found := held[own.Name]; !found && !e.Gone || found && hash != own.Hash {
 			records = append(records, e.sent(now))
 		}
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -47,7 +48,7 @@
 				s.Announce(word, now)
 			}
 			if !test.want(&s) {
-				t.Errorf("roster holds %+v", s.Of("a", now))
+				t.Errorf("roster holds %+v", s.Live(now))
 			}
 		})
 	}
@@ -108,7 +109,7 @@
 	if again := b.Differing(a.Digests(), now); again != nil {
 		t.Errorf("asked for %v twice within the interval", again)
 	}
-	b.Merge(a.Of("a", now), now)
+	b.Merge(a.Lacking("a", b.Index("a"), now), now)
 	if differing := b.Differing(a.Digests(), now.Add(time.Second)); len(differing) > 0 {
 		t.Errorf("still differing after the exchange: %v", differing)
 	}
@@ -120,7 +121,7 @@
 	cold.Cold = 3 * time.Second
 	a.Announce(cold, now)
 	a.TakeNews()
-	b.Merge(a.Of("a", now.Add(time.Second)), now.Add(time.Second))
+	b.Merge(a.Live(now.Add(time.Second)), now.Add(time.Second))
 	if got := b.Find("s1").ColdUntil.Sub(now); got != 3*time.Second {
 		t.Errorf("cold for %v after the announcement, want 3s", got)
 	}
@@ -145,7 +146,7 @@
 	before.Announce(other, now)
 	after.Restore(before.Live(now), "a", now)
 	if len(after.Entries) != 2 || after.Find("s1").Silent {
-		t.Fatalf("restored %+v", after.Of("a", now))
+		t.Fatalf("restored %+v", after.Live(now))
 	}
 	if news := after.TakeNews(); news != nil {
 		t.Errorf("restored records are no news: %+v", news)
@@ -154,7 +155,7 @@
 	after.Announce(record("s1", 5, 9), later)
 	after.Tick(later)
 	if after.Find("s1").Silent || !after.Find("s2").Silent {
-		t.Errorf("after the wait: %+v", after.Of("a", later))
+		t.Errorf("after the wait: %+v", after.Live(later))
 	}
 }
 
@@ -183,3 +184,28 @@
 		}
 	}
 }
+
+// VMs that compare send each other what differs, ends included, and no more.
+func TestLackingIsWhatDiffers(t *testing.T) {
+	var a, b State
+	for i, id := range []string{"s1", "s2", "s3", "s4"} {
+		r := record(id, 5, 1)
+		r.Address = fmt.Sprintf("10.0.0.%d:80", i+1)
+		a.Announce(r, now)
+		if id != "s4" {
+			b.Announce(r, now)
+		}
+	}
+	a.End("s1", now)
+	leaving := record("s2", 5, 2)
+	leaving.Address, leaving.Leaving = "10.0.0.2:80", true
+	a.Announce(leaving, now)
+	lacking := a.Lacking("a", b.Index("a"), now)
+	if len(lacking) != 3 {
+		t.Fatalf("sends %+v, want s1, s2 and s4", lacking)
+	}
+	b.Merge(lacking, now)
+	if rest := a.Lacking("a", b.Index("a"), now); len(rest) > 0 {
+		t.Errorf("still lacking after the exchange: %+v", rest)
+	}
+}
