--- /dev/null
+++ b/internal/placing/server.go
@@ -0,0 +1,118 @@
+package placing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Server is one start of a backend server.
+type Server struct {
+	ID        string
+	Address   string
+	Start     int64
+	Slots     int
+	ColdUntil time.Time
+	Closed    bool // gets nothing new
+	Site
+
+	hash       uint64
+	running    int // sent from here and not ended
+	others     float64
+	othersAt   time.Time
+	othersMean float64
+	slow       float64   // moving average of the ratio to the usual time
+	mix        float64   // moving average of all runs, warm and cold, as a ratio to a warm one: what a waiting request waits for
+	quietSince time.Time // last answer, or the first send since nothing ran
+	failing    float64   // share of failed answers, moving average
+	failures   int       // in a row
+	ejections  int
+	ejected    time.Time // until then
+	probing    bool
+	wasDown    bool      // refused connections since its last answer
+	presumed   time.Time // thought to be cold until then
+	nextCold   time.Time
+	objects    map[string]time.Time // last good answer
+}
+
+// Seen describes a server for the pool.
+type Seen struct {
+	ID        string
+	Address   string
+	Start     int64
+	Slots     int
+	ColdUntil time.Time
+	Closed    bool
+	Site
+}
+
+func compareServer(s *Server, id string) int { return cmp.Compare(s.ID, id) }
+
+func (s *Server) usable(ask Ask, now time.Time) bool {
+	return !s.Closed &&
+		!now.Before(s.ejected) &&
+		!(s.probing && s.running > 0) &&
+		!(s.isCold(now) && now.Before(s.nextCold)) &&
+		ask.allowed(s.Region) &&
+		!slices.Contains(ask.Exclude, s.ID)
+}
+
+// unheard reports whether the server answered nothing for longer than any run
+// that waited should take: it may be gone without a word.
+func (s *Server) unheard(usual runs, ask Ask, now time.Time) bool {
+	patience := seconds(unheardRuns*usual.cold) + ask.Target/2
+	return s.running > 0 && now.Sub(s.quietSince) > max(patience, minPatience)
+}
+
+func (s *Server) knows(object string, now time.Time) bool {
+	at, found := s.objects[object]
+	return found && now.Sub(at) < objectKept
+}
+
+// Load is the number of requests thought to be at the server: those of this
+// entry, and those of others by what the server said last.
+func (s *Server) Load(now time.Time) float64 {
+	if s.othersAt.IsZero() {
+		return float64(s.running)
+	}
+	fresh := float64(loadFade) / float64(loadFade+now.Sub(s.othersAt))
+	return float64(s.running) + s.others*fresh + s.othersMean*(1-fresh)
+}
+
+// LoadAge is the age of what the server said of its load; negative for never.
+func (s *Server) LoadAge(now time.Time) time.Duration {
+	if s.othersAt.IsZero() {
+		return -1
+	}
+	return now.Sub(s.othersAt)
+}
+
+// isCold reports whether the server says, or may be thought, that it is cold.
+func (s *Server) isCold(now time.Time) bool {
+	return now.Before(s.ColdUntil) || now.Before(s.presumed)
+}
+
+func (s *Server) paceCold(rate float64, now time.Time) { s.nextCold = now.Add(seconds(1 / rate)) }
+
+func (s *Server) forgetOldest() {
+	oldest, at := "", time.Time{}
+	for object, used := range s.objects {
+		if oldest == "" || used.Before(at) || used.Equal(at) && object < oldest {
+			oldest, at = object, used
+		}
+	}
+	delete(s.objects, oldest)
+}
+
+// fail takes the server out for a while after so many failures in a row.
+func (s *Server) fail(now time.Time, limit int) {
+	s.failures++
+	if s.failures < limit && !s.probing {
+		return
+	}
+	wait := min(ejectFirst<<min(s.ejections, 3), ejectMost)
+	s.ejections++
+	s.failures = 0
+	s.ejected = now.Add(wait)
+	s.probing = true
+}
