--- a/internal/callerhttp/recognise.go
+++ b/internal/callerhttp/recognise.go
@@ -8,7 +8,6 @@
 
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/problem"
-	"github.com/heatherwood/heatherwood/internal/relay"
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
