Vote a dead voter out within four seconds

Cause: 6 s of silence, begun anew by each leader, and 1 s between changes left a voter that was gone for good in the set for 8 to 15 s; two lost disks after it left no majority. Ruled out: carrying the silence over from the old leader, which would make one that was cut apart with it look dead. Change: 2.5 s of silence and 300 ms between changes, still only with a successor that has caught up. Test: TestDeadVoterIsOutWithinFourSeconds, which failed before.

--- a/internal/seats/seats.go
+++ b/internal/seats/seats.go
@@ -10,11 +10,11 @@
 
 // Timings and bounds.
 const (
-	Voters         = 5               // two may be lost at once
-	applicantFresh = 2 * time.Second // an applicant repeats itself twice a second
-	silentVoter    = 6 * time.Second // longer than a cut that heals by itself
+	Voters         = 5                       // two may be lost at once
+	applicantFresh = 2 * time.Second         // an applicant repeats itself twice a second
+	silentVoter    = 2500 * time.Millisecond // leaves 1.5 s for both changes: a dead voter is out within 4 s
 	silentLearner  = 10 * time.Second
-	settleTime     = 1 * time.Second // between two changes
+	settleTime     = 300 * time.Millisecond // between two changes: a few rounds of replication
 )
 
 // Applicant is a control VM that wants to hold a replica.
--- a/internal/seats/seats_test.go
+++ b/internal/seats/seats_test.go
@@ -88,3 +88,28 @@
 		t.Errorf("change %+v for an applicant that went silent", change)
 	}
 }
+
+// A second disk may go seconds after the first, with a change of leader between
+// them: the successor has to hold the vote before that.
+func TestDeadVoterIsOutWithinFourSeconds(t *testing.T) {
+	const limit = 4 * time.Second
+	members := append(voters("a", "b", "c", "d", "e"), learner("f", true))
+	var s State
+	for now := start; now.Before(start.Add(limit)); now = now.Add(100 * time.Millisecond) {
+		for i := range members {
+			if members[i].Replica.ID != "e" {
+				members[i].HeardAt = now
+			}
+		}
+		switch change := s.Decide(members, now); {
+		case change == nil:
+		case change.Kind == quorum.ChangePromote && change.Replica.ID == "f":
+			members[len(members)-1].Voter = true
+		case change.Kind == quorum.ChangeRemove && change.Replica.ID == "e":
+			return
+		default:
+			t.Fatalf("unexpected change %v of %s", change.Kind, change.Replica.ID)
+		}
+	}
+	t.Fatalf("the dead voter still counts after %v", limit)
+}
