Let entries take turns with their first request to a cold server

Ruled out: a smaller rate for each entry, which does not touch the first request. Change: where each entry gets less than one request a second, its first waits for its turn, in the order of names from an offset of the server's, spread over the time in which each sends one. Small sites are not touched: each entry gets more than one request a second there.

--- a/internal/placing/load_test.go
+++ b/internal/placing/load_test.go
@@ -202,6 +202,36 @@
 	}
 }
 
+// Many entries that each may send less than once a second take turns, also with
+// their first requests.
+func TestManyEntriesTakeTurnsAtColdServers(t *testing.T) {
+	const allowed = 12 // requests in one second
+	l := heavy()
+	l.entries = 76
+	l.coldRate = 12.5 / 76 * 0.4
+	l.at = map[time.Duration]func(*world){10 * time.Second: func(w *world) {
+		for i, s := range w.servers {
+			if i%2 == 0 {
+				s.ColdUntil = w.time.Now().Add(3 * time.Second)
+				s.warm = nil
+			}
+		}
+		w.announce()
+	}}
+	w := newWorld(l)
+	for i, pool := range w.pools {
+		pool.Policy.ColdTurn, pool.Policy.ColdTurns = i, len(w.pools)
+	}
+	w.play()
+	t.Logf("a cold server got at most %d requests in one second", w.coldMost)
+	if w.coldMost > allowed {
+		t.Errorf("a cold server got %d requests in one second, want at most %d", w.coldMost, allowed)
+	}
+	if w.coldMost == 0 {
+		t.Error("cold servers got nothing at all")
+	}
+}
+
 // A server that was down may come back cold before it can say so.
 func TestServerThatWasDownIsSpared(t *testing.T) {
 	p := NewPool(Policy{Service: "web", ColdRate: 1}, site(0))
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -13,6 +13,9 @@
 type Policy struct {
 	Service  string
 	ColdRate float64 // requests per second of a cold server from this entry; 0 sets no limit
+
+	ColdTurns int // entries that take turns at a cold server; 0 where each may start at once
+	ColdTurn  int // place of this entry among them, from 0
 }
 
 // Ask requests a server for one request.
@@ -188,6 +191,7 @@
 	candidates, soonest := 0, math.Inf(1)
 	p.probes = min(p.probes+probeShare, probesSaved)
 	for _, s := range p.Servers {
+		s.awaitTurn(p.Policy, now)
 		if !s.usable(ask, now) || s.unheard(usual, ask, now) || s.probing && p.probes < 1 && !p.allProbing(now) {
 			continue
 		}
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -32,6 +32,7 @@
 	wasDown    bool      // refused connections since its last answer
 	presumed   time.Time // thought to be cold until then
 	nextCold   time.Time
+	waits      bool                 // for the turn of this entry at the cold server, or had it
 	objects    map[string]time.Time // last good answer
 }
 
@@ -92,7 +93,24 @@
 	return now.Before(s.ColdUntil) || now.Before(s.presumed)
 }
 
-func (s *Server) paceCold(rate float64, now time.Time) { s.nextCold = now.Add(seconds(1 / rate)) }
+// awaitTurn delays the first request to a server that became cold, so that the first
+// requests of many entries are spread over the time in which each sends one.
+func (s *Server) awaitTurn(policy Policy, now time.Time) {
+	if policy.ColdTurns == 0 || policy.ColdRate <= 0 {
+		return
+	}
+	cold := s.isCold(now)
+	if cold && !s.waits {
+		turns := uint64(policy.ColdTurns)
+		turn := (uint64(policy.ColdTurn) + s.hash%turns) % turns
+		s.nextCold = now.Add(seconds(float64(turn) / float64(turns) / policy.ColdRate))
+	}
+	s.waits = cold
+}
+
+func (s *Server) paceCold(rate float64, now time.Time) {
+	s.nextCold, s.waits = now.Add(seconds(1/rate)), true
+}
 
 func (s *Server) forgetOldest() {
 	oldest, at := "", time.Time{}
--- a/internal/reducer/places.go
+++ b/internal/reducer/places.go
@@ -63,6 +63,10 @@
 			s.places[service.Name] = pool
 		}
 		pool.Policy.ColdRate = coldShare(service.ColdRate, s.entries)
+		pool.Policy.ColdTurns, pool.Policy.ColdTurn = 0, s.entriesBefore
+		if service.ColdRate < float64(s.entries) {
+			pool.Policy.ColdTurns = s.entries
+		}
 		pool.Update(s.serversOf(service))
 	}
 }
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -79,15 +79,16 @@
 	tickets  uint64
 	seats    seats.State
 
-	barsTold    int             // suspicions told since the last tick
-	ownNews     []roster.Record // for all failure domains, at the next tick
-	relayNews   []roster.Record // for the own failure domain, at the next tick
-	compareTurn int
-	placesStale bool      // the pools of placed services do not follow the newest servers or document yet
-	rosterDue   time.Time // next save of the roster
-	rosterHash  uint64    // of the roster saved last
-	joinDue     time.Time
-	entries     int // entries known alive, this VM included
+	barsTold      int             // suspicions told since the last tick
+	ownNews       []roster.Record // for all failure domains, at the next tick
+	relayNews     []roster.Record // for the own failure domain, at the next tick
+	compareTurn   int
+	placesStale   bool      // the pools of placed services do not follow the newest servers or document yet
+	rosterDue     time.Time // next save of the roster
+	rosterHash    uint64    // of the roster saved last
+	joinDue       time.Time
+	entries       int // entries known alive, this VM included
+	entriesBefore int // of them in the order of names
 
 	pending     map[uint64]pendingProposal
 	reads       map[uint64]pendingRead
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -112,8 +112,8 @@
 	s.roster.Tick(s.now)
 	s.tellServers()
 	s.saveRoster()
-	if entries := s.countEntries(); entries != s.entries {
-		s.entries = entries
+	if entries, before := s.countEntries(); entries != s.entries || before != s.entriesBefore {
+		s.entries, s.entriesBefore = entries, before
 		s.placesStale = true
 	}
 	if s.placesStale {
@@ -141,17 +141,21 @@
 	s.emit(SaveRoster{Records: s.roster.Live(s.now)})
 }
 
-// countEntries counts the VMs that may send requests to servers.
-func (s *State) countEntries() int {
-	count := 0
+// countEntries counts the VMs that may send requests to servers, and those of them
+// that come before this one in the order of names.
+func (s *State) countEntries() (all, before int) {
 	for _, domain := range s.members.Domains(s.now) {
 		for _, entry := range domain.Entries {
-			if entry.Entry != "" {
-				count++
+			if entry.Entry == "" {
+				continue
+			}
+			all++
+			if entry.ID < s.Settings.VM {
+				before++
 			}
 		}
 	}
-	return max(1, count)
+	return max(1, all), before
 }
 
 // tellServers sends the news of the roster that came up since the last tick: what
