--- a/internal/reducer/fetch_test.go
+++ b/internal/reducer/fetch_test.go
@@ -183,3 +183,33 @@
 		t.Error("the bound did not begin anew with the tick")
 	}
 }
+
+// Entries take turns at cold servers only where each gets less than one request a
+// second.
+func TestEntriesTakeTurnsWhereTheRateIsSmall(t *testing.T) {
+	tests := map[string]struct {
+		rate  float64
+		turns int
+	}{
+		"less than one each": {12.5, 76},
+		"one each":           {76, 0},
+		"no limit":           {0, 76}, // without a rate the turns are not used
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := entryVM(t)
+			s.Settings.Entry = "10.0.0.9:80"
+			s.entries, s.entriesBefore = 76, 5
+			service := document.Service{Name: "web", Placing: document.PlacingEntry, ColdRate: test.rate}
+			s.document = &document.Document{Services: document.Services{Services: []document.Service{service}}}
+			s.updatePlaces()
+			policy := s.places["web"].Policy
+			if policy.ColdTurns != test.turns || policy.ColdTurn != 5 {
+				t.Errorf("turn %d of %d, want 5 of %d", policy.ColdTurn, policy.ColdTurns, test.turns)
+			}
+			if test.rate == 0 && policy.ColdRate != 0 {
+				t.Errorf("a rate of %v for a service without one", policy.ColdRate)
+			}
+		})
+	}
+}
