Introduce every site of the demo without assuming a host of its own

Cause: the README's command panicked on the plaques site: the last service is placed by entries and has no hosts, only those of its route, and the introduction took the last one as the one with operations that run once. No test printed the introduction; the demo's tests start the site without it. Ruled out: skipping services without hosts in the introduction alone, which would leave them without a host for programs that read the JSON. Change: hosts of routes are listed with the service's own; the service of the example with a key is one that has such operations. Test: TestIntroductionFitsEachSite, which panicked before.

--- a/cmd/heatherwood/demo.go
+++ b/cmd/heatherwood/demo.go
@@ -72,7 +72,12 @@
 		fmt.Fprintf(out, "  %-16s %s\n", token.Team, token.Token)
 	}
 	entry, service := info.Entries[0], info.Services[0]
-	once := info.Services[len(info.Services)-1]
+	once := service
+	for _, service := range info.Services {
+		if service.Once {
+			once = service
+		}
+	}
 	fmt.Fprintf(out, `
 try:
   curl 'http://%[1]s/v1/entries?service=%[2]s&client=10.20.0.1'
--- a/cmd/heatherwood/demo_test.go
+++ b/cmd/heatherwood/demo_test.go
@@ -1,8 +1,12 @@
 package main
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 
+	"github.com/heatherwood/heatherwood/examples"
+	"github.com/heatherwood/heatherwood/internal/demo"
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/reducer"
 )
@@ -18,3 +22,26 @@
 		t.Errorf("%d domains with %d slots, want 2 with 8", sum.domains, sum.slots)
 	}
 }
+
+// Services placed by entries have no hosts of their own, only those of their routes.
+func TestIntroductionFitsEachSite(t *testing.T) {
+	for _, site := range examples.Sites() {
+		t.Run(site, func(t *testing.T) {
+			d, err := demo.Layout(demo.Options{Site: site, Data: t.TempDir()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			info := d.Info()
+			for _, service := range info.Services {
+				if len(service.Hosts) == 0 {
+					t.Errorf("service %s has no host", service.Name)
+				}
+			}
+			var out bytes.Buffer
+			printIntroduction(&out, info)
+			if want := "http://" + info.Entries[0] + "/payments/1"; !strings.Contains(out.String(), want) {
+				t.Errorf("no request to %s, a service with operations that run once, in:\n%s", want, out.String())
+			}
+		})
+	}
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -79,10 +80,11 @@
 	Slots   int    `json:"slots"`
 }
 
-// ServiceInfo names a service and its hosts.
+// ServiceInfo names a service and the hosts that lead to it.
 type ServiceInfo struct {
 	Name  string   `json:"name"`
-	Hosts []string `json:"hosts"`
+	Hosts []string `json:"hosts"` // its own, then those of its routes
+	Once  bool     `json:"once"`  // has operations that must not run twice
 }
 
 // vmsPerDomain spreads ten VMs over six failure domains.
@@ -428,17 +430,28 @@
 			Slots:   d.Backends[i].Settings.Slots,
 		})
 	}
-	for _, vm := range d.Entries {
-		if view := vm.Node.View(); view != nil && view.Document != nil {
-			for _, service := range view.Document.Services.Services {
-				info.Services = append(info.Services, ServiceInfo{Name: service.Name, Hosts: service.Hosts})
-			}
-			break
-		}
+	for _, service := range d.document.Services.Services {
+		info.Services = append(info.Services, ServiceInfo{
+			Name:  service.Name,
+			Hosts: append(slices.Clone(service.Hosts), d.routeHosts(service.Name)...),
+			Once:  slices.ContainsFunc(service.Rules, func(r document.Rule) bool { return r.Once }),
+		})
 	}
 	return info
 }
 
+// routeHosts returns the hosts of the routes that lead to the service.
+func (d *Demo) routeHosts(service string) []string {
+	var hosts []string
+	for _, route := range d.document.Routes.Routes {
+		leads := slices.ContainsFunc(route.To, func(t document.Target) bool { return t.Service == service })
+		if leads && !slices.Contains(hosts, route.Host) {
+			hosts = append(hosts, route.Host)
+		}
+	}
+	return hosts
+}
+
 func (d *Demo) domainOf(entries []string) string {
 	for _, own := range d.Settings {
 		if len(entries) > 0 && own.Entry == entries[0] {
