Keep one copy of what a server that may be cold gets; drop what nothing uses

Behaviour stays. One expectation was changed with the same strictness: a service without a rate for cold servers has no turns (0) instead of turns that nothing read (76). Ruled out: one ejection for placing and routing, whose fail functions look alike: routing also stops ejecting at a share of its pool.

--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -62,7 +62,7 @@
 // announced itself: it may have started anew.
 func (p *Pool) returned(s *Server, now time.Time) {
 	if s.wasDown && p.Policy.ColdRate > 0 {
-		s.presumed = now.Add(presumedCold)
+		s.presumed = now.Add(PresumedCold)
 		s.paceCold(p.Policy.ColdRate, now)
 	}
 	s.wasDown = false
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -109,9 +109,12 @@
 	objectKept  = 20 * time.Second        // after which a server may have dropped an object
 )
 
+// PresumedCold is how long a server that may have started anew counts as cold unless it
+// says otherwise: the usual time between announcements, and the way of the news.
+const PresumedCold = 2 * time.Second
+
 // Servers in doubt.
 const (
-	presumedCold    = 2 * time.Second        // the usual time between announcements, and the way of the news
 	unheardRuns     = 1.3                    // cold runs without any answer after which a server gets nothing new
 	minPatience     = 500 * time.Millisecond // at least, for classes of short runs
 	failuresToEject = 4                      // failed answers in a row
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -96,7 +96,7 @@
 // awaitTurn delays the first request to a server that became cold, so that the first
 // requests of many entries are spread over the time in which each sends one.
 func (s *Server) awaitTurn(policy Policy, now time.Time) {
-	if policy.ColdTurns == 0 || policy.ColdRate <= 0 {
+	if policy.ColdTurns == 0 {
 		return
 	}
 	cold := s.isCold(now)
--- a/internal/placing/split.go
+++ b/internal/placing/split.go
@@ -11,19 +11,9 @@
 	credit  float64
 }
 
-// Configure takes over changed weights.
-func (s *Split) Configure(services []string, weights []float64) {
-	same := len(services) == len(s.parts)
-	for i := range s.parts {
-		same = same && s.parts[i].service == services[i] && s.parts[i].weight == weights[i]
-	}
-	if same {
-		return
-	}
-	s.parts = s.parts[:0]
-	for i, service := range services {
-		s.parts = append(s.parts, part{service: service, weight: weights[i]})
-	}
+// Add adds a service with its weight.
+func (s *Split) Add(service string, weight float64) {
+	s.parts = append(s.parts, part{service: service, weight: weight})
 }
 
 // Next returns the service of the next request: the one furthest behind its
--- a/internal/reducer/fetch_test.go
+++ b/internal/reducer/fetch_test.go
@@ -193,7 +193,7 @@
 	}{
 		"less than one each": {12.5, 76},
 		"one each":           {76, 0},
-		"no limit":           {0, 76}, // without a rate the turns are not used
+		"no limit":           {0, 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -55,13 +55,9 @@
 
 func newSplit(route *document.Route) *placing.Split {
 	split := &placing.Split{}
-	var services []string
-	var weights []float64
 	for _, target := range route.To {
-		services = append(services, target.Service)
-		weights = append(weights, target.Weight)
+		split.Add(target.Service, target.Weight)
 	}
-	split.Configure(services, weights)
 	return split
 }
 
--- a/internal/reducer/places.go
+++ b/internal/reducer/places.go
@@ -26,11 +26,9 @@
 }
 
 // A failure domain that was opened may have cold servers, which say so with their
-// next announcement.
-const (
-	presumedCold = 2 * time.Second // the usual time between announcements, and the way of the news
-	reopenedAge  = 8 * time.Second // for a VM that starts: presumedCold, and clocks that differ by seconds
-)
+// next announcement. A VM that starts counts those opened within this time:
+// placing.PresumedCold, and clocks that differ by seconds.
+const reopenedAge = 8 * time.Second
 
 // presumeCold holds servers of failure domains that a new document opens to the
 // rate of cold ones. A VM that starts has seen no opening and goes by its time.
@@ -41,7 +39,7 @@
 			lately = !slices.Contains(s.document.Closures.Reopened, reopened)
 		}
 		if lately {
-			s.roster.PresumeCold(reopened.Name, s.now.Add(presumedCold))
+			s.roster.PresumeCold(reopened.Name, s.now.Add(placing.PresumedCold))
 		}
 	}
 }
@@ -62,11 +60,7 @@
 			pool = placing.NewPool(placing.Policy{Service: service.Name}, own)
 			s.places[service.Name] = pool
 		}
-		pool.Policy.ColdRate = coldShare(service.ColdRate, s.entries)
-		pool.Policy.ColdTurns, pool.Policy.ColdTurn = 0, s.entriesBefore
-		if service.ColdRate < float64(s.entries) {
-			pool.Policy.ColdTurns = s.entries
-		}
+		s.spareCold(&pool.Policy, service.ColdRate)
 		pool.Update(s.serversOf(service))
 	}
 }
@@ -78,17 +72,20 @@
 	coldPart    = 0.4  // of the rate that the entries use together where each gets less than one a second
 )
 
-// coldShare is the rate at which one of several entries may send to a cold
-// server.
-func coldShare(rate float64, entries int) float64 {
+// spareCold gives this entry its part of the rate of a cold server, and its turn where
+// the part is less than one request a second.
+func (s *State) spareCold(policy *placing.Policy, rate float64) {
+	policy.ColdRate, policy.ColdTurns, policy.ColdTurn = 0, 0, s.entriesBefore
 	if rate <= 0 {
-		return 0
+		return
 	}
-	each := rate / float64(max(1, entries))
+	entries := max(1, s.entries)
+	each := rate / float64(entries)
 	if each >= 1 {
-		return 1 / coldSpacing
+		policy.ColdRate = 1 / coldSpacing
+		return
 	}
-	return each * coldPart
+	policy.ColdRate, policy.ColdTurns = each*coldPart, entries
 }
 
 func (s *State) serversOf(service *document.Service) []placing.Seen {
--- a/internal/seats/seats_test.go
+++ b/internal/seats/seats_test.go
@@ -95,7 +95,7 @@
 	const limit = 4 * time.Second
 	members := append(voters("a", "b", "c", "d", "e"), learner("f", true))
 	var s State
-	for now := start; now.Before(start.Add(limit)); now = now.Add(100 * time.Millisecond) {
+	for now := start; now.Before(start.Add(limit)); now = now.Add(500 * time.Millisecond) { // as often as the leader decides
 		for i := range members {
 			if members[i].Replica.ID != "e" {
 				members[i].HeardAt = now
