--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -54,40 +54,6 @@
 	Token string `json:"token"`
 }
 
-// Info describes a running demo for programs.
-type Info struct {
-	Site     string        `json:"site"`
-	Entries  []string      `json:"entries"`
-	Domains  []DomainInfo  `json:"domains"`
-	Tokens   []Token       `json:"tokens"`
-	Backends []BackendInfo `json:"backends"`
-	Services []ServiceInfo `json:"services"`
-	Data     string        `json:"data"`
-}
-
-// DomainInfo names the entries of a failure domain.
-type DomainInfo struct {
-	Name    string   `json:"name"`
-	Region  string   `json:"region"`
-	Entries []string `json:"entries"`
-}
-
-// BackendInfo names a backend server.
-type BackendInfo struct {
-	ID      string `json:"id"`
-	Service string `json:"service"`
-	Address string `json:"address"`
-	Domain  string `json:"domain"`
-	Slots   int    `json:"slots"`
-}
-
-// ServiceInfo names a service and the hosts that lead to it.
-type ServiceInfo struct {
-	Name  string   `json:"name"`
-	Hosts []string `json:"hosts"` // its own, then those of its routes
-	Once  bool     `json:"once"`  // has operations that must not run twice
-}
-
 // vmsPerDomain spreads ten VMs over six failure domains.
 var vmsPerDomain = []int{2, 2, 2, 2, 1, 1}
 
@@ -419,57 +385,6 @@
 	return entries
 }
 
-// Info describes the running demo.
-func (d *Demo) Info() Info {
-	info := Info{Site: d.Options.Site, Tokens: d.Tokens, Data: d.Options.Data}
-	for _, own := range d.Settings {
-		info.Entries = append(info.Entries, own.Entry)
-		if last := len(info.Domains) - 1; last >= 0 && info.Domains[last].Name == own.Domain {
-			info.Domains[last].Entries = append(info.Domains[last].Entries, own.Entry)
-			continue
-		}
-		info.Domains = append(info.Domains, DomainInfo{Name: own.Domain, Region: own.Region, Entries: []string{own.Entry}})
-	}
-	for i, server := range d.Backends {
-		info.Backends = append(info.Backends, BackendInfo{
-			ID:      server.Settings.ID,
-			Service: server.Settings.Service,
-			Address: server.Address,
-			Domain:  d.domainOf(server.Settings.Entries),
-			Slots:   d.Backends[i].Settings.Slots,
-		})
-	}
-	for _, service := range d.document.Services.Services {
-		info.Services = append(info.Services, ServiceInfo{
-			Name:  service.Name,
-			Hosts: append(slices.Clone(service.Hosts), d.routeHosts(service.Name)...),
-			Once:  slices.ContainsFunc(service.Rules, func(r document.Rule) bool { return r.Once }),
-		})
-	}
-	return info
-}
-
-// routeHosts returns the hosts of the routes that lead to the service.
-func (d *Demo) routeHosts(service string) []string {
-	var hosts []string
-	for _, route := range d.document.Routes.Routes {
-		leads := slices.ContainsFunc(route.To, func(t document.Target) bool { return t.Service == service })
-		if leads && !slices.Contains(hosts, route.Host) {
-			hosts = append(hosts, route.Host)
-		}
-	}
-	return hosts
-}
-
-func (d *Demo) domainOf(entries []string) string {
-	for _, own := range d.Settings {
-		if len(entries) > 0 && own.Entry == entries[0] {
-			return own.Domain
-		}
-	}
-	return ""
-}
-
 // Stop ends all servers and VMs.
 func (d *Demo) Stop() {
 	for _, server := range d.Backends {
