Let VMs of a failure domain that formed apart meet through a seed

Neither VM of its failure domain is a seed; each spoke for the domain alone, for 17 to 23 s after their start, since a seed answers a greeting only if the VM lacks whole failure domains. Change: a seed answers a VM that greets alone with the summary it holds where that names other entries of the VM's failure domain. Test: TestPartsOfADomainMeetSoon; 3 s is the target for a change to be in force.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -283,6 +283,7 @@
 
 // Receive takes over what a peer knows, and replies to a greeting.
 func (s *State) Receive(g Gossip, now time.Time) []Send {
+	apart := s.otherPart(g)
 	news := s.merge(g.From, now)
 	for _, vm := range g.VMs {
 		s.merge(vm, now)
@@ -293,16 +294,41 @@
 	for _, domain := range g.Domains {
 		s.mergeDomain(domain, now)
 	}
-	if !news && !s.knowsMore(g, now) {
+	if !news && len(apart) == 0 && !s.knowsMore(g, now) {
 		return nil
 	}
-	reply := Gossip{From: s.Self, Domains: s.known(now)}
+	reply := Gossip{From: s.Self, Domains: append(s.known(now), apart...)}
 	if g.From.Domain == s.Self.Domain {
 		reply.VMs = s.some(s.alive(), greetRecords)
 	}
 	return []Send{{Address: g.From.Peer, Gossip: reply}}
 }
 
+// otherPart returns the summary held of the failure domain of a VM that greets alone,
+// where it names entries that the VM's own summary does not: then parts of the domain
+// formed apart, and the VM finds the other part through it. Taking over the greeting may
+// replace it here.
+func (s *State) otherPart(g Gossip) []Domain {
+	at, found := slices.BinarySearchFunc(s.domains, g.From.Domain, compareDomain)
+	if !g.Greet || g.Known > 0 || !found || g.From.Domain == s.Self.Domain {
+		return nil
+	}
+	var own []EntryRef
+	for _, domain := range g.Domains {
+		if domain.Name == g.From.Domain {
+			own = domain.Entries
+		}
+	}
+	held := s.domains[at].Domain
+	lacks := slices.ContainsFunc(held.Entries, func(e EntryRef) bool {
+		return e.ID != g.From.ID && !slices.ContainsFunc(own, func(o EntryRef) bool { return o.ID == e.ID })
+	})
+	if !lacks {
+		return nil
+	}
+	return []Domain{held}
+}
+
 // knowsMore reports whether a greeting VM lacks VMs or domains that are known
 // here; most greetings in a settled fleet need no reply.
 func (s *State) knowsMore(g Gossip, now time.Time) bool {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -183,3 +183,23 @@
 		}
 	}
 }
+
+// VMs of a failure domain without a seed each speak for it until they meet; what the
+// seeds hold of the one leads the other to it.
+func TestPartsOfADomainMeetSoon(t *testing.T) {
+	const limit = 3 * time.Second // in which a change is to be in force everywhere
+	for incarnation := range uint64(40) {
+		g := newGroup(6, 2)
+		for _, id := range g.order {
+			self := g.states[id].Self
+			self.Incarnation = incarnation + 1
+			g.states[id] = New(self, g.states[id].Seeds[:3])
+		}
+		g.run(limit)
+		for _, id := range g.order {
+			if g.alive(id) != 2 {
+				t.Errorf("start %d: %s knows %d live VMs of its failure domain after %v, want 2", incarnation, id, g.alive(id), limit)
+			}
+		}
+	}
+}
