Weigh only the servers that an object may run on

Cause: a decision weighed all servers of a service, 60 or 399 of them, though only the first of the object's order and those that know it can win while one of them has room. Ruled out by the profile: hashing (5%) and the order itself; half of the time went to expected times nobody used. Change: one pass finds the first of the order and those that know the object, the second weighs just these; all are weighed where none has room. The benchmark now plays ten seconds first, so that servers know objects.

--- a/internal/placing/load_test.go
+++ b/internal/placing/load_test.go
@@ -1,6 +1,7 @@
 package placing
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -129,14 +130,17 @@
 func BenchmarkChoose(b *testing.B) {
 	l := heavy()
 	l.domains = []int{10, 10, 10, 10, 10, 10}
+	l.objects, l.length = 50, 10*time.Second
 	w := newWorld(l)
-	objects := make([]string, 50)
+	w.play()
+	now := w.time.Now()
+	objects := make([]string, l.objects)
 	for i := range objects {
-		objects[i] = string(rune('a' + i))
+		objects[i] = strconv.Itoa(i)
 	}
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		w.pools[0].Choose(Ask{Class: "page", Object: objects[i%len(objects)], Left: time.Second, Target: time.Second}, start)
+		w.pools[0].Choose(Ask{Class: "page", Object: objects[i%len(objects)], Left: time.Second, Target: time.Second}, now)
 	}
 }
 
--- a/internal/placing/order.go
+++ b/internal/placing/order.go
@@ -21,6 +21,9 @@
 
 // add keeps the server if it is among the first.
 func (p *places) add(s *Server, order uint64) {
+	if last := p[ordersKept-1]; last.server != nil && order <= last.order {
+		return
+	}
 	for i := range p {
 		if p[i].server == nil || order > p[i].order {
 			copy(p[i+1:], p[i:])
@@ -39,3 +42,12 @@
 	}
 	return ordersKept
 }
+
+// firsts are the first servers in the order of an object: of all regions, and of the
+// own one.
+type firsts struct {
+	all, near places
+}
+
+// index returns the lower of the two places of the server, or ordersKept.
+func (f *firsts) index(s *Server) int { return min(f.all.index(s), f.near.index(s)) }
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -130,7 +130,8 @@
 	Own     Site
 	Servers []*Server // by id
 
-	probes  float64 // requests that may go to servers in doubt
+	wanted  []*Server // of the request being placed: the first in its object's order, and those that know the object
+	probes  float64   // requests that may go to servers in doubt
 	classes map[string]*runs
 	ways    map[string]float64 // seconds one way, by failure domain
 }
@@ -163,6 +164,7 @@
 		}
 		s.ID, s.Address, s.Start, s.Slots = v.ID, v.Address, v.Start, max(1, v.Slots)
 		s.ColdUntil, s.Closed, s.Site = v.ColdUntil, v.Closed, v.Site
+		s.near = v.Region == p.Own.Region
 		servers = append(servers, s)
 	}
 	slices.SortFunc(servers, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
@@ -172,62 +174,94 @@
 // Choose returns the server on which the request should be answered soonest, or
 // a refusal. The first server of the object's order, and the first in the own
 // region, count as warm: all entries send there. The next ones get copies as far
-// as those are loaded.
+// as those are loaded. All other servers are weighed only where none of these has
+// room.
 func (p *Pool) Choose(ask Ask, now time.Time) Choice {
+	usual := p.usual(ask)
+	p.probes = min(p.probes+probeShare, probesSaved)
+	first := p.order(ask, now)
+	w := p.weigh(p.wanted, first, usual, ask, now)
+	if w.best.server == nil {
+		w = p.weigh(p.Servers, first, usual, ask, now)
+	}
+	switch {
+	case w.candidates == 0:
+		return Choice{Refused: NoServers, RetryAfter: minRetry * 2}
+	case w.best.server == nil || p.hopeless(w.best, ask):
+		return Choice{Refused: TooBusy, RetryAfter: p.retryAfter(w.soonest, usual, ask), Candidates: w.candidates}
+	}
+	if w.best.server.probing {
+		p.probes = max(0, p.probes-1)
+	}
+	return Choice{Server: w.best.server, Expected: seconds(w.best.expected), Warm: w.best.warm, Candidates: w.candidates}
+}
+
+// order returns the first servers in the order of the object, and starts the turns
+// of servers that became cold. Those first and those that know the object are
+// wanted.
+func (p *Pool) order(ask Ask, now time.Time) firsts {
 	object := ask.Fallback
 	if ask.Object != "" {
 		object = xxhash.Sum64String(ask.Object)
 	}
-	var all, near places
+	p.wanted = p.wanted[:0]
+	var first firsts
 	for _, s := range p.Servers {
-		if s.Closed || s.isCold(now) || !ask.allowed(s.Region) {
+		cold := s.isCold(now)
+		s.awaitTurn(p.Policy, cold, now)
+		if s.knows(ask.Object, now) {
+			p.wanted = append(p.wanted, s)
+		}
+		if s.Closed || cold || !ask.allowed(s.Region) {
 			continue
 		}
 		order := order(object, s.hash)
-		all.add(s, order)
-		if s.Region == p.Own.Region {
-			near.add(s, order)
+		first.all.add(s, order)
+		if s.near {
+			first.near.add(s, order)
 		}
 	}
-	usual := p.usual(ask)
-	var best, any option
-	candidates, soonest := 0, math.Inf(1)
-	p.probes = min(p.probes+probeShare, probesSaved)
-	for _, s := range p.Servers {
-		s.awaitTurn(p.Policy, now)
+	p.want(first.all)
+	p.want(first.near)
+	return first
+}
+
+func (p *Pool) want(first places) {
+	for _, f := range first {
+		if f.server != nil && !slices.Contains(p.wanted, f.server) {
+			p.wanted = append(p.wanted, f.server)
+		}
+	}
+}
+
+// weighed is what a look at some of the servers found.
+type weighed struct {
+	best       option
+	candidates int     // servers that may be sent to
+	soonest    float64 // seconds until the earliest answer, with room or without
+}
+
+// weigh finds the server of least cost.
+func (p *Pool) weigh(servers []*Server, first firsts, usual runs, ask Ask, now time.Time) weighed {
+	w := weighed{soonest: math.Inf(1)}
+	for _, s := range servers {
 		if !s.usable(ask, now) || s.unheard(usual, ask, now) || s.probing && p.probes < 1 && !p.allProbing(now) {
 			continue
 		}
-		candidates++
-		at := min(all.index(s), near.index(s))
-		o := option{server: s, warm: ask.Object != "" && (all.index(s) == 0 || s.knows(ask.Object, now))}
+		w.candidates++
+		o := option{server: s, warm: ask.Object != "" && (first.all.index(s) == 0 || s.knows(ask.Object, now))}
 		var room bool
 		o.expected, room = p.expect(s, ask, usual, o.warm, now)
-		soonest = min(soonest, o.expected)
+		w.soonest = min(w.soonest, o.expected)
 		if !room {
 			continue
 		}
-		o.cost = p.cost(o, at, usual, ask)
-		if any.better(o) {
-			any = o
+		o.cost = p.cost(o, first.index(s), usual, ask)
+		if w.best.better(o) {
+			w.best = o
 		}
-		if (o.warm || at < ordersKept) && best.better(o) {
-			best = o
-		}
-	}
-	if best.server == nil {
-		best = any
-	}
-	switch {
-	case candidates == 0:
-		return Choice{Refused: NoServers, RetryAfter: minRetry * 2}
-	case best.server == nil || p.hopeless(best, ask):
-		return Choice{Refused: TooBusy, RetryAfter: p.retryAfter(soonest, usual, ask), Candidates: candidates}
-	}
-	if best.server.probing {
-		p.probes = max(0, p.probes-1)
 	}
-	return Choice{Server: best.server, Expected: seconds(best.expected), Warm: best.warm, Candidates: candidates}
+	return w
 }
 
 // allProbing reports whether no server is beyond doubt: then all may be tried.
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -17,7 +17,8 @@
 	Site
 
 	hash       uint64
-	running    int // sent from here and not ended
+	near       bool // in the region of the entry
+	running    int  // sent from here and not ended
 	others     float64
 	othersAt   time.Time
 	othersMean float64
@@ -66,6 +67,9 @@
 }
 
 func (s *Server) knows(object string, now time.Time) bool {
+	if len(s.objects) == 0 {
+		return false
+	}
 	at, found := s.objects[object]
 	return found && now.Sub(at) < objectKept
 }
@@ -95,11 +99,10 @@
 
 // awaitTurn delays the first request to a server that became cold, so that the first
 // requests of many entries are spread over the time in which each sends one.
-func (s *Server) awaitTurn(policy Policy, now time.Time) {
+func (s *Server) awaitTurn(policy Policy, cold bool, now time.Time) {
 	if policy.ColdTurns == 0 {
 		return
 	}
-	cold := s.isCold(now)
 	if cold && !s.waits {
 		turns := uint64(policy.ColdTurns)
 		turn := (uint64(policy.ColdTurn) + s.hash%turns) % turns
