Close callers' connections by the document's timeouts

Ruled out: changing http.Server's fields while it runs, a data race. Change: callerhttp.Guard watches connections by their state and first bytes and closes those quiet beyond the bound in force, counted, a late header also logged (HW1040). Stops that cut requests off, and listeners that do not close, now leave a line; both were swallowed.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,11 +18,9 @@
 	"github.com/heatherwood/heatherwood/internal/reducer"
 )
 
-// Bounds on connections and headers.
+// Bounds on connections and headers; callerhttp.Guard bounds their time.
 const (
 	maxHeaderBytes = 32 << 10
-	headerTimeout  = 5 * time.Second
-	idleTimeout    = 90 * time.Second
 	maxConnections = 20_000
 	answerTimeout  = time.Minute // of an answer of the system itself
 )
@@ -30,6 +28,7 @@
 // Server is the HTTP side of a VM.
 type Server struct {
 	Node     *node.Node
+	guard    *callerhttp.Guard
 	http     *http.Server
 	relay    *callerhttp.Relay
 	listener net.Listener
@@ -37,12 +36,11 @@
 
 // New returns the HTTP side of a VM.
 func New(n *node.Node) *Server {
-	s := &Server{Node: n, relay: callerhttp.NewRelay(n, callerhttp.Own())}
+	s := &Server{Node: n, relay: callerhttp.NewRelay(n, callerhttp.Own()), guard: callerhttp.NewGuard(n)}
 	s.http = &http.Server{
-		Handler:           s.handler(),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		Handler:        s.handler(),
+		ConnState:      s.guard.Track,
+		MaxHeaderBytes: maxHeaderBytes,
 	}
 	return s
 }
@@ -78,7 +76,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	s.listener = netutil.LimitListener(listener, maxConnections)
+	s.listener = s.guard.Listen(netutil.LimitListener(listener, maxConnections))
 	return nil
 }
 
@@ -103,14 +101,22 @@
 
 // Stop ends the VM: it waits for running requests as long as the context lasts.
 func (s *Server) Stop(ctx context.Context) {
-	s.http.Shutdown(ctx)
-	s.http.Close()
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.Node.Logger.Warn().Err(err).Msg("requests were cut off: they outlasted the stop")
+	}
+	s.close()
 	s.relay.Transport.CloseIdleConnections()
 	s.Node.Stop()
 }
 
 // Kill ends the VM at once, cutting off whatever runs.
 func (s *Server) Kill() {
-	s.http.Close()
+	s.close()
 	s.Node.Stop()
 }
+
+func (s *Server) close() {
+	if err := s.http.Close(); err != nil {
+		s.Node.Logger.Warn().Err(err).Msg("listener for callers did not close")
+	}
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -40,6 +40,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`heatherwood_request_seconds{service=%q,rank=%q}`, service, rank)).Update(took.Seconds())
 }
 
+// Quiet counts a caller's connection that was closed because nothing arrived on it.
+func (m *Metrics) Quiet(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_quiet_connections_total{reason=%q}`, reason)).Inc()
+}
+
 // Write prints all metrics; gauges come from the status.
 func (m *Metrics) Write(w io.Writer, status reducer.Status, sent int64) {
 	m.set.WritePrometheus(w)
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -44,6 +44,7 @@
 	CodeLogDropped       Code = 1037
 	CodeRosterLost       Code = 1038
 	CodeDiskBack         Code = 1039
+	CodeHeaderLate       Code = 1040
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -94,6 +95,7 @@
 	{CodeLogDropped, "warn", "log lines were dropped: the reader of standard output is slow"},
 	{CodeRosterLost, "warn", "roster of servers could not be kept or read; servers announce themselves anew"},
 	{CodeDiskBack, "info", "data folder takes writes again; the replica goes on with what it holds"},
+	{CodeHeaderLate, "info", "caller's connection closed: the header of a request did not end in time"},
 }
 
 // Info returns the catalogue entry of a code.
