Wait for a connection as long as connections take just now

Cause: a request gave a dial 300 ms and then took the server for down. Ruled out: dead servers (they refuse, 1,150 times) and waiting for a processor (65 ms at most). Change: Patience follows mean and deviation of the dials, as TCP's timer does, between 300 ms and 1 s. The dial goes on for later requests, and its time counts. The new result dial-late says that nothing was sent; it ejects a server after two in a row and does not count as a server that was down.

--- a/internal/audit/once.go
+++ b/internal/audit/once.go
@@ -50,7 +50,7 @@
 		return false
 	}
 	switch strings.TrimPrefix(a.ended[i].Entry.Outcome, "ended:") {
-	case "shed", "no-dial", "unused":
+	case "shed", "no-dial", "dial-late", "unused":
 		return true
 	default:
 		return false
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -40,19 +40,17 @@
 	Node      *node.Node
 	Dialect   Dialect
 	Transport *http.Transport
+	Patience  Patience // of requests for new connections
 }
 
 // NewRelay returns a Relay with a connection pool for each backend server.
 func NewRelay(n *node.Node, dialect Dialect) *Relay {
-	const (
-		dialTimeout = 300 * time.Millisecond // several round trips between the farthest regions
-		idlePerHost = 64
-	)
+	const idlePerHost = 64
 	return &Relay{
 		Node:    n,
 		Dialect: dialect,
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:         (&net.Dialer{Timeout: mostPatience}).DialContext,
 			MaxIdleConnsPerHost: idlePerHost,
 			IdleConnTimeout:     90 * time.Second,
 			DisableCompression:  true,
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -4,15 +4,14 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -92,34 +91,12 @@
 	response *http.Response
 }
 
-// connecting measures the dial of one send; the transport may dial in another
-// goroutine and use a connection that became idle meanwhile.
-type connecting struct {
-	wrote atomic.Bool
-	began atomic.Int64 // nanoseconds of the clock
-	took  atomic.Int64
-}
-
-func (c *connecting) trace(now func() time.Time) *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{
-		WroteHeaderField: func(string, []string) { c.wrote.Store(true) },
-		ConnectStart:     func(string, string) { c.began.Store(now().UnixNano()) },
-		ConnectDone: func(_, _ string, err error) {
-			if err == nil {
-				c.took.Store(now().UnixNano() - c.began.Load())
-			}
-		},
-	}
-}
-
 // roundTrip sends the request and waits for the head of the answer. A result
 // says whether anything reached the server: once a byte of the head may have
-// been written, it is never ResultNoDial.
+// been written, it is never ResultNoDial or ResultDialLate.
 func (in *inbound) roundTrip(ctx context.Context, grant *dispatch.Grant) sending {
-	var connect connecting
-	trace := connect.trace(in.relay.Node.Clock.Now)
-	request := in.outbound(httptrace.WithClientTrace(ctx, trace), grant)
-	response, err := in.relay.Transport.RoundTrip(request)
+	connect := connecting{now: in.relay.Node.Clock.Now, patience: &in.relay.Patience}
+	response, err := connect.trip(in.relay.Transport, in.outbound(ctx, grant))
 	sent := sending{response: response}
 	sent.Dialled = time.Duration(connect.took.Load())
 	if err != nil {
@@ -131,6 +108,8 @@
 		sent.Result = routing.ResultError
 	case err == nil:
 		sent.Result = routing.ResultOK
+	case !wrote && in.base.Err() == nil && ctx.Err() == nil && connect.late.Load():
+		sent.Result, sent.Why = routing.ResultDialLate, fmt.Sprintf("no connection within %v", connect.limit)
 	case !wrote && in.base.Err() == nil && ctx.Err() == nil:
 		sent.Result = routing.ResultNoDial
 	case !wrote:
--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -52,6 +52,8 @@
 	case routing.ResultNoDial:
 		s.wasDown = true
 		s.fail(now, 1)
+	case routing.ResultDialLate:
+		s.fail(now, lateDialsToEject)
 	case routing.ResultLate:
 		s.fail(now, failuresToEject)
 		s.slow += slowWeight * (slowMost - s.slow)
--- a/internal/placing/load_test.go
+++ b/internal/placing/load_test.go
@@ -282,3 +282,28 @@
 		t.Errorf("%.2f of the later callers were answered in target, want 0.85", later.share())
 	}
 }
+
+// One connection that comes late may be the fault of the own link; a server whose
+// connections come late again and again gets nothing for a while. Neither counts as a
+// start anew.
+func TestLateDials(t *testing.T) {
+	p := NewPool(Policy{Service: "s", ColdRate: 5}, site(0))
+	p.Update([]Seen{{ID: "s1", Address: "a", Start: 1, Slots: 9, Site: site(0)}})
+	s := p.Servers[0]
+	late := func() {
+		p.Begin(s, start)
+		p.End(s, Ended{Class: "page", Result: routing.ResultDialLate, Latency: 300 * time.Millisecond}, start)
+	}
+	ask := Ask{Class: "page", Left: time.Second, Target: time.Second}
+	late()
+	if choice := p.Choose(ask, start); choice.Server == nil {
+		t.Errorf("refused after one late connection: %s", choice.Refused)
+	}
+	late()
+	if choice := p.Choose(ask, start); choice.Server != nil {
+		t.Error("chosen after two late connections in a row")
+	}
+	if s.wasDown {
+		t.Error("a late connection counts as a server that was down")
+	}
+}
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -115,13 +115,14 @@
 
 // Servers in doubt.
 const (
-	unheardRuns     = 1.3                    // cold runs without any answer after which a server gets nothing new
-	minPatience     = 500 * time.Millisecond // at least, for classes of short runs
-	failuresToEject = 4                      // failed answers in a row
-	ejectFirst      = 500 * time.Millisecond // doubled each time
-	ejectMost       = 4 * time.Second        // servers usually come back within that
-	probeShare      = 0.1                    // of the requests may go to servers in doubt; where many of them are gone, all requests would meet them
-	probesSaved     = 3.0                    // such requests saved up
+	unheardRuns      = 1.3                    // cold runs without any answer after which a server gets nothing new
+	minPatience      = 500 * time.Millisecond // at least, for classes of short runs
+	failuresToEject  = 4                      // failed answers in a row
+	lateDialsToEject = 2                      // connections in a row that did not come in time: the own link may be full
+	ejectFirst       = 500 * time.Millisecond // doubled each time
+	ejectMost        = 4 * time.Second        // servers usually come back within that
+	probeShare       = 0.1                    // of the requests may go to servers in doubt; where many of them are gone, all requests would meet them
+	probesSaved      = 3.0                    // such requests saved up
 )
 
 // Pool is the servers of one service as one entry sees them.
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -43,11 +43,12 @@
 	ResultLate                        // the deadline passed first
 	ResultCancelled                   // the caller hung up
 	ResultUnused                      // the grant was given back; nothing was sent
+	ResultDialLate                    // no connection came in time, perhaps as the own link is full; nothing was sent
 )
 
 // String names the result.
 func (r Result) String() string {
-	names := [...]string{"none", "ok", "error", "shed", "no-dial", "broken", "late", "cancelled", "unused"}
+	names := [...]string{"none", "ok", "error", "shed", "no-dial", "broken", "late", "cancelled", "unused", "dial-late"}
 	if int(r) >= len(names) {
 		return "none"
 	}
@@ -56,7 +57,7 @@
 
 // Ran reports whether the request may have run on the server.
 func (r Result) Ran() bool {
-	return r != ResultShed && r != ResultNoDial && r != ResultUnused
+	return r != ResultShed && r != ResultNoDial && r != ResultDialLate && r != ResultUnused
 }
 
 // Server is one backend server, or the leased part of one elsewhere.
