--- a/internal/callerhttp/near.go
+++ b/internal/callerhttp/near.go
@@ -1,34 +1,83 @@
 package callerhttp
 
-import "github.com/heatherwood/heatherwood/internal/reducer"
+import (
+	"time"
 
-// fewEntries is the number of entries below which a list is filled up from
-// farther away, so that a caller has another one to try.
-const fewEntries = 2
+	"github.com/heatherwood/heatherwood/internal/reducer"
+)
 
-// Near lists entries for callers of a failure domain: its own, those of its
-// region where it has few, and those of other regions where the region has few.
-func Near(view *reducer.View, region, domain string, most int) []string {
+const (
+	// fewEntries is the number of entries below which a list is filled up from
+	// farther away, so that a caller has another one to try.
+	fewEntries = 2
+	// learnTime is how long a VM that started may lack entries of its own failure
+	// domain: some rounds of gossip.
+	learnTime = 3 * time.Second
+)
+
+// Nearby is a list of entries for callers.
+type Nearby struct {
+	Entries  []string // host:port
+	Complete bool     // no entry near the caller seems to be missing
+}
+
+// Near lists entries for callers of a failure domain: its own, those of its region
+// where few of its own follow a document, and those of other regions where few of the
+// region do.
+//
+// It answers restarts of many VMs at once: callers keep the connections that they open
+// then, so a list of the first entries known to be ready would send all callers to
+// these. A VM that has just started therefore names the whole region, and also entries
+// not known to be ready: where it has a document, they have it within a round trip, and
+// that is known here a second later.
+func Near(view *reducer.View, region, domain string, most int, now time.Time) Nearby {
 	if view == nil || !view.Ready {
-		return nil
+		return Nearby{}
 	}
-	var own, near, far []string
+	learning := now.Sub(view.Started) < learnTime
+	var own, near, far group
 	for _, d := range view.Domains {
 		switch {
 		case !d.Alive:
 		case d.Name == domain:
-			own = append(own, d.Entries...)
+			own.add(d, learning)
 		case d.Region == region:
-			near = append(near, d.Entries...)
+			near.add(d, learning)
 		default:
-			far = append(far, d.Entries...)
+			far.add(d, learning)
 		}
 	}
-	entries := own
-	for _, others := range [][]string{near, far} {
-		if len(entries) < fewEntries {
-			entries = append(entries, others...)
-		}
+	complete := !learning && own.suffices()
+	if !complete {
+		own.join(near)
+	}
+	if !own.suffices() {
+		own.join(far)
+	}
+	return Nearby{Entries: own.entries[:min(most, len(own.entries))], Complete: complete}
+}
+
+// group is the entries of some failure domains.
+type group struct {
+	entries []string // that may be named
+	others  int      // that follow no document yet
+}
+
+func (g *group) add(d reducer.ViewDomain, learning bool) {
+	g.entries = append(g.entries, d.Entries...)
+	if learning {
+		g.entries = append(g.entries, d.Starting...)
+		return
 	}
-	return entries[:min(most, len(entries))]
+	g.others += len(d.Starting)
+}
+
+func (g *group) join(farther group) {
+	g.entries = append(g.entries, farther.entries...)
+	g.others += farther.others
+}
+
+// suffices reports whether there is a choice of entries, and half of all are ready.
+func (g *group) suffices() bool {
+	return len(g.entries) >= fewEntries && len(g.entries) >= g.others
 }
--- a/internal/member/domain.go
+++ b/internal/member/domain.go
@@ -74,8 +74,12 @@
 	slices.SortStableFunc(fresh, func(a, b *domainRecord) int {
 		return cmp.Or(cmp.Compare(a.sent, b.sent), a.heardAt.Compare(b.heardAt))
 	})
+	most := someSummaries
+	if len(s.records) < fewVMs {
+		most = moreSummaries
+	}
 	var chosen []Domain
-	for _, record := range fresh[:min(someSummaries, len(fresh))] {
+	for _, record := range fresh[:min(most, len(fresh))] {
 		record.sent++
 		chosen = append(chosen, record.Domain)
 	}
@@ -124,6 +128,19 @@
 	return domains
 }
 
+// headlines returns the summaries for a greeting. A VM tells all it knows in its first
+// seconds, as that may be how parts of another domain meet. Later ones ask more than
+// they tell, and leave out the entries of other domains, most of the bytes.
+func (s *State) headlines(now time.Time) []Domain {
+	domains := s.known(now)
+	for i := range domains {
+		if domains[i].Name != s.Self.Domain && s.Self.Counter > meetingBeats {
+			domains[i].Entries = nil
+		}
+	}
+	return domains
+}
+
 // rosterHash identifies a list of entries.
 func rosterHash(entries []EntryRef) uint64 {
 	digest := xxhash.New()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -28,6 +28,12 @@
 	Services    []dispatch.Summary
 }
 
+// status is whether a VM takes callers: all VMs of its domain are told of a change at
+// once, as they name it to callers or name it no longer.
+type status struct{ ready, stopping bool }
+
+func (v VM) status() status { return status{ready: v.Document > 0, stopping: v.Stopping} }
+
 func (v VM) newer(other VM) bool {
 	if v.Incarnation != other.Incarnation {
 		return v.Incarnation > other.Incarnation
@@ -87,6 +93,8 @@
 	domainInterval   = 500 * time.Millisecond
 	fanout           = 2
 	someSummaries    = 2               // domains in one message between VMs of a domain
+	moreSummaries    = 4               // the same in a domain of few VMs, whose heartbeats leave room
+	fewVMs           = 16              // in such a domain, at most
 	rosterEvery      = 8               // messages with summaries, one of which names the entries
 	rosterNews       = 4 * time.Second // entries that changed are named in each message
 	fullRecords      = 1               // VMs in full in one message
@@ -96,7 +104,8 @@
 	unreachableAfter = 1 * time.Second
 	deadAfter        = 3 * time.Second
 	forgetAfter      = 10 * time.Minute
-	returnHeartbeats = 3 // that a VM thought dead must send to count again
+	meetingBeats     = 20 // of a VM that started, in which the parts of all domains should have met
+	returnHeartbeats = 3  // that a VM thought dead must send to count again
 	DomainSilent     = 5 * time.Second
 )
 
@@ -131,6 +140,7 @@
 	summaries  int      // messages with summaries sent
 	strangers  []string // peer addresses of VMs of the own domain to greet
 	domainTurn int      // failure domain that a relay wrote to last
+	told       status   // that all VMs of the domain were told of
 }
 
 // New returns the membership of a VM that knows only its seeds.
@@ -194,12 +204,16 @@
 		VMs:     s.some(alive, fullRecords),
 		Domains: s.someDomains(now),
 	}
+	targets := s.targets(alive)
+	if status := s.Self.status(); status != s.told {
+		targets, s.told = alive, status
+	}
 	var sends []Send
-	for _, vm := range s.targets(alive) {
+	for _, vm := range targets {
 		sends = append(sends, Send{Address: vm.Peer, Gossip: message})
 	}
-	if address := s.greeted(alive); address != "" {
-		greeting := Gossip{From: s.Self, Greet: true, Known: len(alive), Domains: s.known(now)}
+	greeting := Gossip{From: s.Self, Greet: true, Known: len(alive), Domains: s.headlines(now)}
+	for _, address := range s.greeted(alive) {
 		sends = append(sends, Send{Address: address, Gossip: greeting})
 	}
 	return sends
@@ -241,13 +255,22 @@
 	return chosen
 }
 
-// greeted returns an address to greet: often while the VM is alone, now and
-// then later. A VM of the own domain that only others know comes first.
-func (s *State) greeted(alive []VM) string {
+// Meet has VMs of the own domain greeted that were known before the start.
+func (s *State) Meet(peers []string) {
+	for _, peer := range peers {
+		if peer != s.Self.Peer && len(s.strangers) < maxEntryRefs {
+			s.strangers = append(s.strangers, peer)
+		}
+	}
+}
+
+// greeted returns the addresses to greet: all VMs of the own domain that only others
+// know, or else a seed, often while the VM is alone, now and then later.
+func (s *State) greeted(alive []VM) []string {
 	if len(s.strangers) > 0 {
-		address := s.strangers[0]
-		s.strangers = s.strangers[1:]
-		return address
+		strangers := s.strangers
+		s.strangers = nil
+		return strangers
 	}
 	const aloneEvery, youngEvery, laterEvery, youngBeats = 2, 4, 200, 120
 	every := laterEvery
@@ -258,9 +281,9 @@
 		every = youngEvery
 	}
 	if len(s.Seeds) == 0 || s.random.IntN(every) != 0 {
-		return ""
+		return nil
 	}
-	return s.Seeds[s.random.IntN(len(s.Seeds))]
+	return []string{s.Seeds[s.random.IntN(len(s.Seeds))]}
 }
 
 func (s *State) alive() []VM {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -203,3 +203,73 @@
 		}
 	}
 }
+
+// A VM that begins or stops to take callers is known as such in its whole failure domain
+// with its next message, also where each message otherwise reaches two of many.
+func TestReadyAndStoppingAreToldAtOnce(t *testing.T) {
+	tests := map[string]struct {
+		change func(*VM)
+		seen   func(VM) bool
+	}{
+		"ready":    {func(v *VM) { v.Document = 7 }, func(v VM) bool { return v.Document == 7 }},
+		"stopping": {func(v *VM) { v.Stopping = true }, func(v VM) bool { return v.Stopping }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := newGroup(1, 20)
+			g.run(10 * time.Second)
+			test.change(&g.states[g.order[5]].Self)
+			g.run(Interval + 50*time.Millisecond)
+			for _, id := range g.order {
+				for _, vm := range g.states[id].Alive() {
+					if vm.ID == g.order[5] && !test.seen(vm) {
+						t.Errorf("%s does not know of the change", id)
+					}
+				}
+			}
+		})
+	}
+}
+
+// After a loss of all power the VMs of a failure domain without a seed meet through the
+// one that kept their addresses: callers are named all entries from then on.
+func TestRestartedDomainMeetsAtOnce(t *testing.T) {
+	for incarnation := range uint64(20) {
+		g := newGroup(9, 10)
+		for i, id := range g.order {
+			self := g.states[id].Self
+			self.Incarnation = incarnation + 1
+			g.states[id] = New(self, g.states[id].Seeds[:3])
+			if i%10 == 0 {
+				g.states[id].Meet(g.order[i : i+10])
+			}
+		}
+		g.run(600 * time.Millisecond)
+		for i := 0; i < len(g.order); i += 10 {
+			if alive := g.alive(g.order[i]); alive != 10 {
+				t.Errorf("start %d: %s knows %d live VMs of its failure domain, want 10", incarnation, g.order[i], alive)
+			}
+		}
+	}
+}
+
+// In a settled fleet no VM takes a failure domain for silent that is not.
+func TestSettledDomainsAreHeard(t *testing.T) {
+	for incarnation := range uint64(12) {
+		g := newGroup(10, 10)
+		for _, id := range g.order {
+			self := g.states[id].Self
+			self.Incarnation = incarnation + 1
+			g.states[id] = New(self, g.states[id].Seeds)
+		}
+		g.run(14 * time.Second)
+		for range 10 {
+			g.run(time.Second)
+			for _, id := range g.order {
+				if known := len(g.states[id].known(g.now)); known != 10 {
+					t.Errorf("start %d: %s hears of %d domains, want 10", incarnation, id, known)
+				}
+			}
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,7 +18,6 @@
 	"github.com/heatherwood/heatherwood/internal/peerrpc"
 	"github.com/heatherwood/heatherwood/internal/quorum"
 	"github.com/heatherwood/heatherwood/internal/reducer"
-	"github.com/heatherwood/heatherwood/internal/roster"
 	"github.com/heatherwood/heatherwood/internal/settings"
 )
 
@@ -70,13 +69,13 @@
 	if err != nil {
 		return nil, err
 	}
-	var servers []roster.Record
-	n.rosters, servers, err = openRoster(n)
+	var kept rosterContent
+	n.rosters, kept, err = openRoster(n)
 	if err != nil {
 		return nil, err
 	}
 	start := n.reducerSettings()
-	start.Servers = servers
+	start.Servers, start.Known = kept.Records, kept.Peers
 	n.state, err = reducer.New(start, restart, clk.Now())
 	if err != nil {
 		return nil, eris.Wrap(err, "restore control state")
@@ -257,7 +256,7 @@
 	case reducer.Record:
 		n.trail.add(e.Entry)
 	case reducer.SaveRoster:
-		n.rosters.add(e.Records)
+		n.rosters.add(e)
 	case reducer.Log:
 		n.logEvent(e)
 	case reducer.Decision:
--- a/internal/node/rosterfile.go
+++ b/internal/node/rosterfile.go
@@ -19,11 +19,12 @@
 )
 
 // rosterContent is the file that lets a site that lost all its VMs at once know
-// its servers before they announce themselves again.
+// its servers before they announce themselves again, and its VMs meet at once.
 type rosterContent struct {
 	Format  int
 	SavedAt time.Time
 	Records []roster.Record
+	Peers   []string // host:port of the other VMs of the failure domain
 }
 
 const rosterFormat = 1
@@ -33,60 +34,60 @@
 type rosterFile struct {
 	node   *Node
 	folder *disk.Folder
-	next   chan []roster.Record
+	next   chan reducer.SaveRoster
 }
 
 // openRoster opens the file and returns what it holds; an unreadable one is
 // logged and counts as empty, for servers announce themselves within seconds.
-func openRoster(n *Node) (*rosterFile, []roster.Record, error) {
+func openRoster(n *Node) (*rosterFile, rosterContent, error) {
 	if n.Settings.Data == "" {
-		return nil, nil, nil
+		return nil, rosterContent{}, nil
 	}
 	folder, err := disk.OpenFolder(filepath.Join(n.Settings.Data, rosterFolder))
 	if err != nil {
-		return nil, nil, fmt.Errorf("open roster: %w", err)
+		return nil, rosterContent{}, fmt.Errorf("open roster: %w", err)
 	}
-	f := &rosterFile{node: n, folder: folder, next: make(chan []roster.Record, 1)}
-	records, err := f.read()
+	f := &rosterFile{node: n, folder: folder, next: make(chan reducer.SaveRoster, 1)}
+	content, err := f.read()
 	if err != nil {
 		n.logEvent(reducer.Log{Code: reducer.CodeRosterLost, Detail: err.Error()})
 	}
-	return f, records, nil
+	return f, content, nil
 }
 
-func (f *rosterFile) read() ([]roster.Record, error) {
+func (f *rosterFile) read() (rosterContent, error) {
 	names, err := f.folder.Names()
 	if err != nil || !slices.Contains(names, rosterName) {
-		return nil, err
+		return rosterContent{}, err
 	}
 	data, err := f.folder.Read(rosterName)
 	if err != nil {
-		return nil, fmt.Errorf("read roster: %w", err)
+		return rosterContent{}, fmt.Errorf("read roster: %w", err)
 	}
 	var content rosterContent
 	if err := codec.Unmarshal(data, &content); err != nil {
-		return nil, fmt.Errorf("decode roster: %w", err)
+		return rosterContent{}, fmt.Errorf("decode roster: %w", err)
 	}
 	if age := f.node.Clock.Now().Sub(content.SavedAt); content.Format != rosterFormat || age > rosterAge || age < -rosterAge {
-		return nil, nil
+		return rosterContent{}, nil
 	}
-	return content.Records, nil
+	return content, nil
 }
 
-// add hands over newer records; those that still wait are dropped.
-func (f *rosterFile) add(records []roster.Record) {
+// add hands over newer content; what still waits is dropped.
+func (f *rosterFile) add(save reducer.SaveRoster) {
 	select {
 	case <-f.next:
 	default:
 	}
-	f.next <- records
+	f.next <- save
 }
 
 func (f *rosterFile) run() {
 	for {
 		select {
-		case records := <-f.next:
-			if err := f.write(records); err != nil {
+		case save := <-f.next:
+			if err := f.write(save); err != nil {
 				f.node.logEvent(reducer.Log{Code: reducer.CodeRosterLost, Detail: err.Error()})
 			}
 		case <-f.node.stopped:
@@ -96,8 +97,9 @@
 	}
 }
 
-func (f *rosterFile) write(records []roster.Record) error {
-	data, err := codec.Marshal(&rosterContent{Format: rosterFormat, SavedAt: f.node.Clock.Now(), Records: records})
+func (f *rosterFile) write(save reducer.SaveRoster) error {
+	content := rosterContent{Format: rosterFormat, SavedAt: f.node.Clock.Now(), Records: save.Records, Peers: save.Peers}
+	data, err := codec.Marshal(&content)
 	if err != nil {
 		return fmt.Errorf("encode roster: %w", err)
 	}
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -51,7 +51,10 @@
 
 // SaveRoster keeps the records in the data folder, as well as that is possible
 // without waiting.
-type SaveRoster struct{ Records []roster.Record }
+type SaveRoster struct {
+	Records []roster.Record
+	Peers   []string // host:port of the other VMs of the failure domain
+}
 
 // Decision is one log line about a request or a belief: what was decided, from
 // which inputs of which age or version.
@@ -96,7 +99,8 @@
 	Domain   string
 	Stale    bool // the document may be old
 	Ready    bool
-	Leaving  bool // the VM stops; callers are led elsewhere
+	Started  time.Time // of the VM
+	Leaving  bool      // the VM stops; callers are led elsewhere
 
 	LocalControl []string // peer addresses of live control VMs of the own failure domain
 }
@@ -107,6 +111,8 @@
 	Region  string
 	Alive   bool
 	Entries []string // host:port for callers
+
+	Starting []string // entries that follow no document yet, as far as is known
 }
 
 // Owner is the VM that grants the slots of a service.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -31,6 +31,7 @@
 	Replica     string           // id of that replica; empty means VM
 	Seats       bool             // the replica set grows and mends itself
 	Servers     []roster.Record  // known before the start, from the data folder
+	Known       []string         // peer addresses of VMs of the failure domain, likewise
 }
 
 func (s Settings) replica() quorum.ID {
@@ -173,6 +174,7 @@
 		now:       now,
 	}
 	s.roster.Restore(settings.Servers, settings.Domain, now)
+	s.members.Meet(settings.Known)
 	if restart == nil {
 		return s, nil
 	}
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/heatherwood/heatherwood/internal/roster"
 	"github.com/heatherwood/heatherwood/internal/routing"
 	"github.com/heatherwood/heatherwood/pkg/document"
@@ -124,7 +126,9 @@
 
 const rosterInterval = 2 * time.Second // between saves, which cost a sync each
 
-// saveRoster keeps what changed in the roster, on VMs with a data folder.
+// saveRoster keeps what changed in the roster and in the failure domain, on VMs with a
+// data folder. After a loss of all power, the VMs of a domain that has no seed find each
+// other by that.
 func (s *State) saveRoster() {
 	if !s.Settings.Control || s.now.Before(s.rosterDue) {
 		return
@@ -134,11 +138,18 @@
 	for _, digest := range s.roster.Digests() {
 		hash += digest.Hash
 	}
+	var peers []string
+	for _, vm := range s.members.Alive() {
+		if vm.ID != s.Settings.VM {
+			peers = append(peers, vm.Peer)
+			hash += xxhash.Sum64String(vm.Peer)
+		}
+	}
 	if hash == s.rosterHash {
 		return
 	}
 	s.rosterHash = hash
-	s.emit(SaveRoster{Records: s.roster.Live(s.now)})
+	s.emit(SaveRoster{Records: s.roster.Live(s.now), Peers: peers})
 }
 
 // countEntries counts the VMs that may send requests to servers, and those of them
--- a/internal/reducer/view.go
+++ b/internal/reducer/view.go
@@ -19,6 +19,7 @@
 		Leaving:  s.leaving,
 		Sections: s.copies,
 		HeldAt:   s.copyAt,
+		Started:  s.started,
 	}
 	view.Versions = s.Versions()
 	for _, vm := range s.members.Alive() {
@@ -47,6 +48,9 @@
 			}
 			view.Alive = domain.Silent < member.DomainSilent
 			for _, entry := range domain.Entries {
+				if entry.Entry != "" && !entry.Ready {
+					view.Starting = append(view.Starting, entry.Entry)
+				}
 				if entry.Entry != "" && entry.Ready && !s.document.Stops.Stopped(document.StopVM, entry.ID, s.now, LookupTTL) {
 					view.Entries = append(view.Entries, entry.Entry)
 				}
@@ -54,19 +58,23 @@
 		}
 		if named.Name == s.Settings.Domain {
 			view.Alive = true
-			view.Entries = s.ownEntries()
+			view.Entries, view.Starting = s.ownEntries()
 		}
 		views = append(views, view)
 	}
 	return views
 }
 
-func (s *State) ownEntries() []string {
-	var entries []string
+// ownEntries returns the entries of the own failure domain, and those that follow no
+// document yet.
+func (s *State) ownEntries() (entries, starting []string) {
 	for _, vm := range s.members.Alive() {
+		if vm.Entry != "" && vm.Document == 0 && !vm.Stopping {
+			starting = append(starting, vm.Entry)
+		}
 		if vm.Entry != "" && vm.Document > 0 && !vm.Stopping && !s.document.Stops.Stopped(document.StopVM, vm.ID, s.now, LookupTTL) {
 			entries = append(entries, vm.Entry)
 		}
 	}
-	return entries
+	return entries, starting
 }
