Spread the returns of callers whom starting VMs refuse

Cause: all got Retry-After 1 s and came back together, in the half second in which all VMs become ready. Ruled out: returns before a second is over, as callers who meet a second refusal give up. Change: 1 to 1.5 s by a hash of the request's id. Greetings are built only when one is sent.

--- a/internal/callerhttp/recognise.go
+++ b/internal/callerhttp/recognise.go
@@ -5,6 +5,9 @@
 	"io"
 	"net/http"
 	"os"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/problem"
@@ -14,7 +17,7 @@
 // recognise finds the service, the rule and the deadline.
 func (in *inbound) recognise() bool {
 	if in.view == nil || !in.view.Ready {
-		in.refuse(http.StatusServiceUnavailable, "starting", "no steering document is in force yet", retryWhenStarting)
+		in.refuse(http.StatusServiceUnavailable, "starting", "no steering document is in force yet", startingRetry(in.id))
 		return false
 	}
 	if in.request.Header.Get("Upgrade") != "" {
@@ -65,6 +68,13 @@
 	return in.checkKey()
 }
 
+// startingRetry is when a caller should return to a VM that starts: not before the VM
+// should be ready, and not together with the others.
+func startingRetry(id string) time.Duration {
+	spread := float64(xxhash.Sum64String(id)%1024) / 1024
+	return retryWhenStarting + time.Duration(spread*float64(retryWhenStarting)/2)
+}
+
 func (in *inbound) findDeadline() bool {
 	timeout := in.service.Target.Std()
 	for _, rank := range in.view.Document.Ranks.Ranks {
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -32,7 +32,7 @@
 	holdAfterDeadline = 5 * time.Second // a claim stays held after the deadline
 	writeGrace        = 30 * time.Second
 	readGrace         = time.Second // so that the request's own deadline ends it, and not a failed read
-	retryWhenStarting = time.Second
+	retryWhenStarting = time.Second // a control quorum forms and its document spreads in that
 )
 
 // Relay answers callers' requests from backend servers.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -212,9 +212,11 @@
 	for _, vm := range targets {
 		sends = append(sends, Send{Address: vm.Peer, Gossip: message})
 	}
-	greeting := Gossip{From: s.Self, Greet: true, Known: len(alive), Domains: s.headlines(now)}
-	for _, address := range s.greeted(alive) {
-		sends = append(sends, Send{Address: address, Gossip: greeting})
+	if addresses := s.greeted(alive); len(addresses) > 0 {
+		greeting := Gossip{From: s.Self, Greet: true, Known: len(alive), Domains: s.headlines(now)}
+		for _, address := range addresses {
+			sends = append(sends, Send{Address: address, Gossip: greeting})
+		}
 	}
 	return sends
 }
