Decide in the product how long a list of entries may be kept; code the lines at a stop

Cause: the adapter chose between two times, a decision that belongs beside the list; a failure domain with one entry counted as incomplete for good and its callers asked four times as often. The lines of cut requests and listeners had no event code. Change: Nearby carries the time; only lists that lack entries about to be ready are kept for 0.5 s. HW1041 for requests that outlast a stop, HW1020 for listeners that do not close.

--- a/internal/callerhttp/near.go
+++ b/internal/callerhttp/near.go
@@ -13,12 +13,16 @@
 	// learnTime is how long a VM that started may lack entries of its own failure
 	// domain: some rounds of gossip.
 	learnTime = 3 * time.Second
+	// listKeep is how long callers may keep a list, and learn of a lost entry.
+	listKeep = 2 * time.Second
+	// startingKeep is the same for a list that lacks entries about to be ready.
+	startingKeep = 500 * time.Millisecond
 )
 
 // Nearby is a list of entries for callers.
 type Nearby struct {
-	Entries  []string // host:port
-	Complete bool     // no entry near the caller seems to be missing
+	Entries []string      // host:port
+	Keep    time.Duration // for which a caller may use the list
 }
 
 // Near lists entries for callers of a failure domain: its own, those of its region
@@ -47,14 +51,17 @@
 			far.add(d, learning)
 		}
 	}
-	complete := !learning && own.suffices()
-	if !complete {
+	keep := listKeep
+	if learning || own.starts() {
+		keep = startingKeep
+	}
+	if learning || !own.suffices() {
 		own.join(near)
 	}
 	if !own.suffices() {
 		own.join(far)
 	}
-	return Nearby{Entries: own.entries[:min(most, len(own.entries))], Complete: complete}
+	return Nearby{Entries: own.entries[:min(most, len(own.entries))], Keep: keep}
 }
 
 // group is the entries of some failure domains.
@@ -77,7 +84,8 @@
 	g.others += farther.others
 }
 
+// starts reports whether most of the entries are about to be ready.
+func (g *group) starts() bool { return len(g.entries) < g.others }
+
 // suffices reports whether there is a choice of entries, and half of all are ready.
-func (g *group) suffices() bool {
-	return len(g.entries) >= fewEntries && len(g.entries) >= g.others
-}
+func (g *group) suffices() bool { return len(g.entries) >= fewEntries && !g.starts() }
--- a/internal/callerhttp/near_test.go
+++ b/internal/callerhttp/near_test.go
@@ -17,19 +17,19 @@
 		own, near, far counts
 		age            time.Duration // of the VM that is asked
 		want           int           // entries
-		complete       bool
+		keep           time.Duration
 	}{
-		"own domain":                    {counts{9, 0}, counts{17, 0}, counts{50, 0}, time.Hour, 9, true},
-		"one entry":                     {counts{1, 0}, counts{3, 0}, counts{6, 0}, time.Hour, 4, false},
-		"region without entries":        {counts{0, 0}, counts{1, 0}, counts{6, 0}, time.Hour, 7, false},
-		"few of the domain ready":       {counts{2, 7}, counts{17, 0}, counts{50, 0}, time.Hour, 19, false},
-		"half of the domain ready":      {counts{5, 4}, counts{9, 8}, counts{50, 0}, time.Hour, 5, true},
-		"few of the region ready":       {counts{2, 7}, counts{4, 13}, counts{20, 30}, time.Hour, 26, false},
-		"asked VM has just started":     {counts{9, 0}, counts{17, 0}, counts{30, 0}, time.Second, 26, false},
-		"all have just started":         {counts{1, 8}, counts{0, 17}, counts{2, 28}, time.Second, 26, false},
-		"none of the region is known":   {counts{0, 0}, counts{0, 0}, counts{10, 20}, time.Second, 30, false},
-		"asked VM started a while ago":  {counts{9, 0}, counts{17, 0}, counts{30, 0}, learnTime, 9, true},
-		"no more than the caller takes": {counts{2, 7}, counts{4, 13}, counts{90, 0}, time.Hour, 64, false},
+		"own domain":                    {counts{9, 0}, counts{17, 0}, counts{50, 0}, time.Hour, 9, listKeep},
+		"one entry":                     {counts{1, 0}, counts{3, 0}, counts{6, 0}, time.Hour, 4, listKeep},
+		"region without entries":        {counts{0, 0}, counts{1, 0}, counts{6, 0}, time.Hour, 7, listKeep},
+		"few of the domain ready":       {counts{2, 7}, counts{17, 0}, counts{50, 0}, time.Hour, 19, startingKeep},
+		"half of the domain ready":      {counts{5, 4}, counts{9, 8}, counts{50, 0}, time.Hour, 5, listKeep},
+		"few of the region ready":       {counts{2, 7}, counts{4, 13}, counts{20, 30}, time.Hour, 26, startingKeep},
+		"asked VM has just started":     {counts{9, 0}, counts{17, 0}, counts{30, 0}, time.Second, 26, startingKeep},
+		"all have just started":         {counts{1, 8}, counts{0, 17}, counts{2, 28}, time.Second, 26, startingKeep},
+		"none of the region is known":   {counts{0, 0}, counts{0, 0}, counts{10, 20}, time.Second, 30, startingKeep},
+		"asked VM started a while ago":  {counts{9, 0}, counts{17, 0}, counts{30, 0}, learnTime, 9, listKeep},
+		"no more than the caller takes": {counts{2, 7}, counts{4, 13}, counts{90, 0}, time.Hour, 64, startingKeep},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -49,8 +49,8 @@
 				view.Domains = append(view.Domains, domain)
 			}
 			got := Near(view, "a", "a-1", 64, started.Add(test.age))
-			if len(got.Entries) != test.want || got.Complete != test.complete {
-				t.Errorf("%d entries, complete %t, want %d, %t", len(got.Entries), got.Complete, test.want, test.complete)
+			if len(got.Entries) != test.want || got.Keep != test.keep {
+				t.Errorf("%d entries for %v, want %d for %v", len(got.Entries), got.Keep, test.want, test.keep)
 			}
 		})
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -281,6 +281,11 @@
 	n.Metrics.Event(e.Code)
 }
 
+// Report logs an error of the shell around the VM.
+func (n *Node) Report(code reducer.Code, err error) {
+	n.logEvent(reducer.Log{Code: code, Detail: err.Error()})
+}
+
 // Decide writes the log line of a decision.
 func (n *Node) Decide(d reducer.Decision) {
 	info := d.Code.Info()
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -45,6 +45,7 @@
 	CodeRosterLost       Code = 1038
 	CodeDiskBack         Code = 1039
 	CodeHeaderLate       Code = 1040
+	CodeStopCut          Code = 1041
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -96,6 +97,7 @@
 	{CodeRosterLost, "warn", "roster of servers could not be kept or read; servers announce themselves anew"},
 	{CodeDiskBack, "info", "data folder takes writes again; the replica goes on with what it holds"},
 	{CodeHeaderLate, "info", "caller's connection closed: the header of a request did not end in time"},
+	{CodeStopCut, "warn", "requests were cut off: they outlasted the stop"},
 }
 
 // Info returns the catalogue entry of a code.
