--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -4,18 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"github.com/heatherwood/heatherwood/examples"
 	"github.com/heatherwood/heatherwood/internal/clock"
 	"github.com/heatherwood/heatherwood/internal/entry"
 	"github.com/heatherwood/heatherwood/internal/node"
@@ -106,109 +101,12 @@
 	return nil
 }
 
-// Layout returns the settings of a site's VMs without starting them.
-func Layout(options Options) (*Demo, error) {
-	d := &Demo{Options: options}
-	texts, err := examples.Texts(options.Site)
-	if err != nil {
-		return nil, fmt.Errorf("site %q: use one of %s", options.Site, strings.Join(examples.Sites(), ", "))
-	}
-	parsed, messages := document.Parse(texts)
-	if err := messages.Err(); err != nil {
-		return nil, err
-	}
-	if err := d.dataFolder(); err != nil {
-		return nil, err
-	}
-	d.texts, d.document = texts, parsed
-	return d, d.makeSettings(parsed)
-}
-
-// makeSettings lays out the VMs on free ports.
-func (d *Demo) makeSettings(parsed *document.Document) error {
-	if d.Options.IP == "" {
-		d.Options.IP = "127.0.0.1"
-	}
-	var replicas []settings.Replica
-	var seeds []string
-	ports, err := freePorts(d.Options.IP, 2*vmsOf(parsed))
-	if err != nil {
-		return err
-	}
-	for i, domain := range parsed.Places.Domains {
-		for j := range vmsPerDomain[i%len(vmsPerDomain)] {
-			own := settings.Settings{
-				ID:     fmt.Sprintf("%s-%d", domain.Name, j+1),
-				Domain: domain.Name,
-				Region: domain.Region,
-				Entry:  ports[0],
-				Peer:   ports[1],
-				Key:    siteKey,
-			}
-			ports = ports[2:]
-			if controlVMs[fmt.Sprintf("%d-%d", i, j)] {
-				own.Data = filepath.Join(d.Options.Data, own.ID)
-				replicas = append(replicas, settings.Replica{ID: own.ID, Peer: own.Peer})
-			}
-			seeds = append(seeds, own.Peer)
-			d.Settings = append(d.Settings, own)
-		}
-	}
-	operators := d.operators()
-	for i := range d.Settings {
-		d.Settings[i].Seeds = seeds
-		d.Settings[i].Replicas = replicas
-		d.Settings[i].Operators = operators
-		if err := d.Settings[i].Check(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func vmsOf(parsed *document.Document) int {
-	total := 0
-	for i := range parsed.Places.Domains {
-		total += vmsPerDomain[i%len(vmsPerDomain)]
-	}
-	return total
-}
-
-func (d *Demo) operators() []settings.Operator {
-	var operators []settings.Operator
-	for _, section := range document.Written() {
-		team := string(section) + "-team"
-		token := "demo-token-of-" + team
-		d.Tokens = append(d.Tokens, Token{Team: team, Token: token})
-		operators = append(operators, settings.Operator{Team: team, Token: token, Sections: []string{string(section)}})
-	}
-	return operators
-}
-
 // portRange lies below the ports that systems give to outgoing connections.
 const (
 	firstPort = 20_000
 	lastPort  = 32_000
 )
 
-// freePorts finds ports that are free now. All are held until the last is found,
-// so that none is given twice.
-func freePorts(ip string, n int) ([]string, error) {
-	var addresses []string
-	for range 10 * n {
-		port := firstPort + rand.IntN(lastPort-firstPort)
-		listener, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
-		if err != nil {
-			continue
-		}
-		defer listener.Close()
-		if addresses = append(addresses, listener.Addr().String()); len(addresses) == n {
-			return addresses, nil
-		}
-	}
-	return nil, errNoPorts
-}
-
 var errNoPorts = errors.New("too few free ports")
 
 func (d *Demo) startVM(own settings.Settings) (*entry.Server, error) {
--- a/internal/member/domain.go
+++ b/internal/member/domain.go
@@ -128,19 +128,6 @@
 	return domains
 }
 
-// headlines returns the summaries for a greeting. A VM tells all it knows in its first
-// seconds, as that may be how parts of another domain meet. Later ones ask more than
-// they tell, and leave out the entries of other domains, most of the bytes.
-func (s *State) headlines(now time.Time) []Domain {
-	domains := s.known(now)
-	for i := range domains {
-		if domains[i].Name != s.Self.Domain && s.Self.Counter > meetingBeats {
-			domains[i].Entries = nil
-		}
-	}
-	return domains
-}
-
 // rosterHash identifies a list of entries.
 func rosterHash(entries []EntryRef) uint64 {
 	digest := xxhash.New()
@@ -195,20 +182,6 @@
 	s.domains[at].Version = max(s.domains[at].Version, d.Version)
 }
 
-// noteStrangers remembers VMs of the own domain that only others know: parts of
-// a domain which formed apart meet through them.
-func (s *State) noteStrangers(entries []EntryRef) {
-	for _, entry := range entries {
-		_, known := slices.BinarySearchFunc(s.records, entry.ID, compareRecord)
-		if known || entry.ID == s.Self.ID || slices.Contains(s.strangers, entry.Peer) {
-			continue
-		}
-		if len(s.strangers) < maxEntryRefs {
-			s.strangers = append(s.strangers, entry.Peer)
-		}
-	}
-}
-
 // Bar adds what this VM knows of crash-causing requests to its domain's summary.
 func (s *State) Bar(entries []quarantine.Entry) {
 	at, found := slices.BinarySearchFunc(s.domains, s.Self.Domain, compareDomain)
