Share the ejection of servers; name the first servers of an object apart from their order

Cause: routing and placing counted failures and ejected in the same way, each in code of its own; a method, a function and a variable of placing were all called order; two packages had an abs beside math.Abs. Ruled out: one Pool for both, as one grants slots and the other weighs ways. Change: routing.Ejection, embedded by both kinds of server, with the times of each as a Backoff.

--- a/internal/callerhttp/patience.go
+++ b/internal/callerhttp/patience.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -38,7 +39,7 @@
 		p.mean, p.deviation, p.known = seconds, seconds/2, true
 		return
 	}
-	p.deviation += deviationWeight * (abs(seconds-p.mean) - p.deviation)
+	p.deviation += deviationWeight * (math.Abs(seconds-p.mean) - p.deviation)
 	p.mean += meanWeight * (seconds - p.mean)
 }
 
@@ -94,5 +95,3 @@
 		},
 	}
 }
-
-func abs(x float64) float64 { return max(x, -x) }
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"time"
 
@@ -148,14 +149,12 @@
 	for i := range x {
 		line := fit.Base + fit.Slope*x[i]
 		if line != 0 {
-			fit.Error = max(fit.Error, abs(y[i]-line)/abs(line))
+			fit.Error = max(fit.Error, math.Abs(y[i]-line)/math.Abs(line))
 		}
 	}
 	return fit
 }
 
-func abs(v float64) float64 { return max(v, -v) }
-
 // At returns the value of the line.
 func (f Fit) At(x float64) float64 { return f.Base + f.Slope*x }
 
--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -38,7 +38,7 @@
 	switch e.Result {
 	case routing.ResultOK:
 		p.learn(s, e, now)
-		s.failures, s.ejections, s.probing = 0, 0, false
+		s.Recover()
 		p.returned(s, now)
 		s.failing -= failWeight * s.failing
 	case routing.ResultError, routing.ResultBroken:
@@ -48,7 +48,7 @@
 		// A full server says so; its load counts as its slots and queue.
 		s.failing += failWeight * (1 - s.failing)
 		s.others, s.othersAt = max(s.others, float64(s.Slots)*(1+defaultQueue)), now
-		s.probing = false
+		s.EndProbe()
 	case routing.ResultNoDial:
 		s.wasDown = true
 		s.fail(now, 1)
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/heatherwood/heatherwood/internal/routing"
 )
 
 // Policy is what the steering document says of one service.
@@ -119,12 +121,13 @@
 	minPatience      = 500 * time.Millisecond // at least, for classes of short runs
 	failuresToEject  = 4                      // failed answers in a row
 	lateDialsToEject = 2                      // connections in a row that did not come in time: the own link may be full
-	ejectFirst       = 500 * time.Millisecond // doubled each time
-	ejectMost        = 4 * time.Second        // servers usually come back within that
 	probeShare       = 0.1                    // of the requests may go to servers in doubt; where many of them are gone, all requests would meet them
 	probesSaved      = 3.0                    // such requests saved up
 )
 
+// backoff is how long a server stays out: servers usually come back within the longest.
+var backoff = routing.Backoff{First: 500 * time.Millisecond, Most: 4 * time.Second}
+
 // Pool is the servers of one service as one entry sees them.
 type Pool struct {
 	Policy  Policy
@@ -180,7 +183,7 @@
 func (p *Pool) Choose(ask Ask, now time.Time) Choice {
 	usual := p.usual(ask)
 	p.probes = min(p.probes+probeShare, probesSaved)
-	first := p.order(ask, now)
+	first := p.firstOf(ask, now)
 	w := p.weigh(p.wanted, first, usual, ask, now)
 	if w.best.server == nil {
 		w = p.weigh(p.Servers, first, usual, ask, now)
@@ -191,16 +194,16 @@
 	case w.best.server == nil || p.hopeless(w.best, ask):
 		return Choice{Refused: TooBusy, RetryAfter: p.retryAfter(w.soonest, usual, ask), Candidates: w.candidates}
 	}
-	if w.best.server.probing {
+	if w.best.server.Probing() {
 		p.probes = max(0, p.probes-1)
 	}
 	return Choice{Server: w.best.server, Expected: seconds(w.best.expected), Warm: w.best.warm, Candidates: w.candidates}
 }
 
-// order returns the first servers in the order of the object, and starts the turns
+// firstOf returns the first servers in the order of the object, and starts the turns
 // of servers that became cold. Those first and those that know the object are
 // wanted.
-func (p *Pool) order(ask Ask, now time.Time) firsts {
+func (p *Pool) firstOf(ask Ask, now time.Time) firsts {
 	object := ask.Fallback
 	if ask.Object != "" {
 		object = xxhash.Sum64String(ask.Object)
@@ -216,10 +219,10 @@
 		if s.Closed || cold || !ask.allowed(s.Region) {
 			continue
 		}
-		order := order(object, s.hash)
-		first.all.add(s, order)
+		at := order(object, s.hash)
+		first.all.add(s, at)
 		if s.near {
-			first.near.add(s, order)
+			first.near.add(s, at)
 		}
 	}
 	p.want(first.all)
@@ -246,7 +249,7 @@
 func (p *Pool) weigh(servers []*Server, first firsts, usual runs, ask Ask, now time.Time) weighed {
 	w := weighed{soonest: math.Inf(1)}
 	for _, s := range servers {
-		if !s.usable(ask, now) || s.unheard(usual, ask, now) || s.probing && p.probes < 1 && !p.allProbing(now) {
+		if !s.usable(ask, now) || s.unheard(usual, ask, now) || s.Probing() && p.probes < 1 && !p.allProbing(now) {
 			continue
 		}
 		w.candidates++
@@ -268,7 +271,7 @@
 // allProbing reports whether no server is beyond doubt: then all may be tried.
 func (p *Pool) allProbing(now time.Time) bool {
 	return !slices.ContainsFunc(p.Servers, func(s *Server) bool {
-		return !s.Closed && !s.probing && !now.Before(s.ejected)
+		return !s.Closed && !s.Probing() && !s.Ejected(now)
 	})
 }
 
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/heatherwood/heatherwood/internal/routing"
 )
 
 // Server is one start of a backend server.
@@ -15,6 +17,7 @@
 	ColdUntil time.Time
 	Closed    bool // gets nothing new
 	Site
+	routing.Ejection
 
 	hash       uint64
 	near       bool // in the region of the entry
@@ -26,10 +29,6 @@
 	mix        float64   // moving average of all runs, warm and cold, as a ratio to a warm one: what a waiting request waits for
 	quietSince time.Time // last answer, or the first send since nothing ran
 	failing    float64   // share of failed answers, moving average
-	failures   int       // in a row
-	ejections  int
-	ejected    time.Time // until then
-	probing    bool
 	wasDown    bool      // refused connections since its last answer
 	presumed   time.Time // thought to be cold until then
 	nextCold   time.Time
@@ -52,8 +51,8 @@
 
 func (s *Server) usable(ask Ask, now time.Time) bool {
 	return !s.Closed &&
-		!now.Before(s.ejected) &&
-		!(s.probing && s.running > 0) &&
+		!s.Ejected(now) &&
+		!(s.Probing() && s.running > 0) &&
 		!(s.isCold(now) && now.Before(s.nextCold)) &&
 		ask.allowed(s.Region) &&
 		!slices.Contains(ask.Exclude, s.ID)
@@ -127,13 +126,7 @@
 
 // fail takes the server out for a while after so many failures in a row.
 func (s *Server) fail(now time.Time, limit int) {
-	s.failures++
-	if s.failures < limit && !s.probing {
-		return
+	if s.Failed(limit) {
+		s.Eject(backoff, now)
 	}
-	wait := min(ejectFirst<<min(s.ejections, 3), ejectMost)
-	s.ejections++
-	s.failures = 0
-	s.ejected = now.Add(wait)
-	s.probing = true
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -9,8 +9,6 @@
 // Bounds and timings of ejection.
 const (
 	failuresToEject  = 3
-	ejectBase        = time.Second
-	ejectMax         = 30 * time.Second
 	maxEjectedShare  = 0.5
 	slowFactor       = 4.0 // times the median latency of the pool
 	slowFloor        = 0.005
@@ -26,6 +24,8 @@
 	announceLifetime = 2 * time.Second
 )
 
+var backoff = Backoff{First: time.Second, Most: 30 * time.Second}
+
 // AnnounceLifetime is how long an announcement counts; a server renews well
 // before.
 const AnnounceLifetime = announceLifetime
@@ -177,29 +177,18 @@
 }
 
 func (s *Server) recover(now time.Time) {
-	s.failures = 0
 	if s.probing {
-		s.probing = false
-		s.ejections = 0
 		s.warmFrom = now
 	}
+	s.Recover()
 }
 
 // fail ejects a server after so many failures in a row, unless too large a
 // share of the pool is ejected already: then the fault is likely elsewhere.
 func (p *Pool) fail(s *Server, now time.Time, limit int) {
-	s.failures++
-	if s.failures < limit && !s.probing {
-		return
+	if s.Failed(limit) && p.ejectedShare(now) < maxEjectedShare {
+		s.Eject(backoff, now)
 	}
-	if p.ejectedShare(now) >= maxEjectedShare {
-		return
-	}
-	wait := min(ejectBase<<min(s.ejections, 5), ejectMax)
-	s.ejections++
-	s.failures = 0
-	s.ejectedUntil = now.Add(wait)
-	s.probing = true
 }
 
 func (p *Pool) ejectedShare(now time.Time) float64 {
@@ -209,7 +198,7 @@
 			continue
 		}
 		all++
-		if now.Before(s.ejectedUntil) {
+		if s.Ejected(now) {
 			ejected++
 		}
 	}
@@ -225,7 +214,7 @@
 	if s == nil {
 		return
 	}
-	s.ejectedUntil = now.Add(ejectBase)
+	s.until = now.Add(backoff.First)
 	s.probing = true
 	s.refresh(now, p.Warm, p.unknownLatency())
 }
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -71,17 +71,14 @@
 	Lent     int           // slots that other failure domains may use
 	Stopped  bool          // a planned stop covers it
 
-	warmFrom     time.Time
-	latency      float64 // seconds, moving average of good answers
-	errors       float64 // share of bad answers, moving average
-	failures     int     // bad answers in a row
-	ejectedUntil time.Time
-	ejections    int
-	probing      bool    // back from ejection, one request at a time
-	effective    int     // slots in working order at the last refresh
-	idleCost     float64 // expected seconds to an answer when nothing else runs
-	busyCost     float64 // added for each request that runs
-	slow         bool    // far slower than the median of its peers
+	Ejection
+	warmFrom  time.Time
+	latency   float64 // seconds, moving average of good answers
+	errors    float64 // share of bad answers, moving average
+	effective int     // slots in working order at the last refresh
+	idleCost  float64 // expected seconds to an answer when nothing else runs
+	busyCost  float64 // added for each request that runs
+	slow      bool    // far slower than the median of its peers
 }
 
 // Borrowed reports whether the server belongs to another failure domain.
@@ -93,7 +90,7 @@
 		!s.Stopped &&
 		now.Before(s.Expires) &&
 		!now.Before(s.UsableAt) &&
-		!now.Before(s.ejectedUntil)
+		!s.Ejected(now)
 }
 
 // Slots that a warming server starts with.
