Spread the voters of the replica set over regions and failure domains

Cause: the leader took VMs into the replica set in the order in which their join requests sort, wherever they are. On the large fleet three of five voters stood in one failure domain, so that losing it, which the site must bear, took the quorum; all 27 control VMs were members, and the leader sent each of them ten messages a second.

Change: join requests carry failure domain and region, members repeat theirs every 2 s for a new leader. A vacancy goes to the learner with which the fewest pairs of voters share a region, then a domain; a bad spread is mended by one exchange at a time, the successor promoted before the other is removed, so that no state on the way is worse. Two learners stay beside the five voters; the other control VMs receive the document as entries do, and learn from it which servers are closed.

"six live voters stay" is now "sixth live voter is removed": six voters have no majority when the control VMs are cut into halves, and an exchange passes through six.

--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -216,8 +216,13 @@
 	Answer bool // the receiver replies with its own index
 }
 
-// JoinRequest asks the leader to add a control VM to the replica set.
-type JoinRequest struct{ Replica quorum.Replica }
+// JoinRequest asks the leader to add a control VM to the replica set, and tells it
+// where the VM is.
+type JoinRequest struct {
+	Replica quorum.Replica
+	Domain  string // failure domain; empty from older versions
+	Region  string
+}
 
 // QuarantineUpdate carries changed entries of the quarantine table. It is sent
 // at once, ahead of the gossip.
--- a/internal/reducer/join.go
+++ b/internal/reducer/join.go
@@ -1,30 +1,32 @@
 package reducer
 
 import (
-	"slices"
-	"time"
-
 	"github.com/heatherwood/heatherwood/internal/quorum"
 	"github.com/heatherwood/heatherwood/internal/replicaset"
 )
 
-const joinInterval = 500 * time.Millisecond
-
-// tickReplicaSet sends a join request from a control VM outside the replica
-// set; on the leader it proposes the next change of the set.
+// tickReplicaSet sends join requests from a control VM: one outside the replica set
+// asks to be added, a member tells the leader where it is. On the leader it proposes
+// the next change of the set.
 func (s *State) tickReplicaSet() {
 	if s.quorum == nil || !s.Settings.ManageReplicas || s.now.Before(s.joinDue) {
 		return
 	}
-	s.joinDue = s.now.Add(joinInterval)
 	if s.quorum.Role == quorum.RoleLeader {
+		s.joinDue = s.now.Add(replicaset.CheckInterval)
+		s.replicaSet.RecordLocation(s.Settings.Peer, s.location())
 		s.proposeReplicaChange()
 		return
 	}
-	if s.isReplica() {
-		return
+	s.joinDue = s.now.Add(replicaset.ReportInterval)
+	if s.joinIsUrgent() {
+		s.joinDue = s.now.Add(replicaset.UrgentInterval)
 	}
-	join := Message{Join: &JoinRequest{Replica: quorum.Replica{ID: s.Settings.replica(), Address: s.Settings.Peer}}}
+	join := Message{Join: &JoinRequest{
+		Replica: quorum.Replica{ID: s.Settings.replica(), Address: s.Settings.Peer},
+		Domain:  s.Settings.Domain,
+		Region:  s.Settings.Region,
+	}}
 	if s.leader.Peer != "" && s.leader.Peer != s.Settings.Peer {
 		s.transmit(s.leader.Peer, join)
 		return
@@ -36,20 +38,34 @@
 	}
 }
 
-// isReplica reports whether the newest known replica set contains this VM's
-// replica. The list from the leader takes precedence over the own log, which
-// may end before the entry that removed the replica.
-func (s *State) isReplica() bool {
-	replicas := s.leader.Replicas
-	if len(replicas) == 0 {
-		replicas = s.quorum.Config().Replicas()
+func (s *State) location() replicaset.Location {
+	return replicaset.Location{Domain: s.Settings.Domain, Region: s.Settings.Region}
+}
+
+// joinIsUrgent reports whether the set lacks replicas, or still names the one that
+// this VM held before it lost its disk.
+func (s *State) joinIsUrgent() bool {
+	replicas := s.knownReplicas()
+	for _, r := range replicas {
+		if r.Address == s.Settings.Peer {
+			return r.ID != s.Settings.replica()
+		}
+	}
+	return len(replicas) < replicaset.TargetVoters
+}
+
+// knownReplicas returns the newest known replica set. The list from the leader takes
+// precedence over the own log, which may end before the entry that removed a replica.
+func (s *State) knownReplicas() []quorum.Replica {
+	if len(s.leader.Replicas) > 0 {
+		return s.leader.Replicas
 	}
-	return slices.ContainsFunc(replicas, func(r quorum.Replica) bool { return r.ID == s.Settings.replica() })
+	return s.quorum.Config().Replicas()
 }
 
 func (s *State) receiveJoin(m Message) {
 	if s.quorum != nil && s.quorum.Role == quorum.RoleLeader {
-		s.replicaSet.RecordJoin(m.Join.Replica, s.now)
+		s.replicaSet.RecordJoin(m.Join.Replica, replicaset.Location{Domain: m.Join.Domain, Region: m.Join.Region}, s.now)
 		return
 	}
 	if m.Hops < maxHops && s.leader.Peer != "" && s.leader.Peer != s.Settings.Peer {
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -102,14 +102,19 @@
 	}
 }
 
-// closedInLog reports whether the replicated log, as far as it is applied here,
-// closes this start of the server to new requests.
+// closedInLog reports whether the replicated log closes this start of the server to
+// new requests, as far as it is applied here or in the document in force: a control
+// VM outside the replica set receives the document only.
 func (s *State) closedInLog(id string, start int64) bool {
+	closure := document.Closure{Kind: document.CloseServer, Name: id, Start: start}
+	if s.closures[closure] {
+		return true
+	}
 	if s.ledger == nil {
 		return false
 	}
 	closures := document.Closures{Closures: s.ledger.Closures}
-	return closures.Has(document.Closure{Kind: document.CloseServer, Name: id, Start: start})
+	return closures.Has(closure)
 }
 
 func (s *State) tickRoster() {
