Heed what servers say about themselves; bound answers without end

Cause: a server that says in its answers that it leaves, or turns a request away with Retry-After, was used on as before. An answer header was read up to net/http's 10 MB, and a refusal's body was drained while the caller waited.

Change: routing.Notice holds what an answer says beside the answer. The VM that hears it sends nothing more at once; a server that leaves is marked in the roster for its start, which spreads the word, and no announcement of that start takes it back. A time to stay away counts when placing, and callers are told to return after the shortest one where all servers want none. Services with owners pass notices to the owner, and on to the lender of a borrowed server. Answer headers end at 64 KiB and bodies at 256 MiB, and a refused request does not wait for the rest of the refusal. An answer that carries another request's id counts as none, also where it is a refusal, and for servers of our own protocol that repeat the id. Event HW1042 logs notices. Also here: requests of callers that are given up name the deadline, the caller or the stop as the cause, and a `once` claim is given back only if nothing was sent.

--- a/internal/callerhttp/dialect.go
+++ b/internal/callerhttp/dialect.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/placing"
 	"github.com/heatherwood/heatherwood/internal/problem"
+	"github.com/heatherwood/heatherwood/internal/routing"
 )
 
 // Dialect describes the HTTP headers that callers and backend servers of a site
@@ -14,6 +17,7 @@
 type Dialect struct {
 	RequestIDHeader      string // carries the caller's id of a request; servers repeat it; empty if callers send none
 	ObjectHeader         string // names the object of a request
+	LeavingHeader        string // on answers of a server that will stop, with the value 1
 	DigestHeader         string // on every successful answer of a server; empty if servers send none
 	FractionalRetryAfter bool   // Retry-After may have a fraction of a second
 	ForwardClientIP      bool   // add X-Forwarded-For with the caller's address
@@ -42,6 +46,7 @@
 func DefaultDialect() Dialect {
 	return Dialect{
 		ObjectHeader:    problem.HeaderObject,
+		LeavingHeader:   problem.HeaderLeaving,
 		ForwardClientIP: true,
 		ParseTimeout: func(header http.Header) (time.Duration, error) {
 			text := header.Get(problem.HeaderTimeout)
@@ -74,7 +79,38 @@
 	return d.ParseLoad(header)
 }
 
-// answerIDHeader returns the header of an answer that carries the request's id.
+// notice returns what a server says about itself in an answer. Its wish that this VM
+// stay away counts where it turned the request away.
+func (d Dialect) notice(response *http.Response) routing.Notice {
+	var n routing.Notice
+	n.Leaving = d.LeavingHeader != "" && response.Header.Get(d.LeavingHeader) == "1"
+	if response.StatusCode == http.StatusServiceUnavailable {
+		n.StayAway = parseRetryAfter(response.Header.Get("Retry-After"))
+	}
+	return n
+}
+
+const maxStayAway = time.Hour // a longer Retry-After counts as so long
+
+// parseRetryAfter returns the time of a Retry-After header in seconds, which may have a
+// fraction, or 0 if there is none or it cannot be read.
+func parseRetryAfter(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxStayAway.Seconds()) * float64(time.Second))
+}
+
+// isForeign reports whether the answer carries the id of another request: a server may
+// send a second copy of an answer, late, on a connection that is in use again.
+func (d Dialect) isForeign(response *http.Response, id string) bool {
+	echo := response.Header.Get(d.answerIDHeader())
+	return echo != "" && echo != id
+}
+
+// answerIDHeader returns the header of an answer that carries the request's id, to the
+// caller and from servers that repeat it.
 func (d Dialect) answerIDHeader() string {
 	if d.RequestIDHeader == "" {
 		return problem.HeaderRequest
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -27,7 +27,7 @@
 const (
 	bodyPrefixBytes   = 64 << 10  // of a body, kept for retries
 	maxOnceBodyBytes  = 1 << 20   // of the body of a `once` request
-	maxBodyBytes      = 256 << 20 // of any body
+	maxBodyBytes      = 256 << 20 // of any body, also of an answer: a faulty server may send one without end
 	maxTimeout        = 10 * time.Minute
 	claimLeaseMargin  = 5 * time.Second  // a claim's lease ends so long after the request's deadline
 	writeMargin       = 30 * time.Second // after the deadline, for a slow caller to take the answer
@@ -45,15 +45,19 @@
 
 // NewRelay returns a Relay with a connection pool for each backend server.
 func NewRelay(n *node.Node, dialect Dialect) *Relay {
-	const idlePerHost = 64
+	const (
+		idlePerHost     = 64
+		maxAnswerHeader = 64 << 10 // bytes; a faulty server may send a header without end
+	)
 	return &Relay{
 		Node:    n,
 		Dialect: dialect,
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: maxConnectTimeout}).DialContext,
-			MaxIdleConnsPerHost: idlePerHost,
-			IdleConnTimeout:     90 * time.Second,
-			DisableCompression:  true,
+			DialContext:            (&net.Dialer{Timeout: maxConnectTimeout}).DialContext,
+			MaxIdleConnsPerHost:    idlePerHost,
+			IdleConnTimeout:        90 * time.Second,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxAnswerHeader,
 		},
 	}
 }
@@ -268,26 +272,40 @@
 // refuseAborted answers a request whose steps ended early: its caller hung up, its
 // deadline passed, or the VM stopped.
 func (in *inbound) refuseAborted(ctx context.Context) {
-	if in.rule.Once {
-		key := ledger.Key{Service: in.service.Name, Key: in.request.Header.Get(problem.HeaderIdempotencyKey)}
-		in.relay.Node.ResolveClaim(ledger.Command{Release: &ledger.Release{Key: key, Attempt: in.id}})
-	}
+	reason, detail := "stopping", "the VM stopped"
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		reason, detail = "deadline", "the deadline passed"
+	case ctx.Err() != nil:
+		reason, detail = "cancelled", "the caller hung up"
+	}
+	in.resolveAborted()
 	if in.anySend {
-		in.refuseProblem(&relay.Problem{
-			Status: http.StatusBadGateway,
-			Reason: "stopping",
-			Detail: "the VM stopped before the end of the request was known",
-			Run:    relay.RunUnknown,
-		})
+		status := http.StatusBadGateway
+		if reason == "deadline" {
+			status = http.StatusGatewayTimeout
+		}
+		in.refuseProblem(&relay.Problem{Status: status, Reason: reason, Detail: detail + " before the end of the request was known", Run: relay.RunUnknown})
 		return
 	}
-	reason, detail := "deadline", "the deadline passed before a slot was free"
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		reason, detail = "cancelled", "the request was cancelled"
-	}
+	detail += " before a slot was free"
 	in.refuse(http.StatusServiceUnavailable, reason, detail, time.Second)
 }
 
+// resolveAborted gives back the claim of a `once` request that was not sent to any
+// server; the outcome of one that was sent is unknown.
+func (in *inbound) resolveAborted() {
+	if !in.rule.Once {
+		return
+	}
+	key := ledger.Key{Service: in.service.Name, Key: in.request.Header.Get(problem.HeaderIdempotencyKey)}
+	command := ledger.Command{Release: &ledger.Release{Key: key, Attempt: in.id}}
+	if in.anySend {
+		command = ledger.Command{Settle: &ledger.Settle{Key: key, Attempt: in.id, Outcome: ledger.Outcome{Unknown: true}}}
+	}
+	in.relay.Node.ResolveClaim(command)
+}
+
 func (in *inbound) refuseProblem(p *relay.Problem) {
 	if p == nil {
 		in.refuse(http.StatusInternalServerError, "internal", "no next step", 0)
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -29,10 +29,19 @@
 	sentAt := in.relay.Node.Clock.Now()
 	sent := in.roundTrip(ctx, grant)
 	response, result := sent.response, sent.Result
+	if response != nil && in.relay.Dialect.isForeign(response, in.id) {
+		// Not even a refusal counts: it says nothing about this request.
+		result, sent.Cause = routing.ResultBroken, errWrongRequest.Error()
+		response.Body.Close()
+		response = nil
+	}
+	if response != nil && response.StatusCode != http.StatusMisdirectedRequest {
+		sent.Notice = in.relay.Dialect.notice(response)
+	}
 	if response != nil && in.reportedNotRun(response) {
 		result = routing.ResultShed
 		sent.AddressReused = response.StatusCode == http.StatusMisdirectedRequest
-		drain(response)
+		go drain(response)
 		response = nil
 	}
 	if response != nil && in.route != nil {
@@ -57,9 +66,15 @@
 	return relay.Step{}, nil, true
 }
 
-// drain reads the rest of a short body, so that the connection can be reused.
+// drain reads the rest of a short body, so that the connection can be reused. The
+// request does not wait for it: a faulty server may never end the body.
 func drain(response *http.Response) {
-	const maxBytes = 64 << 10
+	const (
+		maxBytes = 64 << 10
+		maxTime  = 500 * time.Millisecond
+	)
+	timer := time.AfterFunc(maxTime, func() { response.Body.Close() })
+	defer timer.Stop()
 	io.Copy(io.Discard, io.LimitReader(response.Body, maxBytes))
 	response.Body.Close()
 }
@@ -278,6 +293,8 @@
 	}
 }
 
+var errAnswerTooLarge = errors.New("the answer is larger than any may be")
+
 var errCallerGone = errors.New("caller stopped reading the answer")
 
 // copyBody passes the body on to the caller and returns the length read in bytes. For
@@ -296,6 +313,9 @@
 		if n > 0 {
 			total += int64(n)
 			record.add(buffer[:n])
+			if total > maxBodyBytes {
+				return total, errAnswerTooLarge
+			}
 			if callerErr == nil {
 				callerErr = in.writeToCaller(buffer[:n], flush, control)
 			}
--- a/internal/dispatch/effect.go
+++ b/internal/dispatch/effect.go
@@ -30,6 +30,13 @@
 	Loan Loan
 }
 
+// SendNotice passes a ServerNotice on to the owner of the service in the failure domain
+// of a borrowed server.
+type SendNotice struct {
+	Domain string
+	Notice ServerNotice
+}
+
 // QuarantineChange reports that a fingerprint changed its quarantine phase.
 type QuarantineChange struct {
 	Service     string
@@ -67,6 +74,7 @@
 func (Reply) dispatchEffect()            {}
 func (SendLoanRequest) dispatchEffect()  {}
 func (SendLoan) dispatchEffect()         {}
+func (SendNotice) dispatchEffect()       {}
 func (QuarantineChange) dispatchEffect() {}
 func (LoanChange) dispatchEffect()       {}
 func (ServerDrained) dispatchEffect()    {}
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -64,6 +64,14 @@
 	Latency time.Duration
 }
 
+// ServerNotice reports to the owner of a service what a server said about itself in
+// an answer.
+type ServerNotice struct {
+	Service string
+	Server  string
+	routing.Notice
+}
+
 // LoanRequest asks another failure domain for slots and reports those in use.
 type LoanRequest struct {
 	Service string
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -174,6 +174,10 @@
 		p.deny(request, ReasonNoServers, time.Second)
 		return p.takeEffects()
 	}
+	if stay := p.Routing.SoonestStayAway(now); stay >= request.Remaining && p.slotsNeeded() == 0 && !p.hasLender() {
+		p.deny(request, ReasonNoServers, stay)
+		return p.takeEffects()
+	}
 	p.enqueue(request, now)
 	p.grantWaiting(now)
 	return p.takeEffects()
@@ -196,12 +200,17 @@
 			return false
 		}
 	}
+	return !p.hasLender()
+}
+
+// hasLender reports whether another failure domain has slots to lend.
+func (p *Pool) hasLender() bool {
 	for _, neighbour := range p.Lenders {
 		if neighbour.Spare > 0 {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 func (p *Pool) enqueue(request SlotRequest, now time.Time) {
@@ -282,7 +291,7 @@
 	t := &ticket{
 		id:          p.lastTicket,
 		server:      server,
-		rank:        request.Rank,
+		rank:        item.Rank,
 		from:        request.From,
 		grantedAt:   now,
 		deadline:    item.Deadline,
@@ -290,13 +299,13 @@
 	}
 	p.tickets[t.id] = t
 	p.Routing.Begin(server)
-	p.Queue.Begin(request.Rank)
+	p.Queue.Begin(item.Rank)
 	if verdict == quarantine.Trial {
 		p.Quarantine.BeginTrial(request.Fingerprint, t.id)
 	}
 	shifted := server.Borrowed(p.Domain)
 	if shifted {
-		p.SpillLimiter.CountShift(request.Rank)
+		p.SpillLimiter.CountShift(item.Rank)
 	}
 	p.emit(Reply{To: request.From, RequestID: request.ID, Answer: Answer{Grant: &Grant{
 		Ticket:  t.id,
@@ -375,12 +384,33 @@
 	return p.takeEffects()
 }
 
+// Note applies what a server said about itself in an answer, and passes it on to the
+// owner of a borrowed server.
+func (p *Pool) Note(notice ServerNotice, now time.Time) []Effect {
+	s := p.Routing.Find(notice.Server)
+	if s == nil {
+		return nil
+	}
+	first := notice.Leaving && !s.SaidLeaving()
+	p.Routing.Note(notice.Server, notice.Notice, now)
+	switch {
+	case s.Borrowed(p.Domain):
+		p.emit(SendNotice{Domain: s.Domain, Notice: notice})
+	case first:
+		p.draining = append(p.draining, drainingServer{id: notice.Server, drainingSince: now})
+		p.revokeLoans(notice.Server, now)
+	}
+	p.resizeQueue()
+	p.reportDrained(now)
+	return p.takeEffects()
+}
+
 // reportDrained reports leaving and stopped servers that have no running requests
 // left.
 func (p *Pool) reportDrained(now time.Time) {
 	p.draining = slices.DeleteFunc(p.draining, func(d drainingServer) bool {
 		s := p.Routing.Find(d.id)
-		draining := s != nil && (s.Stopped || s.State == routing.StateLeaving)
+		draining := s != nil && (s.Stopped || s.State == routing.StateLeaving || s.SaidLeaving())
 		if draining && (s.Inflight > 0 || s.Lent > 0) {
 			return false
 		}
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -192,6 +192,8 @@
 		result = p.evaluate(p.Servers, preferred, usual, req, now)
 	}
 	switch {
+	case result.candidates == 0 && result.shortestStay > 0:
+		return Choice{Refused: ServersBusy, RetryAfter: spreadOut(result.shortestStay, req)}
 	case result.candidates == 0:
 		return Choice{Refused: NoServers, RetryAfter: minRetryAfter * 2}
 	case result.best.server == nil || p.tooLate(result.best, req):
@@ -246,12 +248,17 @@
 	best       option
 	candidates int     // servers that may be sent to, even if too loaded
 	soonest    float64 // seconds until the earliest answer, including servers that are too loaded
+
+	shortestStay time.Duration // for which a server that could run the request wants none; 0 without such a server
 }
 
 // evaluate finds the server of least cost that may take the request.
 func (p *Pool) evaluate(servers []*Server, preferred preferredSet, usual runTimes, req Request, now time.Time) evaluation {
 	result := evaluation{soonest: math.Inf(1)}
 	for _, s := range servers {
+		if stay := s.StayAway(now); stay > 0 && s.eligible(req) && (result.shortestStay == 0 || stay < result.shortestStay) {
+			result.shortestStay = stay
+		}
 		if !s.usable(req, now) || s.unresponsive(usual, req, now) || s.Probing() && p.probeBudget < 1 && !p.allProbing(now) {
 			continue
 		}
@@ -314,4 +321,11 @@
 	return min(max(seconds(wait*spread), minRetryAfter), maxRetryAfter)
 }
 
+// spreadOut lengthens a time by up to a quarter, so that callers who were refused
+// together do not return together.
+func spreadOut(d time.Duration, req Request) time.Duration {
+	const longest = 0.25
+	return d + time.Duration(longest*float64(d)*float64(req.Fallback%1024)/1024)
+}
+
 func (r Request) allows(region string) bool { return r.Allowed == nil || r.Allowed(region) }
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -18,6 +18,7 @@
 	Closed    bool      // gets no new requests
 	Site
 	routing.Ejection
+	routing.Notices
 
 	idHash            uint64
 	inOwnRegion       bool                 // in the region of the entry
@@ -49,13 +50,17 @@
 
 func compareServer(s *Server, id string) int { return cmp.Compare(s.ID, id) }
 
+// eligible reports whether the server may run the request at all, now or later.
+func (s *Server) eligible(req Request) bool {
+	return !s.Closed && !s.SaidLeaving() && req.allows(s.Region) && !slices.Contains(req.Exclude, s.ID)
+}
+
 func (s *Server) usable(req Request, now time.Time) bool {
-	return !s.Closed &&
+	return s.eligible(req) &&
+		s.StayAway(now) == 0 &&
 		!s.Ejected(now) &&
 		!(s.Probing() && s.running > 0) &&
-		!(s.isCold(now) && now.Before(s.nextColdSend)) &&
-		req.allows(s.Region) &&
-		!slices.Contains(req.Exclude, s.ID)
+		!(s.isCold(now) && now.Before(s.nextColdSend))
 }
 
 // unresponsive reports whether the server has running requests and answered
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -16,6 +16,7 @@
 	HeaderTimeout        = "Heatherwood-Timeout"
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderObject         = "Heatherwood-Object"
+	HeaderLeaving        = "Heatherwood-Leaving" // of a server's answer: it will stop
 )
 
 // Problem is a problem document, the body of a refusal.
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -46,6 +46,7 @@
 	CodeDiskRecovered         Code = 1039
 	CodeHeaderTimeout         Code = 1040
 	CodeRequestsCutOff        Code = 1041
+	CodeServerNotice          Code = 1042
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -98,6 +99,7 @@
 	{CodeDiskRecovered, "info", "data folder takes writes again; the replica goes on with what it holds"},
 	{CodeHeaderTimeout, "info", "caller's connection closed: the header of a request did not end in time"},
 	{CodeRequestsCutOff, "warn", "requests were cut off: they outlasted the stop"},
+	{CodeServerNotice, "info", "server said in an answer that it leaves, or wants no requests for a while"},
 }
 
 // Info returns the catalogue entry of a code.
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -113,14 +113,15 @@
 // RequestSent reports the status line and header of a server's answer, or a
 // failed send; answered by relay.Step.
 type RequestSent struct {
-	Call          uint64
-	Result        routing.Result
-	Latency       time.Duration
-	Load          placing.Load  // reported by the server in its answer
-	ConnectTime   time.Duration // time to connect, if the send opened a connection
-	AddressReused bool          // another server uses the address now
-	ServerDied    bool          // after the failed send the server refuses connections
-	Cause         string        // of a failed send, for the log
+	Call           uint64
+	Result         routing.Result
+	Latency        time.Duration
+	Load           placing.Load  // reported by the server in its answer
+	ConnectTime    time.Duration // time to connect, if the send opened a connection
+	AddressReused  bool          // another server uses the address now
+	ServerDied     bool          // after the failed send the server refuses connections
+	Cause          string        // of a failed send, for the log
+	routing.Notice               // of the server about itself
 }
 
 // RequestEnded reports that package node has finished a request; after a
@@ -195,6 +196,7 @@
 	Loan     *dispatch.Loan
 	Handover *dispatch.Handover
 	Finish   *dispatch.Finish
+	Notice   *dispatch.ServerNotice
 	Cancel   *CancelSlotRequest
 	Lift     *LiftQuarantine
 	Bar      *QuarantineUpdate
--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -84,6 +84,9 @@
 		case dispatch.SendLoan:
 			loan := e.Loan
 			s.transmit(e.Peer, Message{Loan: &loan})
+		case dispatch.SendNotice:
+			notice := e.Notice
+			s.transmitToDomain(e.Domain, 0, Message{Notice: &notice})
 		case dispatch.QuarantineChange:
 			s.handleQuarantineChange(e)
 		case dispatch.LoanChange:
@@ -129,11 +132,16 @@
 }
 
 func (s *State) sendLoanRequest(e dispatch.SendLoanRequest) {
+	request := e.Request
+	s.transmitToDomain(e.Domain, request.Sent, Message{Want: &request})
+}
+
+// transmitToDomain sends a message to one VM of another failure domain, which forwards
+// it to the owner of its service; turn selects the VM.
+func (s *State) transmitToDomain(name string, turn uint64, message Message) {
 	for _, domain := range s.members.Domains(s.now) {
-		if domain.Name == e.Domain && len(domain.Entries) > 0 {
-			request := e.Request
-			i := int(request.Sent) % len(domain.Entries)
-			s.transmit(domain.Entries[i].Peer, Message{Want: &request})
+		if domain.Name == name && len(domain.Entries) > 0 {
+			s.transmit(domain.Entries[turn%uint64(len(domain.Entries))].Peer, message)
 		}
 	}
 }
@@ -242,6 +250,8 @@
 		s.applyPoolEffects(pool, pool.TakeOver(*m.Handover, s.now))
 	case m.Finish != nil:
 		s.applyPoolEffects(pool, pool.Finish(*m.Finish, s.now))
+	case m.Notice != nil:
+		s.applyPoolEffects(pool, pool.Note(*m.Notice, s.now))
 	case m.Cancel != nil:
 		pool.Cancel(m.Cancel.From, m.Cancel.Ask)
 		delete(s.slotWaiters, slotRequestKey{m.Cancel.From, m.Cancel.Ask})
@@ -258,6 +268,8 @@
 		return m.Handover.Service
 	case m.Finish != nil:
 		return m.Finish.Service
+	case m.Notice != nil:
+		return m.Notice.Service
 	case m.Cancel != nil:
 		return m.Cancel.Service
 	default:
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -169,6 +169,9 @@
 	if e.AddressReused {
 		s.endReplaced(run.server)
 	}
+	if !e.Notice.IsZero() {
+		s.noteServer(r, run.server, e.Notice)
+	}
 	phase := quarantine.Clear
 	if e.ServerDied {
 		phase = s.markSuspected(r, run.server.ID)
@@ -190,6 +193,17 @@
 	s.runStep(e.Call, r, step)
 }
 
+// noteServer applies what a server said about itself: from this moment on this VM sends
+// it nothing new. That it leaves is told to all VMs.
+func (s *State) noteServer(r *relay.Request, server *placing.Server, n routing.Notice) {
+	s.logNotice(r, n)
+	server.Note(n, s.now)
+	if n.Leaving {
+		s.roster.MarkLeaving(server.ID, server.Start, s.now)
+		s.markRosterChange()
+	}
+}
+
 func nextAction(step relay.Step) string {
 	switch {
 	case step.SlotRequest != nil:
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -154,6 +154,9 @@
 		s.handlePlacedSent(e, r)
 		return
 	}
+	if !e.Notice.IsZero() {
+		s.noteToOwner(r, e.Notice)
+	}
 	answered := e.Result == routing.ResultOK || e.Result == routing.ResultError
 	phase := quarantine.Clear
 	if !answered {
@@ -166,6 +169,31 @@
 	s.runStep(e.Call, r, step)
 }
 
+// noteToOwner tells the owner of the service what a server said about itself, ahead of
+// the end of the grant.
+func (s *State) noteToOwner(r *relay.Request, n routing.Notice) {
+	s.logNotice(r, n)
+	notice := dispatch.ServerNotice{Service: r.Service, Server: r.Grant.Server, Notice: n}
+	if pool := s.pool(r.Service); pool != nil {
+		s.applyPoolEffects(pool, pool.Note(notice, s.now))
+		return
+	}
+	s.transmit(s.ownerOf(r.Service).Peer, Message{Notice: &notice})
+}
+
+// logNotice logs what a server said about itself, with the request that heard it.
+func (s *State) logNotice(r *relay.Request, n routing.Notice) {
+	outcome := "stay-away"
+	if n.Leaving {
+		outcome = "leaving"
+	}
+	s.emit(Decision{Code: CodeServerNotice, Request: r.ID, Outcome: outcome, Fields: []Field{
+		{"service", r.Service},
+		{"server", r.Grant.Server},
+		{"stay_away", n.StayAway},
+	}})
+}
+
 // finishGrant ends the grant of a request and returns the phase of its
 // fingerprint. It does not wait for what another VM, as the owner, concludes
 // from a broken connection: the request counts as suspected.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -76,12 +76,15 @@
 }
 
 // severity orders records of the same sequence: one of a server that ended
-// replaces one of a silent server, and both replace the announcement.
+// replaces one of a silent server, which replaces one of a leaving server, and all
+// replace the announcement. A mark of the record replaced is kept by store.
 func severity(r Record) int {
 	switch {
 	case r.Gone:
-		return 2
+		return 3
 	case r.Silent:
+		return 2
+	case r.Leaving:
 		return 1
 	default:
 		return 0
@@ -103,6 +106,20 @@
 	return true
 }
 
+// MarkLeaving marks one start of a server as leaving, as the server itself says; until
+// another start of it, no announcement takes that back.
+func (s *State) MarkLeaving(id string, start int64, now time.Time) {
+	held := s.Find(id)
+	if held == nil || held.Start != start || held.Leaving || held.Gone {
+		return
+	}
+	r := held.Record
+	r.Leaving = true
+	announcedAt := held.announcedAt
+	s.store(r, now)
+	held.announcedAt = announcedAt
+}
+
 // End marks a server as gone.
 func (s *State) End(id string, now time.Time) {
 	held := s.Find(id)
@@ -124,6 +141,9 @@
 			s.store(r, now)
 			continue
 		}
+		if r.Leaving {
+			s.MarkLeaving(r.ID, r.Start, now)
+		}
 		refuted := r.Silent && !held.Silent && held.Sequence > r.Sequence
 		if refuted && !held.announcedAt.IsZero() {
 			s.updates = append(s.updates, held.outgoing(now))
@@ -155,6 +175,8 @@
 	e.announcedAt = time.Time{}
 	if before.Start != r.Start {
 		e.ColdUntil = time.Time{}
+	} else if found && before.Leaving {
+		r.Leaving = true
 	}
 	e.Record = r
 	e.hash = e.contentHash()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -21,14 +21,13 @@
 	MaxConnections       = 65536 // per server
 	MaxIDBytes           = 128   // of a server id
 	MaxAddressBytes      = 64    // of a server address
-	announcementTTL      = 2 * time.Second
 )
 
 var backoff = Backoff{First: time.Second, Max: 30 * time.Second}
 
 // AnnouncementTTL is how long an announcement is valid; a server renews it well
 // before that.
-const AnnouncementTTL = announcementTTL
+const AnnouncementTTL = 2 * time.Second
 
 // Pool holds the servers of one service whose slots one VM grants.
 type Pool struct {
@@ -70,8 +69,11 @@
 	if resumed || expired || a.Address != s.Address {
 		s.warmUpStart = latest(s.UsableAt, now)
 	}
+	if a.Start != s.Start {
+		s.Notices = Notices{}
+	}
 	s.Announcement = a
-	s.Expires = now.Add(announcementTTL)
+	s.Expires = now.Add(AnnouncementTTL)
 	s.refresh(now, p.WarmUp, p.unknownLatency())
 	return s
 }
@@ -91,12 +93,41 @@
 	}
 }
 
+// Note applies what a server said about itself in an answer.
+func (p *Pool) Note(id string, n Notice, now time.Time) {
+	s := p.Find(id)
+	if s == nil {
+		return
+	}
+	s.Note(n, now)
+	s.refresh(now, p.WarmUp, p.unknownLatency())
+}
+
+// SoonestStayAway returns the shortest time for which a server wants no requests, or
+// 0 if a server wants some or there is none.
+func (p *Pool) SoonestStayAway(now time.Time) time.Duration {
+	soonest := time.Duration(0)
+	for _, s := range p.Servers {
+		if s.SaidLeaving() || s.State != StateServing {
+			continue
+		}
+		stay := s.StayAway(now)
+		if stay == 0 {
+			return 0
+		}
+		if soonest == 0 || stay < soonest {
+			soonest = stay
+		}
+	}
+	return soonest
+}
+
 // RemoveGone removes servers that left or expired and have no slots in use or
 // lent, one AnnouncementTTL after they expired.
 func (p *Pool) RemoveGone(now time.Time) {
 	p.Servers = slices.DeleteFunc(p.Servers, func(s *Server) bool {
 		gone := s.State == StateLeaving || !now.Before(s.Expires)
-		return gone && s.Inflight == 0 && s.Lent == 0 && now.Sub(s.Expires) > announcementTTL
+		return gone && s.Inflight == 0 && s.Lent == 0 && now.Sub(s.Expires) > AnnouncementTTL
 	})
 }
 
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -73,6 +73,7 @@
 	Stopped  bool          // a planned stop covers it
 
 	Ejection
+	Notices
 	warmUpStart    time.Time
 	latency        float64 // moving average, in seconds
 	errorRate      float64 // moving average of the share of failed requests
@@ -91,7 +92,9 @@
 		!s.Stopped &&
 		now.Before(s.Expires) &&
 		!now.Before(s.UsableAt) &&
-		!s.Ejected(now)
+		!s.Ejected(now) &&
+		!s.SaidLeaving() &&
+		s.StayAway(now) == 0
 }
 
 // warmStartShare is the share of its slots with which a server starts to warm up.
--- /dev/null
+++ b/internal/standin/fault.go
@@ -0,0 +1,98 @@
+package standin
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Fault is a way in which a server answers wrongly. A request whose path ends in the
+// fault's name gets such an answer.
+type Fault string
+
+// The faults.
+const (
+	EndlessHead     Fault = "endless-head"     // header lines without end, as fast as they are read
+	TrickledHead    Fault = "trickled-head"    // the same, a line every trickleInterval
+	EndlessBytes    Fault = "endless-bytes"    // bytes that are no HTTP, without end
+	EndlessBody     Fault = "endless-body"     // a body without length or end
+	EndlessChunks   Fault = "endless-chunks"   // a chunked body without end
+	TrickledRefusal Fault = "trickled-refusal" // a complete head of a refusal, and a body that never ends
+	SecondCopy      Fault = "second-copy"      // a good answer, and a copy of it after secondCopyDelay
+	HalfBody        Fault = "half-body"        // a good head, and half of the body that it announces
+)
+
+// Faults lists all faults.
+var Faults = []Fault{EndlessHead, TrickledHead, EndlessBytes, EndlessBody, EndlessChunks, TrickledRefusal, SecondCopy, HalfBody}
+
+const (
+	trickleInterval = 100 * time.Millisecond
+	secondCopyDelay = 30 * time.Millisecond
+	faultBlockBytes = 32 << 10
+)
+
+// FaultOf returns the fault that a path asks for, or "".
+func FaultOf(path string) Fault {
+	for _, f := range Faults {
+		if strings.HasSuffix(path, "/"+string(f)) {
+			return f
+		}
+	}
+	return ""
+}
+
+// Answer sends the faulty answer and returns when the peer has closed the connection.
+// The header is that of a good answer. refusal is the header line by which the server
+// says that it did not run the request, or "".
+func (f Fault) Answer(w http.ResponseWriter, header http.Header, refusal string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	var head bytes.Buffer
+	header.Write(&head)
+	send := func(text string) bool {
+		_, err := conn.Write([]byte(text))
+		return err == nil
+	}
+	repeat := func(block string, pause time.Duration) {
+		for send(block) {
+			time.Sleep(pause)
+		}
+	}
+	const body = "the body of an answer"
+	good := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", head.String(), len(body), body)
+	line := "Padding: " + strings.Repeat("x", faultBlockBytes) + "\r\n"
+	switch f {
+	case EndlessHead:
+		send("HTTP/1.1 200 OK\r\n" + head.String())
+		repeat(line, 0)
+	case TrickledHead:
+		send("HTTP/1.1 200 OK\r\n" + head.String())
+		repeat("Padding: x\r\n", trickleInterval)
+	case EndlessBytes:
+		repeat(strings.Repeat("\x00\xffx", faultBlockBytes/3), 0)
+	case EndlessBody:
+		send("HTTP/1.1 200 OK\r\n" + head.String() + "\r\n")
+		repeat(strings.Repeat("x", faultBlockBytes), 0)
+	case EndlessChunks:
+		send("HTTP/1.1 200 OK\r\n" + head.String() + "Transfer-Encoding: chunked\r\n\r\n")
+		repeat(fmt.Sprintf("%x\r\n%s\r\n", faultBlockBytes, strings.Repeat("x", faultBlockBytes)), 0)
+	case TrickledRefusal:
+		send(fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s%s\r\nContent-Length: 1000\r\n\r\n", head.String(), refusal))
+		repeat("x", trickleInterval)
+	case SecondCopy:
+		send(good)
+		time.Sleep(secondCopyDelay)
+		send(good)
+		buffer := make([]byte, faultBlockBytes)
+		for _, err := conn.Read(buffer); err == nil; _, err = conn.Read(buffer) {
+			send(good)
+		}
+	case HalfBody:
+		send(good[:len(good)-len(body)/2])
+	}
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/heatherwood/heatherwood/internal/problem"
 )
 
 // Settings configure one simulated server.
@@ -75,8 +77,9 @@
 	Pad     string `json:"pad,omitempty"`
 }
 
-// serve answers a request after Settings.Delay. Two paths differ: /crash kills the
-// server without an answer, and /slow-stream sends the answer in parts.
+// serve answers a request after Settings.Delay. Some paths differ: /crash kills the
+// server without an answer, /slow-stream sends the answer in parts, and one that ends in
+// the name of a Fault gets that.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	running := s.running.Add(1)
 	defer s.running.Add(-1)
@@ -101,7 +104,12 @@
 	case <-r.Context().Done():
 		return
 	}
+	if fault := FaultOf(r.URL.Path); fault != "" {
+		fault.Answer(w, http.Header{problem.HeaderRequest: {r.Header.Get(problem.HeaderRequest)}}, "")
+		return
+	}
 	s.served.Add(1)
+	w.Header().Set(problem.HeaderRequest, r.Header.Get(problem.HeaderRequest))
 	w.Header().Set("Content-Type", "application/json")
 	if r.URL.Path == "/slow-stream" {
 		s.streamSlowly(w, r)
