--- a/cmd/heatherwood/serve.go
+++ b/cmd/heatherwood/serve.go
@@ -58,12 +58,12 @@
 	if err != nil {
 		return err
 	}
-	if err := n.Start(); err != nil {
-		return err
-	}
+	// The listener comes first: a VM whose port is taken takes no part in the site.
 	server := entry.New(n)
 	if err := server.Listen(); err != nil {
-		n.Stop()
+		return err
+	}
+	if err := n.Start(); err != nil {
 		return err
 	}
 	failed := make(chan error, 1)
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -8,7 +8,6 @@
 
 // Rank is the policy for one rank; the rank at index 0 is the most urgent.
 type Rank struct {
-	Worth float64 // value of one request relative to other ranks; not used here
 	Floor float64 // share of the capacity that is guaranteed to the rank
 }
 
@@ -18,8 +17,7 @@
 	Rank      int
 	Arrived   time.Time
 	Deadline  time.Time
-	Shifted   bool // may run in another failure domain only within the cap on shifts; not used here
-	heapIndex int  // index in the heap of its rank
+	heapIndex int // index in the heap of its rank
 }
 
 // Queue holds the waiting requests of one service.
@@ -68,14 +66,26 @@
 	}
 }
 
-// Configure changes the ranks and the limit. Waiting requests are kept; a rank with
-// waiting requests must not be removed.
+// Configure changes the ranks and the limit. Waiting requests are kept; those of a rank
+// that is removed count as requests of the least urgent rank left. Without ranks the
+// present ones stay.
 func (q *Queue) Configure(ranks []Rank, limit int) {
 	q.Limit = limit
+	if len(ranks) == 0 {
+		return
+	}
 	q.Ranks = ranks
 	for len(q.states) < len(ranks) {
 		q.states = append(q.states, rankState{})
 	}
+	last := len(ranks) - 1
+	for removed := len(ranks); removed < len(q.states); removed++ {
+		for _, item := range q.states[removed].waiting {
+			item.Rank = last
+			heap.Push(&q.states[last].waiting, item)
+		}
+		q.states[removed].waiting = nil
+	}
 }
 
 // Verdict is the decision on a new request.
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -13,7 +13,7 @@
 )
 
 func queue(payFloor, browseFloor float64) *Queue {
-	return New([]Rank{{Worth: 10, Floor: payFloor}, {Worth: 1, Floor: browseFloor}}, 1000)
+	return New([]Rank{{Floor: payFloor}, {Floor: browseFloor}}, 1000)
 }
 
 func push(q *Queue, id uint64, rank int, deadline time.Duration) Verdict {
--- a/internal/audit/claim.go
+++ b/internal/audit/claim.go
@@ -14,7 +14,6 @@
 	sends    []Record
 	ends     []Record // in the order of the sends
 	released *Record  // says that the request did not run
-	settled  bool     // the claim was settled, with a known or an unknown outcome
 }
 
 // claimHistories returns the claim history of each `once` request, by request id.
@@ -37,8 +36,6 @@
 			h.sends = append(h.sends, r)
 		case outcome == "released":
 			h.released = &r
-		case outcome == "settled" || outcome == "unknown":
-			h.settled = true
 		case strings.HasPrefix(outcome, "ended:"):
 			h.ends = append(h.ends, r)
 		}
--- a/internal/audit/writer.go
+++ b/internal/audit/writer.go
@@ -34,7 +34,7 @@
 	file         *os.File
 	buffer       *bufio.Writer
 	number       int    // of the file within its chain, from 0
-	size         int64  // bytes written since it was opened
+	size         int64  // bytes, with those written before it was opened
 	nextSequence uint64 // sequence number of the next record
 	lastHash     string // hash of the last record
 	unsynced     bool   // records were written since the last sync
@@ -130,7 +130,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("open audit file: %w", err)
 	}
-	f := &chainFile{file: file, buffer: bufio.NewWriter(file), number: number}
+	info, err := file.Stat()
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("read size of audit file: %w", err), file.Close())
+	}
+	f := &chainFile{file: file, buffer: bufio.NewWriter(file), number: number, size: info.Size()}
 	w.files[chain] = f
 	return f, nil
 }
--- a/internal/dispatch/loan_test.go
+++ b/internal/dispatch/loan_test.go
@@ -20,7 +20,7 @@
 func policy() Policy {
 	return Policy{
 		Service:       "web",
-		Ranks:         []admission.Rank{{Worth: 10, Floor: 0.3}, {Worth: 1, Floor: 0.1}},
+		Ranks:         []admission.Rank{{Floor: 0.3}, {Floor: 0.1}},
 		QueuePerSlot:  8,
 		Headroom:      0.1,
 		ShiftCap:      1,
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -181,7 +181,7 @@
 func (r Report) describeAnswer(ended, placed, sendFailed *Line) string {
 	text := fmt.Sprintf("it was answered with status %.0f after %.0f ms", ended.numberField("status"), ended.numberField("took_ms"))
 	if sendFailed != nil {
-		text += fmt.Sprintf("; a first send to server %s had ended %s", sendFailed.stringField("server"), sendFailed.Outcome)
+		text += fmt.Sprintf("; the send before it, to server %s, had ended %s", sendFailed.stringField("server"), sendFailed.Outcome)
 	}
 	if placed != nil && ended.numberField("took_ms") > 2*placed.numberField("expected_ms") {
 		text += fmt.Sprintf("; %.0f ms were expected of server %s from a load of %.1f that was %.0f ms old",
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -39,7 +39,7 @@
 		"late, server did not know the object": {placedCold + ended("200", "answered"), "was not known to have handled the object"},
 		"VM died":                              {placed, "no end is logged"},
 		"refused before a server was chosen":   {ended("404", "unknown-service"), "it ended with status 404: unknown-service"},
-		"answered by the second send":          {placed + sendFailed + placed + ended("200", "answered"), "a first send to server s1 had ended broken"},
+		"answered by the second send":          {placed + sendFailed + placed + ended("200", "answered"), "the send before it, to server s1, had ended broken"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -31,7 +31,13 @@
 	s.mutex.Lock()
 	s.listener = listener
 	s.conns = make(map[net.Conn]struct{})
+	closed := s.closed
 	s.mutex.Unlock()
+	if closed {
+		// Close ran first and had no listener to close.
+		listener.Close()
+		return nil
+	}
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
--- a/internal/quorum/change.go
+++ b/internal/quorum/change.go
@@ -35,7 +35,7 @@
 	s.emit(Appended{Proposal: proposal, Index: index, Term: s.Hard.Term})
 	s.trackPeers(now)
 	s.replicateAll(now)
-	s.advanceCommit()
+	s.advanceCommit(now)
 	return s.takeEffects()
 }
 
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -224,7 +224,7 @@
 	}
 	s.pendingSaves = s.pendingSaves[done:]
 	if s.Role == RoleLeader {
-		s.advanceCommit()
+		s.advanceCommit(now)
 	}
 	return s.takeEffects()
 }
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -53,7 +53,7 @@
 			s.replicate(replica.ID, now, true)
 		}
 	}
-	s.advanceCommit()
+	s.advanceCommit(now)
 }
 
 func (s *State) replicateAll(now time.Time) {
@@ -181,14 +181,14 @@
 		p.matchIndex = m.Index
 		p.nextIndex = max(p.nextIndex, p.matchIndex+1)
 		p.snapshotIndex = 0
-		s.advanceCommit()
+		s.advanceCommit(now)
 	}
 	s.replicate(m.From, now, false)
 }
 
 // advanceCommit commits up to the highest index that a majority of voters has
 // synced, when its entry is of this term.
-func (s *State) advanceCommit() {
+func (s *State) advanceCommit(now time.Time) {
 	matches := make([]uint64, 0, len(s.config.Voters))
 	for _, voter := range s.config.Voters {
 		switch p := s.peers[voter.ID]; {
@@ -214,14 +214,14 @@
 	oldCommit := s.Commit
 	s.commitTo(index)
 	if s.Commit > oldCommit {
-		s.stepDownIfRemoved()
+		s.stepDownIfRemoved(now)
 	}
 }
 
 // stepDownIfRemoved steps down once the leader's own removal is committed.
-func (s *State) stepDownIfRemoved() {
+func (s *State) stepDownIfRemoved(now time.Time) {
 	if s.configIndex <= s.Commit && !s.config.IsVoter(s.Settings.ID) {
-		s.become(RoleFollower, "", s.heartbeatDue)
+		s.become(RoleFollower, "", now)
 	}
 }
 
--- a/internal/reducer/owner.go
+++ b/internal/reducer/owner.go
@@ -188,7 +188,7 @@
 func PolicyOf(d *document.Document, service *document.Service) dispatch.Policy {
 	var ranks []admission.Rank
 	for _, rank := range d.Ranks.Order() {
-		ranks = append(ranks, admission.Rank{Worth: rank.Worth, Floor: float64(rank.Floor)})
+		ranks = append(ranks, admission.Rank{Floor: float64(rank.Floor)})
 	}
 	return dispatch.Policy{
 		Service:       service.Name,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,25 +42,15 @@
 	PlacedLocally bool            // this VM chooses the server, without asking a slot owner
 
 	Grant          *dispatch.Grant // of the current send
-	phase          phase
-	claimStartedAt time.Time // when the claim was first proposed; zero while another request holds the key
-	claimTries     int       // claims proposed, and slot requests that the owner did not answer
+	claimStartedAt time.Time       // when the claim was first proposed; zero while another request holds the key
+	claimTries     int             // claims proposed
+	slotTries      int             // slot requests that the owner did not answer
 	sends          int
 	runs           int      // sends that may have run
 	excluded       []string // servers that a retry must not use
 	mayHaveRun     bool     // this request, or an earlier one with its key
 }
 
-type phase uint8
-
-const (
-	phaseNew phase = iota
-	phaseClaiming
-	phaseRequestingSlot
-	phaseSending
-	phaseDone
-)
-
 // Step is what the code that performs the I/O does next. Exactly one field is
 // set, except that Settle or Release may accompany Refuse.
 type Step struct {
@@ -107,7 +97,6 @@
 }
 
 func (r *Request) claim(now time.Time) Step {
-	r.phase = phaseClaiming
 	r.claimTries++
 	if r.claimStartedAt.IsZero() {
 		r.claimStartedAt = now
@@ -123,7 +112,6 @@
 }
 
 func (r *Request) requestSlot(now time.Time) Step {
-	r.phase = phaseRequestingSlot
 	return Step{SlotRequest: &dispatch.SlotRequest{
 		From:        r.Holder,
 		Service:     r.Service,
@@ -191,7 +179,6 @@
 func (r *Request) ResumeAfterWait(now time.Time) Step { return r.claim(now) }
 
 func (r *Request) replay(outcome ledger.Outcome) Step {
-	r.phase = phaseDone
 	if outcome.Truncated {
 		r.mayHaveRun = true
 		return r.refuse(http.StatusConflict, "answer-too-large", fmt.Sprintf("the operation ran with status %d; its answer was too large to keep", outcome.Status), 0)
@@ -206,7 +193,6 @@
 	case err != nil:
 		return r.retrySlotRequest(now)
 	case answer.Grant != nil:
-		r.phase = phaseSending
 		r.Grant = answer.Grant
 		r.sends++
 		return Step{Send: answer.Grant}
@@ -246,9 +232,9 @@
 // retrySlotRequest requests a slot again a few times, since membership soon names a
 // new owner for one that has failed.
 func (r *Request) retrySlotRequest(now time.Time) Step {
-	const maxSlotRetries = 3 // less the claims proposed
-	r.claimTries++
-	if r.sends == 0 && r.claimTries <= maxSlotRetries && now.Add(claimRetryDelay).Before(r.Deadline) {
+	const maxSlotRetries = 3
+	r.slotTries++
+	if r.sends == 0 && r.slotTries <= maxSlotRetries && now.Add(claimRetryDelay).Before(r.Deadline) {
 		return r.requestSlot(now)
 	}
 	return r.endNotRun(http.StatusServiceUnavailable, string(dispatch.ReasonOwnerUnreachable), "the VM that grants the slots was not reached", time.Second)
@@ -260,7 +246,6 @@
 	server := r.Grant.Server
 	switch result {
 	case routing.ResultOK:
-		r.phase = phaseDone
 		return Step{Stream: true}
 	case routing.ResultError:
 		return r.retryError(server, now, budget)
@@ -295,7 +280,6 @@
 	r.mayHaveRun = true
 	r.runs++
 	if !r.repeatable() || !r.mayRetry(now) || !budget.TakeRetry() {
-		r.phase = phaseDone
 		return Step{Stream: true}
 	}
 	r.excluded = append(r.excluded, server)
@@ -361,7 +345,6 @@
 // refuse ends the request. The status of one that may have run never means that
 // it did not.
 func (r *Request) refuse(status int, reason, detail string, retryAfter time.Duration) Step {
-	r.phase = phaseDone
 	run := RunNo
 	if r.mayHaveRun {
 		run = RunUnknown
--- a/internal/trial/heatherwood.go
+++ b/internal/trial/heatherwood.go
@@ -293,6 +293,7 @@
 		switch e := effect.(type) {
 		case dispatch.Reply:
 			if x := d.policy.exchanges[e.RequestID]; x != nil {
+				delete(d.policy.exchanges, e.RequestID)
 				x.applyStep(x.relay.HandleSlotAnswer(e.Answer, nil, sm.now()))
 			}
 		case dispatch.SendLoanRequest:
--- a/internal/trial/simulation.go
+++ b/internal/trial/simulation.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/heatherwood/heatherwood/examples"
@@ -173,8 +174,20 @@
 	return float64(fleet.Servers*fleet.Slots) / fleet.MeanServiceTime.Seconds()
 }
 
-// mainRank returns the rank of the service's first rule.
-func mainRank(service document.Service) string { return service.Rules[0].Rank }
+// mainRank returns the rank of the service's first rule or, for a service that only
+// routes lead to, of the first of these; "" if there is neither.
+func (sm *Simulation) mainRank(service document.Service) string {
+	if len(service.Rules) > 0 {
+		return service.Rules[0].Rank
+	}
+	for _, route := range sm.Document.Routes.Routes {
+		leadsTo := func(target document.Target) bool { return target.Service == service.Name }
+		if slices.ContainsFunc(route.To, leadsTo) {
+			return route.Rank
+		}
+	}
+	return ""
+}
 
 func (sm *Simulation) rankIndex(name string) int {
 	for i, rank := range sm.ranks {
@@ -190,8 +203,11 @@
 func (sm *Simulation) createStreams() {
 	places := len(sm.Document.Places.Places)
 	for _, service := range sm.Document.Services.Services {
+		if fleets[service.Name].Servers == 0 {
+			continue
+		}
 		ranks := []string{"browsing"}
-		if main := mainRank(service); main != "browsing" {
+		if main := sm.mainRank(service); main != "" && main != "browsing" {
 			ranks = append(ranks, main)
 		}
 		for _, name := range ranks {
--- a/internal/trial/stats.go
+++ b/internal/trial/stats.go
@@ -17,7 +17,6 @@
 	Retries      int
 	Sends        int
 	Crashes      int           // servers crashed by crash requests
-	CutOff       int           // running requests cut off by a planned stop; nothing sets it yet
 	MaxDrainTime time.Duration // of the servers of a planned stop
 	Headroom     float64       // mean share of the usable slots that were free
 	UpperBound   []float64     // requests that could be served with full knowledge, by rank
--- a/pkg/document/keys.go
+++ b/pkg/document/keys.go
@@ -18,7 +18,9 @@
 	}
 	var names []string
 	for i := range table.NumField() {
-		names = append(names, tomlKey(table.Field(i)))
+		if name := tomlKey(table.Field(i)); name != "" && name != "-" {
+			names = append(names, name)
+		}
 	}
 	sort.Strings(names)
 	return names
