Tell live failure domains by versions in every message

Ruled out: more summaries a message, 18.1 KB/s for the leader with 17 allowed.

Change: each message lists the versions of all domains' summaries modulo 255, one byte each. A domain is heard when a newer version is; the loads in a summary count by the summary's own age, as before.

--- a/internal/member/domain.go
+++ b/internal/member/domain.go
@@ -20,7 +20,7 @@
 		return nil
 	}
 	s.updateOwnSummary(now)
-	message := Gossip{From: s.Self, Domains: s.trimEntries(s.freshSummaries(now), now)}
+	message := Gossip{From: s.Self, Domains: s.trimEntries(s.freshSummaries(now), now), Versions: s.versions(now)}
 	target := s.nextDomain()
 	if target == nil {
 		return nil
@@ -86,11 +86,6 @@
 	return s.trimEntries(chosen, now)
 }
 
-// fresh reports whether the record holds a summary that is not stale.
-func (d *domainRecord) fresh(now time.Time) bool {
-	return d.Version > 0 && now.Sub(d.summaryAt) < DomainSilentAfter
-}
-
 // updateOwnSummary replaces the summary of the own failure domain by a new
 // version.
 func (s *State) updateOwnSummary(now time.Time) {
@@ -116,7 +111,7 @@
 	if s.domains[at].Roster != own.Roster {
 		entriesChangedAt = now
 	}
-	s.domains[at] = domainRecord{Domain: own, summaryAt: now, entriesChangedAt: entriesChangedAt}
+	s.domains[at] = domainRecord{Domain: own, summaryAt: now, entriesChangedAt: entriesChangedAt, heardVersion: own.Version, heardAt: now}
 }
 
 // freshSummaries returns the summaries that are not stale.
@@ -150,7 +145,7 @@
 	}
 	at, found := slices.BinarySearchFunc(s.domains, d.Name, compareDomain)
 	if !found {
-		s.domains = slices.Insert(s.domains, at, domainRecord{Domain: d, summaryAt: now, entriesChangedAt: now})
+		s.domains = slices.Insert(s.domains, at, domainRecord{Domain: d, summaryAt: now, entriesChangedAt: now, heardVersion: d.Version, heardAt: now})
 		return
 	}
 	held := &s.domains[at]
@@ -160,7 +155,7 @@
 	}
 	// Versions begin anew when all VMs of a domain restart, so a lower version
 	// replaces a stale summary.
-	restarted := now.Sub(held.summaryAt) > DomainSilentAfter && d.Version != held.Version
+	restarted := now.Sub(held.heardAt) > DomainSilentAfter && d.Version != held.Version
 	if d.Version <= held.Version && !restarted {
 		return
 	}
@@ -173,7 +168,12 @@
 		// arrive.
 		d.Entries = held.Entries
 	}
-	s.domains[at] = domainRecord{Domain: d, summaryAt: now, entriesChangedAt: entriesChangedAt}
+	replaced := domainRecord{Domain: d, summaryAt: now, entriesChangedAt: entriesChangedAt, heardVersion: held.heardVersion, heardAt: held.heardAt}
+	if restarted {
+		replaced.heardVersion = 0
+	}
+	replaced.heard(d.Version, now)
+	s.domains[at] = replaced
 }
 
 // raiseOwnVersion raises the version of the own summary to that of d, sent by the
@@ -205,14 +205,15 @@
 // DomainView is what this VM knows of a failure domain.
 type DomainView struct {
 	Domain
-	SilentFor time.Duration // since its last new summary
+	SilentFor  time.Duration // since it was last heard
+	SummaryAge time.Duration // since its last new summary
 }
 
 // Domains returns the known failure domains by name.
 func (s *State) Domains(now time.Time) []DomainView {
 	views := make([]DomainView, 0, len(s.domains))
 	for _, d := range s.domains {
-		views = append(views, DomainView{Domain: d.Domain, SilentFor: now.Sub(d.summaryAt)})
+		views = append(views, DomainView{Domain: d.Domain, SilentFor: now.Sub(d.heardAt), SummaryAge: now.Sub(d.summaryAt)})
 	}
 	return views
 }
--- a/internal/member/greeting.go
+++ b/internal/member/greeting.go
@@ -98,6 +98,7 @@
 			Entries: []EntryRef{{ID: vm.ID, Peer: vm.Peer, Entry: vm.Entry}},
 		},
 		summaryAt: now,
+		heardAt:   now,
 	})
 	return true
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -80,6 +80,8 @@
 	Beats   Heartbeats // of all live VMs of the sender's failure domain
 	VMs     []VM       // full descriptions of some of these
 	Domains []Domain   // summaries of failure domains
+
+	Versions Versions // of the summaries of all failure domains
 }
 
 // Outgoing is a Gossip that the caller must send to a peer address.
@@ -125,7 +127,9 @@
 	Domain
 	summaryAt        time.Time // when this version of the summary arrived, or a first entry of a domain without one
 	entriesChangedAt time.Time
-	timesSent        int // since this version arrived
+	timesSent        int       // since this version arrived
+	heardVersion     uint64    // highest version known to exist; Version may be older
+	heardAt          time.Time // when heardVersion became known
 }
 
 // State is the membership known to one VM.
@@ -210,6 +214,8 @@
 		Beats:   s.liveHeartbeats(),
 		VMs:     s.sample(alive, vmsPerMessage),
 		Domains: s.pickSummaries(now),
+
+		Versions: s.versions(now),
 	}
 	targets := s.gossipTargets(alive)
 	if status := s.Self.status(); status != s.announcedStatus {
@@ -298,6 +304,7 @@
 	for _, domain := range g.Domains {
 		s.mergeDomain(domain, now)
 	}
+	s.mergeVersions(g.Versions, now)
 	if !unknown && len(otherPart) == 0 && !s.knowsMore(g, now) {
 		return nil
 	}
--- a/internal/reducer/plan.go
+++ b/internal/reducer/plan.go
@@ -114,7 +114,7 @@
 				continue
 			}
 			status.Alive = domain.SilentFor < member.DomainSilentAfter
-			status.LoadsFresh = domain.SilentFor < member.DomainSilentAfter/2
+			status.LoadsFresh = domain.SummaryAge < member.DomainSilentAfter/2
 			for _, summary := range domain.Services {
 				status.Loads = append(status.Loads, plan.Load{
 					Service:  summary.Service,
