Give objects of large pools a home region for each region of callers

Cause: one order of servers over all regions sends two thirds of the requests of the large fleet to another region, and objects of one region's callers pile up on few servers while its own have room.

Change: placing.homeShares divides the objects of a region's callers over the regions by slots and by failure domains, known before any request and the same on all entries; shares follow changes by 1% of the objects in half a second. Pools under 150 servers keep one order. countEntries counts the VMs that the summary of a large domain does not name: the rate of a cold server was shared by 216 + own of 273 entries.

--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -16,6 +16,8 @@
 	Service  string
 	ColdRate float64 // requests per second that this entry may send to a cold server; 0 means no limit
 
+	Demand map[string]float64 // by region, in any unit; nil where objects have no homes
+
 	ColdEntries    int // entries among which first requests to a cold server are staggered; 0 where each may start at once
 	ColdEntryIndex int // index of this entry among them, from 0
 }
@@ -135,6 +137,7 @@
 	Own     Site      // of the entry
 	Servers []*Server // by id
 
+	homes       homes                // of the objects of callers in the own region
 	shortlist   []*Server            // reused between requests: the first in the order of the object, and those that ran it recently
 	probeBudget float64              // requests that may go to servers on probation
 	classes     map[string]*runTimes // usual run times, by class of requests
@@ -175,17 +178,37 @@
 	}
 	slices.SortFunc(servers, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
 	p.Servers = servers
+	p.updateHomes()
+}
+
+// updateHomes divides the objects over the regions by the slots of the servers that are
+// open.
+func (p *Pool) updateHomes() {
+	slots, servers := make(map[string]float64), make(map[string]int)
+	for _, s := range p.Servers {
+		if !s.Closed {
+			slots[s.Region] += float64(s.Slots)
+			servers[s.Region]++
+		}
+	}
+	for region, count := range servers {
+		if count < minHomeServers || len(p.Servers) < minPooledServers {
+			delete(slots, region)
+		}
+	}
+	p.homes.target = homeShares(p.Own.Region, slots, p.Policy.Demand)
 }
 
 // Choose returns the server of least cost, which is mainly the expected time to
-// the answer, or a refusal. The first server in the order of the object counts
-// as warm because all entries send there; the next ones, and the first ones in
+// the answer, or a refusal. The first server in the order of the object, within its
+// home region if it has one, counts as warm because all entries send there; the next ones, and the first ones in
 // the region of this entry, get requests when it is loaded. Servers that ran the
 // object recently are considered together with these, and all other servers only
 // if none of them may take the request.
 func (p *Pool) Choose(req Request, now time.Time) Choice {
 	usual := p.usualRunTimes(req)
 	p.probeBudget = min(p.probeBudget+probeShare, maxProbeBudget)
+	p.homes.advance(now)
 	preferred := p.preferredServers(req, now)
 	result := p.evaluate(p.shortlist, preferred, usual, req, now)
 	if result.best.server == nil {
@@ -215,6 +238,10 @@
 	}
 	p.shortlist = p.shortlist[:0]
 	var preferred preferredSet
+	home := homeOf(p.homes.shares, object)
+	if !req.allows(home) {
+		home = ""
+	}
 	for _, s := range p.Servers {
 		cold := s.isCold(now)
 		s.delayFirstCold(p.Policy, cold, now)
@@ -225,7 +252,9 @@
 			continue
 		}
 		hash := rendezvousHash(object, s.idHash)
-		preferred.all.add(s, hash)
+		if home == "" || s.Region == home {
+			preferred.all.add(s, hash)
+		}
 		if s.inOwnRegion {
 			preferred.ownRegion.add(s, hash)
 		}
--- a/internal/placing/simulation_test.go
+++ b/internal/placing/simulation_test.go
@@ -47,6 +47,9 @@
 	bySecond         []tally // by second of arrival
 	byRegion         []tally // by region of the entry
 	coldRuns         int
+	sends            int
+	otherRegionSends int
+	serverByID       map[string]*fakeServer
 	maxColdPerSecond int // most requests that a cold server got within one second
 }
 
@@ -73,6 +76,7 @@
 	sm := &simulation{scenario: sc, clock: virtual.New(start), random: rand.New(rand.NewPCG(sc.seed, 1))}
 	sm.bySecond = make([]tally, int(sc.duration/time.Second)+1)
 	sm.byRegion = make([]tally, (len(sc.domains)+1)/2)
+	sm.serverByID = make(map[string]*fakeServer)
 	for domain, count := range sc.domains {
 		for i := range count {
 			sm.servers = append(sm.servers, &fakeServer{
@@ -80,10 +84,16 @@
 				simulation: sm,
 				slow:       1,
 			})
+			added := sm.servers[len(sm.servers)-1]
+			sm.serverByID[added.ID] = added
 		}
 	}
 	for i := range sc.entries {
-		pool := NewPool(Policy{Service: "web", ColdRate: sc.coldRate}, site(i%len(sc.domains)))
+		demand := make(map[string]float64)
+		for domain := range sc.domains {
+			demand[site(domain).Region]++
+		}
+		pool := NewPool(Policy{Service: "web", ColdRate: sc.coldRate, Demand: demand}, site(i%len(sc.domains)))
 		sm.pools = append(sm.pools, pool)
 	}
 	sm.announce()
@@ -155,6 +165,10 @@
 	unqueued := choice.Server.Load(now) <= float64(choice.Server.Slots)
 	pool.Begin(choice.Server, now)
 	server := sm.server(choice.Server.ID)
+	sm.sends++
+	if pool.Own.Region != server.Region {
+		sm.otherRegionSends++
+	}
 	oneWay := sm.oneWay(pool.Own, server.Site)
 	pool.RecordRoundTrip(server.Domain, 2*oneWay)
 	end := func(result routing.Result, load Load) {
@@ -184,10 +198,7 @@
 	})
 }
 
-func (sm *simulation) server(id string) *fakeServer {
-	at := slices.IndexFunc(sm.servers, func(s *fakeServer) bool { return s.ID == id })
-	return sm.servers[at]
-}
+func (sm *simulation) server(id string) *fakeServer { return sm.serverByID[id] }
 
 func (sm *simulation) count(entry int, arrivedAt time.Time, add func(*tally)) {
 	region := (entry % len(sm.domains)) / 2
--- a/internal/reducer/placing_pools.go
+++ b/internal/reducer/placing_pools.go
@@ -52,6 +52,7 @@
 	if s.document == nil || s.Settings.Entry == "" {
 		return
 	}
+	demand := s.demandByRegion()
 	for i := range s.document.Services.Services {
 		service := &s.document.Services.Services[i]
 		if service.Placing != document.PlacingEntry {
@@ -64,10 +65,22 @@
 			s.placingPools[service.Name] = pool
 		}
 		s.limitColdRate(&pool.Policy, service.ColdRate)
+		pool.Policy.Demand = demand
 		pool.Update(s.usableServers(service))
 	}
 }
 
+// demandByRegion returns the number of failure domains of each region: each has callers
+// and entries of its own. What is known of live VMs would change with every restart, and
+// the homes of objects with it.
+func (s *State) demandByRegion() map[string]float64 {
+	demand := make(map[string]float64)
+	for _, domain := range s.document.Places.Domains {
+		demand[domain.Region]++
+	}
+	return demand
+}
+
 // Limits on what one entry sends to a cold server. The server counts the
 // requests of any second, so an entry that sends at most once a second adds at
 // most one.
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -160,18 +160,32 @@
 }
 
 // countEntries counts the VMs that may send requests to servers, and those of
-// them that precede this VM by id.
+// them that precede this VM by failure domain and id. The summary of a large domain
+// names only some of its VMs; the others count as entries.
 func (s *State) countEntries() (all, before int) {
 	for _, domain := range s.members.Domains(s.now) {
-		for _, entry := range domain.Entries {
-			if entry.Entry == "" {
-				continue
+		if domain.Name == s.Settings.Domain {
+			for _, vm := range s.members.Alive() {
+				if vm.Entry == "" {
+					continue
+				}
+				all++
+				if vm.ID < s.Settings.VM {
+					before++
+				}
 			}
-			all++
-			if entry.ID < s.Settings.VM {
-				before++
+			continue
+		}
+		entries := max(0, domain.VMs-len(domain.Entries))
+		for _, entry := range domain.Entries {
+			if entry.Entry != "" {
+				entries++
 			}
 		}
+		all += entries
+		if domain.Name < s.Settings.Domain {
+			before += entries
+		}
 	}
 	return max(1, all), before
 }
