Hold back the readiness of an entry until it knows the servers

Cause (read from the code, not yet shown at full size): after a loss of all power the servers' caches are warm, but an entry that has heard of a part of the servers orders them differently from the others: objects run cold where they were not, and push out what was warm.

Change: an entry is ready once it has known, for each failure domain, the same servers as a control VM, which keeps them on disk; at most 2 s after its start. Control VMs and sites without placing by entries are not held back.

--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -81,6 +81,8 @@
 	replicaSet replicaset.State
 
 	suspicionsSent    int             // quarantine updates sent since the last tick
+	learnedDomains    map[string]bool // failure domains whose servers this VM has known as a control VM does
+	rosterLearned     bool            // all of them are learned
 	recordsForAll     []roster.Record // to send to all failure domains at the next tick
 	recordsForDomain  []roster.Record // to send within the own failure domain at the next tick
 	rosterTurn        int             // selects the failure domain to compare next
@@ -169,6 +171,7 @@
 		placingPools:     make(map[string]*placing.Pool),
 		routeSplits:      make(map[string]*placing.Split),
 		placedRuns:       make(map[uint64]placedRun),
+		learnedDomains:   make(map[string]bool),
 		recent:           plan.RecentTables{TTL: LookupTTL},
 		startedAt:        now,
 		now:              now,
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -241,6 +241,9 @@
 // are in transit all VMs differ a little, so only a VM that has just started
 // compares more than one failure domain at a time.
 func (s *State) compareRoster(m Message) {
+	if m.Gossip.From.Control {
+		s.learnRoster(m.Roster)
+	}
 	differing := s.roster.DifferingDomains(m.Roster, s.now)
 	if len(differing) > 1 && s.now.Sub(s.startedAt) > rosterLearnTime {
 		s.rosterTurn++
@@ -252,6 +255,37 @@
 	}
 }
 
+// rosterWait is how long after its start a VM holds back its readiness until it knows
+// the servers. With a part of them it would choose other servers for an object than the
+// other entries do, where the object is cold, and drop what is warm there.
+const rosterWait = 2 * time.Second
+
+// learnRoster notes the failure domains of which this VM has known the same servers as a
+// control VM, which keeps them over restarts. One match is enough for each domain: later
+// changes arrive as updates.
+func (s *State) learnRoster(digests []roster.Digest) {
+	if s.rosterLearned {
+		return
+	}
+	learned := true
+	for _, digest := range digests {
+		if s.roster.Matches(digest) {
+			s.learnedDomains[digest.Domain] = true
+		}
+		learned = learned && s.learnedDomains[digest.Domain]
+	}
+	if learned {
+		s.rosterLearned, s.learnedDomains = true, nil
+		s.publish()
+	}
+}
+
+// knowsServers reports whether this VM has learned the servers, or has waited long
+// enough for them. A control VM has them in its data folder.
+func (s *State) knowsServers() bool {
+	return s.rosterLearned || s.Settings.Control || s.now.Sub(s.startedAt) >= rosterWait || !s.document.Services.PlacedByEntries()
+}
+
 func (s *State) sendIndex(peer, domain string, answer bool) {
 	s.transmit(peer, Message{Index: &ServerIndex{
 		Peer:   s.Settings.Peer,
--- a/internal/reducer/view.go
+++ b/internal/reducer/view.go
@@ -32,7 +32,7 @@
 		view.RecentTables = s.recent.Tables()
 		view.Table = view.RecentTables[len(view.RecentTables)-1]
 		view.Domains = s.viewDomains()
-		view.Ready = s.now.Sub(s.startedAt) >= documentSearchTime
+		view.Ready = s.now.Sub(s.startedAt) >= documentSearchTime && s.knowsServers()
 	}
 	s.emit(PublishView{View: view})
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -293,6 +293,12 @@
 	return digests
 }
 
+// Matches reports whether the records of a failure domain are those that a digest was
+// made from.
+func (s *State) Matches(digest Digest) bool {
+	return slices.Contains(s.Digests(), digest)
+}
+
 // contentHash returns a hash of the fields that VMs compare.
 func (e *Entry) contentHash() uint64 {
 	return xxhash.Sum64String(fmt.Sprint(e.ID, e.Service, e.Address, e.Slots, e.Start, e.Leaving, e.Silent))
--- a/pkg/document/rules.go
+++ b/pkg/document/rules.go
@@ -77,6 +77,11 @@
 	return nil
 }
 
+// PlacedByEntries reports whether entries choose the servers of any service.
+func (s Services) PlacedByEntries() bool {
+	return slices.ContainsFunc(s.Services, func(service Service) bool { return service.Placing == PlacingEntry })
+}
+
 // ByName returns the service of the name, or nil.
 func (s Services) ByName(name string) *Service {
 	for i := range s.Services {
