Send nothing on a grant whose deadline has passed

Cause: between the grant of a slot and the send nothing looked at the clock again. A process that stood still there relied on its timer to fire before the transport wrote the request; the claim's lease and the slot may have been given to others meanwhile.

Change: the entry compares the deadline right before the send and returns the grant unused. The relay then says "not run" and gives the claim back, or says "unknown" if an earlier send may have run.

--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -27,6 +27,12 @@
 // caller has been answered.
 func (in *inbound) send(ctx context.Context, grant *dispatch.Grant) (relay.Step, error, bool) {
 	sentAt := in.relay.Node.Clock.Now()
+	if !sentAt.Before(in.deadline) {
+		// The process stood still since the slot was granted: the grant, and the lease
+		// of a claim, may have ended.
+		step, err := in.exchange.ReportSend(context.WithoutCancel(ctx), reducer.RequestSent{Result: routing.ResultUnused, Cause: "the deadline passed before the send"})
+		return step, err, false
+	}
 	sent := in.roundTrip(ctx, grant)
 	response, result := sent.response, sent.Result
 	if response != nil && in.relay.Dialect.isForeign(response, in.id) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -265,13 +265,26 @@
 	case routing.ResultTimeout:
 		r.mayHaveRun = true
 		return r.endUnknown(http.StatusGatewayTimeout, "deadline", "the deadline passed while the backend server worked")
-	default:
-		r.mayHaveRun = r.mayHaveRun || result.MayHaveRun()
-		if !r.mayHaveRun {
-			return r.endNotRun(http.StatusServiceUnavailable, "cancelled", "the caller hung up", time.Second)
+	case routing.ResultUnused:
+		if now.Before(r.Deadline) {
+			return r.endCancelled(result)
+		}
+		if r.mayHaveRun {
+			return r.endUnknown(http.StatusGatewayTimeout, "deadline", "the deadline passed before the next send")
 		}
-		return r.endUnknown(http.StatusBadGateway, "cancelled", "the caller hung up")
+		return r.endNotRun(http.StatusServiceUnavailable, "deadline", "the deadline passed before the request was sent", 0)
+	default:
+		return r.endCancelled(result)
+	}
+}
+
+// endCancelled ends a request whose caller hung up or whose VM stops.
+func (r *Request) endCancelled(result routing.Result) Step {
+	r.mayHaveRun = r.mayHaveRun || result.MayHaveRun()
+	if !r.mayHaveRun {
+		return r.endNotRun(http.StatusServiceUnavailable, "cancelled", "the caller hung up", time.Second)
 	}
+	return r.endUnknown(http.StatusBadGateway, "cancelled", "the caller hung up")
 }
 
 // retryError retries a repeatable request on another server after an error
