Keep homes while some servers of a pool are lost

Cause: with one bound of 150 servers a pool near it gains and loses the homes of its objects as servers come and go, on some entries and not on others.

Change: homes begin with 100 servers and end below 80.

--- a/internal/placing/home.go
+++ b/internal/placing/home.go
@@ -9,7 +9,8 @@
 
 // Numbers of servers from which objects have homes.
 const (
-	minPooledServers = 150 // of the service: fewer may not have room to keep the objects of all regions' callers apart
+	minPooledServers = 100 // of the service: fewer may not have room to keep the objects of all regions' callers apart
+	minPooledAfter   = 80  // the same for a service whose objects have homes, so that a loss of some servers does not end them
 	minHomeServers   = 12  // of a region that is a home: with fewer, one that is lost or busy leaves too much to the others
 )
 
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -193,8 +193,12 @@
 			servers[s.Region]++
 		}
 	}
+	pooled := minPooledServers
+	if len(p.homes.target) > 0 {
+		pooled = minPooledAfter
+	}
 	for region, count := range servers {
-		if count < minHomeServers || len(p.Servers) < minPooledServers {
+		if count < minHomeServers || len(p.Servers) < pooled {
 			delete(slots, region)
 		}
 	}
