--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -207,10 +207,10 @@
 
 // Choose returns the server of least cost, which is mainly the expected time to
 // the answer, or a refusal. The first server in the order of the object, within its
-// home region if it has one, counts as warm because all entries send there; the next ones, and the first ones in
-// the region of this entry, get requests when it is loaded. Servers that ran the
-// object recently are considered together with these, and all other servers only
-// if none of them may take the request.
+// home region if it has one, counts as warm because all entries send there; the next
+// ones, and the first ones in the region of this entry, get requests when it is loaded.
+// Servers that ran the object recently are considered together with these, and all
+// other servers only if none of them may take the request.
 func (p *Pool) Choose(req Request, now time.Time) Choice {
 	usual := p.usualRunTimes(req)
 	p.probeBudget = min(p.probeBudget+probeShare, maxProbeBudget)
