Ask for the records of a failure domain once a second at most

Cause: a VM that starts compares the roster of all failure domains with every sender of gossip, five times a second, until the records are in. On the large fleet the records of 1,491 servers take most of a second on an entry's link of 2 Mbit/s, so the copies asked for meanwhile fill it for many seconds, for callers' answers too.

Change: one index for a failure domain in a second.

Test: TestRecordsAreAskedForOnceWhileTheyArrive; before, each domain was asked for five times in 0.95 s.

--- a/internal/reducer/learn_test.go
+++ b/internal/reducer/learn_test.go
@@ -47,3 +47,27 @@
 		})
 	}
 }
+
+// An entry that starts hears of the servers from several VMs before the first answer is
+// in. It must not ask each of them for the same records: on a slow link the copies would
+// take the place of callers' answers for seconds.
+func TestRecordsAreAskedForOnceWhileTheyArrive(t *testing.T) {
+	var held roster.State
+	held.Merge([]roster.Record{
+		{ID: "s1", Service: "web", Address: "10.0.0.1:80", Domain: "a", Slots: 2, Start: 1, Sequence: 1},
+		{ID: "s2", Service: "web", Address: "10.0.0.2:80", Domain: "b", Slots: 2, Start: 1, Sequence: 1},
+	}, testStart)
+	s := entryVM(t)
+	asked := make(map[string]int)
+	for at := time.Duration(0); at < 950*time.Millisecond; at += 50 * time.Millisecond {
+		gossip := Message{Gossip: &member.Gossip{From: member.VM{ID: "c1", Peer: "c1:1", Domain: "b"}}, Roster: held.Digests()}
+		for _, effect := range s.Apply(testStart.Add(at), Received{gossip}) {
+			if transmit, ok := effect.(Transmit); ok && transmit.Message.Index != nil {
+				asked[transmit.Message.Index.Domain]++
+			}
+		}
+	}
+	if asked["a"] != 1 || asked["b"] != 1 {
+		t.Errorf("asked %v times for the records, want once for each failure domain", asked)
+	}
+}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -80,18 +80,19 @@
 	lastTicket uint64                    // of placedRuns
 	replicaSet replicaset.State
 
-	suspicionsSent    int             // quarantine updates sent since the last tick
-	learnedDomains    map[string]bool // failure domains whose servers this VM has known as a control VM does
-	rosterLearned     bool            // all of them are learned
-	recordsForAll     []roster.Record // to send to all failure domains at the next tick
-	recordsForDomain  []roster.Record // to send within the own failure domain at the next tick
-	rosterTurn        int             // selects the failure domain to compare next
-	placingPoolsStale bool            // servers, entries or document changed since the last update of placingPools
-	rosterSaveDue     time.Time       // next save of the roster
-	savedRosterHash   uint64          // of the roster and peers saved last
-	joinDue           time.Time       // next join request, or next check of the replica set
-	entryCount        int             // entries known alive, this VM included
-	entryIndex        int             // number of them that precede this VM by id
+	suspicionsSent    int                  // quarantine updates sent since the last tick
+	learnedDomains    map[string]bool      // failure domains whose servers this VM has known as a control VM does
+	rosterLearned     bool                 // all of them are learned
+	recordsForAll     []roster.Record      // to send to all failure domains at the next tick
+	recordsForDomain  []roster.Record      // to send within the own failure domain at the next tick
+	rosterAskedAt     map[string]time.Time // last index sent, by failure domain
+	rosterTurn        int                  // selects the failure domain to compare next
+	placingPoolsStale bool                 // servers, entries or document changed since the last update of placingPools
+	rosterSaveDue     time.Time            // next save of the roster
+	savedRosterHash   uint64               // of the roster and peers saved last
+	joinDue           time.Time            // next join request, or next check of the replica set
+	entryCount        int                  // entries known alive, this VM included
+	entryIndex        int                  // number of them that precede this VM by id
 
 	pendingProposals map[uint64]pendingProposal // by log index
 	pendingReads     map[uint64]pendingRead     // by call
@@ -172,6 +173,7 @@
 		routeSplits:      make(map[string]*placing.Split),
 		placedRuns:       make(map[uint64]placedRun),
 		learnedDomains:   make(map[string]bool),
+		rosterAskedAt:    make(map[string]time.Time),
 		recent:           plan.RecentTables{TTL: LookupTTL},
 		startedAt:        now,
 		now:              now,
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -251,10 +251,20 @@
 		differing = differing[i : i+1]
 	}
 	for _, domain := range differing {
+		if s.now.Sub(s.rosterAskedAt[domain]) < rosterAskInterval {
+			continue
+		}
+		s.rosterAskedAt[domain] = s.now
 		s.sendIndex(m.Gossip.From.Peer, domain, true)
 	}
 }
 
+// rosterAskInterval is the shortest time between two indexes sent for one failure domain.
+// The records of 1,500 servers take most of a second on a link of 2 Mbit/s; a VM that
+// asks every sender of gossip for them until the first answer is in fills its link with
+// copies.
+const rosterAskInterval = time.Second
+
 // rosterWait is how long after its start a VM holds back its readiness until it knows
 // the servers. With a part of them it would choose other servers for an object than the
 // other entries do, where the object is cold, and drop what is warm there.
