Deny slots at once when the only servers said that they leave

Cause: hasNoServer looked at what servers announce, not at what they say in answers, so a request waited for a slot that could not come.

Test: TestOwnerHeedsNotices, the first of the notice path of services with owners; its case "leaving" waited before and is denied now, the other four passed as they were.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -196,7 +196,7 @@
 		return false
 	}
 	for _, s := range p.Routing.Servers {
-		if s.State != routing.StateLeaving && !s.Stopped && now.Before(s.Expires) {
+		if s.State != routing.StateLeaving && !s.SaidLeaving() && !s.Stopped && now.Before(s.Expires) {
 			return false
 		}
 	}
