Count messages by kind and document text between VMs; log its arrival

Cause: neither logs nor metrics told the hypotheses of the incident apart: how many bytes the copies of a document take, when its text arrived on a VM (HW1043), and when it was in force (HW1004).

Change: counters of messages by kind and of document text sent and received; HW1043 for each update that is adopted or held, with its bytes and sender.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -15,7 +15,11 @@
 	LogSyncs     *metrics.Counter // syncs of the replicated log
 	Lookups      *metrics.Counter // answered GET /v1/entries
 	AuditDropped *metrics.Counter // audit records dropped before they were written or shipped
-	set          *metrics.Set
+
+	DocumentBytesSent     *metrics.Counter // of document text, to other VMs
+	DocumentBytesReceived *metrics.Counter // of document text, of all copies of it
+
+	set *metrics.Set
 }
 
 // NewMetrics returns counters that are all zero.
@@ -25,7 +29,11 @@
 		LogSyncs:     set.NewCounter("heatherwood_log_syncs_total"),
 		Lookups:      set.NewCounter("heatherwood_lookups_total"),
 		AuditDropped: set.NewCounter("heatherwood_audit_dropped_total"),
-		set:          set,
+
+		DocumentBytesSent:     set.NewCounter("heatherwood_document_bytes_sent_total"),
+		DocumentBytesReceived: set.NewCounter("heatherwood_document_bytes_received_total"),
+
+		set: set,
 	}
 }
 
@@ -46,6 +54,13 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_quiet_connections_total{reason=%q}`, reason)).Inc()
 }
 
+// CountSent counts a message to another VM by its kind, and the bytes of document text
+// in it.
+func (m *Metrics) CountSent(message reducer.Message) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_messages_sent_total{kind=%q}`, message.Kind())).Inc()
+	m.DocumentBytesSent.Add(message.DocumentBytes())
+}
+
 // Write writes all metrics in the Prometheus text format. The gauges are taken from
 // the status; bytesSent are the bytes sent to peers.
 func (m *Metrics) Write(w io.Writer, status reducer.Status, bytesSent int64) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -250,6 +250,7 @@
 func (n *Node) execute(effect reducer.Effect) {
 	switch e := effect.(type) {
 	case reducer.Transmit:
+		n.Metrics.CountSent(e.Message)
 		n.Network.Send(e.Peer, e.Message)
 	case reducer.SaveLog:
 		n.logWriter.enqueue(e.Save)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -25,6 +25,7 @@
 // Deliver implements peerrpc.Handler.
 func (h peerHandler) Deliver(messages []reducer.Message) {
 	for _, message := range messages {
+		h.node.Metrics.DocumentBytesReceived.Add(message.DocumentBytes())
 		h.node.Apply(reducer.Received{Message: message})
 	}
 }
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -47,6 +47,7 @@
 	CodeHeaderTimeout         Code = 1040
 	CodeRequestsCutOff        Code = 1041
 	CodeServerNotice          Code = 1042
+	CodeDocumentReceived      Code = 1043
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -100,6 +101,7 @@
 	{CodeHeaderTimeout, "info", "caller's connection closed: the header of a request did not end in time"},
 	{CodeRequestsCutOff, "warn", "requests were cut off: they outlasted the stop"},
 	{CodeServerNotice, "info", "server said in an answer that it leaves, or wants no requests for a while"},
+	{CodeDocumentReceived, "info", "text of a newer document arrived"},
 }
 
 // Info returns the catalogue entry of a code.
--- a/internal/reducer/document.go
+++ b/internal/reducer/document.go
@@ -133,8 +133,11 @@
 	if !fits {
 		return false
 	}
-	if s.adoptSections(update.Position, sections) && update.Relay {
-		s.sendUpdateToDomain(update)
+	if s.adoptSections(update.Position, sections) {
+		s.logUpdate("adopted", update)
+		if update.Relay {
+			s.sendUpdateToDomain(update)
+		}
 	}
 	return true
 }
@@ -146,7 +149,19 @@
 	maxHoldTime    = 150 * time.Millisecond // after which the document is fetched instead
 )
 
+// logUpdate logs what became of an update.
+func (s *State) logUpdate(outcome string, update DocumentUpdate) {
+	s.emit(Decision{Code: CodeDocumentReceived, Outcome: outcome, Fields: []Field{
+		{"index", int64(update.Position.Index)},
+		{"from", update.From},
+		{"bytes", int64(update.bytes())},
+		{"sections", int64(len(update.Sections))},
+		{"held_index", int64(s.sectionsAt.Index)},
+	}})
+}
+
 func (s *State) holdUpdate(update DocumentUpdate) {
+	s.logUpdate("held", update)
 	if len(s.heldUpdates) == 0 {
 		s.heldSince = s.now
 	}
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -202,6 +202,38 @@
 	Bar      *QuarantineUpdate
 }
 
+// Kind returns what the message is, for metrics.
+func (m Message) Kind() string {
+	switch {
+	case m.Quorum != nil:
+		return "quorum"
+	case m.Gossip != nil:
+		return "gossip"
+	case m.Servers != nil:
+		return "servers"
+	case m.Index != nil:
+		return "server-index"
+	case m.Join != nil:
+		return "join"
+	case m.Spread != nil:
+		return "document"
+	case m.Fetch != nil:
+		return "document-request"
+	case m.Bar != nil, m.Lift != nil:
+		return "quarantine"
+	default:
+		return "slots"
+	}
+}
+
+// DocumentBytes returns the bytes of document text in the message.
+func (m Message) DocumentBytes() int {
+	if m.Spread == nil {
+		return 0
+	}
+	return m.Spread.bytes()
+}
+
 // ServerUpdate carries records of backend servers.
 type ServerUpdate struct {
 	Records []roster.Record
@@ -260,6 +292,15 @@
 	Relay    bool // the receiver forwards it to the other VMs of its failure domain
 }
 
+// bytes returns the bytes of text in the update.
+func (u DocumentUpdate) bytes() int {
+	total := 0
+	for _, patch := range u.Sections {
+		total += len(patch.Middle)
+	}
+	return total
+}
+
 // SectionPatch turns version Base of a section into Version: it keeps Prefix
 // bytes at the start and Suffix bytes at the end, and replaces what lies
 // between them by Middle. Base 0 replaces the whole text.
