Apply a closure when it is heard of, not with the whole document

Cause: a closure reached the placement of an entry only as part of a document in force. The change that carries it waits while an earlier change of another section is missing (holdUpdate), and then until all changed sections are parsed. A relay held it back from its failure domain for as long.

Fix: a change lists the closures that it added and that are still closed after it. A VM whose document in force is older keeps them beside those of the document, whether or not the patches fit, and a relay that cannot apply the change yet passes them on alone. A document at or past the position of the change decides again, so nothing is opened early, and what that document opened is open. The VM that applies the log entry does the same while it parses. closedInLog does not look at them. Closures alone are a message of their own and not an update without patches: that would be held, and each VM of the domain would fetch the whole document.

--- a/internal/reducer/document.go
+++ b/internal/reducer/document.go
@@ -37,11 +37,13 @@
 // which relay it within theirs. A VM that misses the change fetches the document
 // later.
 func (s *State) sendChange(names ...document.Section) {
+	closed := s.takeAddedClosures()
 	before := s.sections
 	if !s.adoptSections(s.ledger.Document, s.ledger.Sections) {
 		return
 	}
 	update := s.buildUpdate(before, names)
+	update.Closed = closed
 	s.sendUpdateToDomain(update)
 	if s.quorum.Role != quorum.RoleLeader {
 		return
@@ -116,6 +118,7 @@
 }
 
 func (s *State) receiveUpdate(update DocumentUpdate) {
+	update = s.receiveClosures(update)
 	if !s.applyUpdate(update) {
 		s.holdUpdate(update)
 		return
--- a/internal/reducer/edition.go
+++ b/internal/reducer/edition.go
@@ -68,5 +68,8 @@
 	}})
 	if result.Changed {
 		s.markChanged(document.SectionClosures)
+		if !change.Open {
+			s.addedClosures = append(s.addedClosures, change.Closure)
+		}
 	}
 }
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -200,6 +200,7 @@
 	Cancel   *CancelSlotRequest
 	Lift     *LiftQuarantine
 	Bar      *QuarantineUpdate
+	Closures *ClosureUpdate
 }
 
 // ServerUpdate carries records of backend servers.
@@ -257,7 +258,8 @@
 	Position ledger.Position
 	Versions ledger.Versions // of all sections, including unchanged ones
 	Sections []SectionPatch
-	Relay    bool // the receiver forwards it to the other VMs of its failure domain
+	Closed   []document.Closure // added by this change; in force before the patches are
+	Relay    bool               // the receiver forwards it to the other VMs of its failure domain
 }
 
 // SectionPatch turns version Base of a section into Version: it keeps Prefix
--- a/internal/reducer/placing_pools.go
+++ b/internal/reducer/placing_pools.go
@@ -23,6 +23,7 @@
 	for _, closure := range s.document.Closures.Closures {
 		s.closures[closure] = true
 	}
+	s.dropEarlyClosures()
 	s.updatePlacingPools()
 }
 
@@ -129,9 +130,10 @@
 	return servers
 }
 
-// isClosed reports whether the document closes the server or its failure domain
-// to new requests.
+// isClosed reports whether the document, or a closure that is ahead of it, closes the
+// server or its failure domain to new requests.
 func (s *State) isClosed(entry *roster.Entry) bool {
-	return s.closures[document.Closure{Kind: document.CloseDomain, Name: entry.Domain}] ||
-		s.closures[document.Closure{Kind: document.CloseServer, Name: entry.ID, Start: entry.Start}]
+	domain := document.Closure{Kind: document.CloseDomain, Name: entry.Domain}
+	server := document.Closure{Kind: document.CloseServer, Name: entry.ID, Start: entry.Start}
+	return s.closures[domain] || s.closures[server] || s.closedEarly(domain) || s.closedEarly(server)
 }
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -75,10 +75,12 @@
 	placingPools map[string]*placing.Pool  // by service
 	routeSplits  map[string]*placing.Split // by route
 
-	closures   map[document.Closure]bool // of the document in force
-	placedRuns map[uint64]placedRun      // by ticket
-	lastTicket uint64                    // of placedRuns
-	replicaSet replicaset.State
+	closures      map[document.Closure]bool // of the document in force
+	earlyClosures []earlyClosure            // newer than the document in force, in order of arrival
+	addedClosures []document.Closure        // by the log entries being applied
+	placedRuns    map[uint64]placedRun      // by ticket
+	lastTicket    uint64                    // of placedRuns
+	replicaSet    replicaset.State
 
 	suspicionsSent    int                  // quarantine updates sent since the last tick
 	learnedDomains    map[string]bool      // failure domains whose servers this VM has known as a control VM does
@@ -326,6 +328,8 @@
 		s.receiveJoin(m)
 	case m.Spread != nil:
 		s.receiveUpdate(*m.Spread)
+	case m.Closures != nil:
+		s.closeEarly(m.Closures.Position, m.Closures.Closures)
 	case m.Fetch != nil:
 		s.receiveDocumentRequest(*m.Fetch)
 	case m.Bar != nil:
