--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -200,6 +200,7 @@
 	Cancel   *CancelSlotRequest
 	Lift     *LiftQuarantine
 	Bar      *QuarantineUpdate
+	Closures *ClosureUpdate
 }
 
 // Kind returns what the message is, for metrics.
@@ -289,7 +290,8 @@
 	Position ledger.Position
 	Versions ledger.Versions // of all sections, including unchanged ones
 	Sections []SectionPatch
-	Relay    bool // the receiver forwards it to the other VMs of its failure domain
+	Closed   []document.Closure // added by this change; in force before the patches are
+	Relay    bool               // the receiver forwards it to the other VMs of its failure domain
 }
 
 // bytes returns the bytes of text in the update.
