--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -25,6 +25,7 @@
 	Services     int
 	Places       int // of callers, with one /16 block each
 	Servers      int // backend servers of each service in each domain
+	EntryLink    int // bytes a second each way on the link of a VM without a control replica; 0 means no limit
 }
 
 // VMs returns the number of VMs.
@@ -53,12 +54,13 @@
 	RoleEntry   Role = "entry"
 )
 
-// Cost is what one VM has sent and computed since the last reset.
+// Cost is what one VM has sent, received and computed since the last reset.
 type Cost struct {
-	Messages    int   // sent
-	Bytes       int64 // sent
-	ReducerTime time.Duration
-	Events      int // applied by the reducer
+	Messages      int   // sent
+	Bytes         int64 // sent
+	ReceivedBytes int64
+	ReducerTime   time.Duration
+	Events        int // applied by the reducer
 }
 
 // Fleet runs the reducers of all VMs in virtual time.
@@ -70,6 +72,21 @@
 	byPeer   map[string]*vm // by peer address
 	document *document.Document
 	blocks   *plan.Blocks
+	lastCall uint64            // of a proposal
+	answers  map[uint64]answer // to proposals, by call
+	deaths   []death
+}
+
+// answer is the answer to a proposal.
+type answer struct {
+	at     time.Time
+	result reducer.ProposalResult
+}
+
+// death is the report of one VM that another one of its failure domain is dead.
+type death struct {
+	at           time.Time
+	observer, vm string
 }
 
 // vm is one simulated VM.
@@ -82,6 +99,38 @@
 	isLeader         bool
 	documentPosition ledger.Position
 	documentLoadedAt time.Time
+	sections         []ledger.Section // of the document in force
+	loads            []load
+	outgoing         link
+	incoming         link
+	cutOff           bool // messages from and to this VM are lost
+}
+
+// load records which sections came into force on a VM.
+type load struct {
+	at       time.Time
+	versions ledger.Versions
+}
+
+// link is one direction of a VM's link. It carries one message after the other.
+type link struct {
+	freeAt    time.Time
+	busySince time.Time     // end of the last pause
+	longest   time.Duration // between two pauses
+}
+
+// carry appends a message to those that wait for the link, and returns how long
+// it takes until the message has passed it; a rate of 0 means no limit.
+func (l *link) carry(now time.Time, bytes int64, rate int) time.Duration {
+	if rate == 0 {
+		return 0
+	}
+	if now.After(l.freeAt) {
+		l.freeAt, l.busySince = now, now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(bytes) * time.Second / time.Duration(rate))
+	l.longest = max(l.longest, l.freeAt.Sub(l.busySince))
+	return l.freeAt.Sub(now)
 }
 
 // connection counts the bytes sent on one connection. As on a real one, gob
@@ -100,7 +149,7 @@
 // New starts a fleet and runs it until its document is in force and the greetings
 // exchanged at startup are over.
 func New(size Size) (*Fleet, error) {
-	f := &Fleet{Size: size, clock: virtual.New(epoch), byPeer: make(map[string]*vm)}
+	f := &Fleet{Size: size, clock: virtual.New(epoch), byPeer: make(map[string]*vm), answers: make(map[uint64]answer)}
 	var replicas []quorum.Replica
 	var seeds []string
 	for i := range size.Replicas {
@@ -194,17 +243,25 @@
 		})
 	case reducer.LoadDocument:
 		f.loadDocument(v, e)
+	case reducer.Answer:
+		if result, ok := e.Value.(reducer.ProposalResult); ok {
+			f.answers[e.Call] = answer{at: f.clock.Now(), result: result}
+		}
 	case reducer.Log:
-		if e.Code == reducer.CodeRoleChanged {
+		switch e.Code {
+		case reducer.CodeRoleChanged:
 			v.isLeader = e.Detail == quorum.RoleLeader.String()
+		case reducer.CodeVMDied:
+			f.deaths = append(f.deaths, death{at: f.clock.Now(), observer: v.settings.VM, vm: e.Detail})
 		}
 	}
 }
 
-// transmit counts a message and delivers it after the one-way latency.
+// transmit counts a message and delivers it once it has passed the links of both
+// VMs and the one-way latency is over.
 func (f *Fleet) transmit(v *vm, e reducer.Transmit) {
 	to := f.byPeer[e.Peer]
-	if to == nil {
+	if to == nil || v.cutOff || to.cutOff {
 		return
 	}
 	c := v.connections[e.Peer]
@@ -213,17 +270,41 @@
 		c.encoder = gob.NewEncoder(c)
 		v.connections[e.Peer] = c
 	}
-	bytesBefore := c.bytes
+	bytesBefore, size := c.bytes, int64(0)
 	if err := c.encoder.Encode(peerrpc.Batch{Messages: []reducer.Message{e.Message}}); err == nil {
 		const framing = 30 // bytes of the RPC header
-		v.cost.Bytes += c.bytes - bytesBefore + framing
+		size = c.bytes - bytesBefore + framing
+		v.cost.Bytes += size
 	}
 	v.cost.Messages++
 	delay := crossRegionDelay
 	if to.settings.Region == v.settings.Region {
 		delay = sameRegionDelay
 	}
-	f.clock.Schedule(delay, func() { f.apply(to, reducer.Received{Message: e.Message}) })
+	deliver := func() {
+		if v.cutOff || to.cutOff {
+			return
+		}
+		to.cost.ReceivedBytes += size
+		f.apply(to, reducer.Received{Message: e.Message})
+	}
+	delay += v.outgoing.carry(f.clock.Now(), size, f.linkRate(v))
+	f.clock.Schedule(delay, func() {
+		wait := to.incoming.carry(f.clock.Now(), size, f.linkRate(to))
+		if wait == 0 {
+			deliver()
+			return
+		}
+		f.clock.Schedule(wait, deliver)
+	})
+}
+
+// linkRate returns the rate of a VM's link in bytes a second; 0 means no limit.
+func (f *Fleet) linkRate(v *vm) int {
+	if v.settings.Control {
+		return 0
+	}
+	return f.Size.EntryLink
 }
 
 // loadDocument gives every VM the same parsed document, since a change here
@@ -236,6 +317,12 @@
 	}
 	f.clock.Schedule(time.Millisecond, func() {
 		v.documentPosition, v.documentLoadedAt = e.Position, f.clock.Now()
+		v.sections = e.Sections
+		loaded := load{at: f.clock.Now()}
+		for _, section := range e.Sections {
+			loaded.versions.Set(section.Name, section.Version)
+		}
+		v.loads = append(v.loads, loaded)
 		f.apply(v, reducer.DocumentLoaded{Position: e.Position, Document: f.document, Blocks: f.blocks})
 	})
 }
@@ -319,14 +406,21 @@
 // ProposeChange proposes a change of a section at the leader; it does nothing
 // without one.
 func (f *Fleet) ProposeChange(section document.Section, base uint64, id string, text []byte) {
-	leader := f.leader()
-	if leader == nil {
-		return
-	}
 	put := &ledger.Put{Section: section, Base: base, ChangeID: id, Text: text}
 	put.Checked = f.leaderVersions()
 	put.Checked.Set(section, base)
-	f.apply(leader, reducer.Propose{Command: ledger.Command{Put: put}})
+	f.propose(ledger.Command{Put: put})
+}
+
+// propose proposes a command at the leader and returns the call that its answer
+// names; without a leader there is no answer.
+func (f *Fleet) propose(command ledger.Command) uint64 {
+	f.lastCall++
+	call := f.lastCall
+	if leader := f.leader(); leader != nil {
+		f.apply(leader, reducer.Propose{Call: call, Command: command})
+	}
+	return call
 }
 
 // leader returns the leader of the control log, or nil without one.
