Send large log entries to a replica again only when they are lost

Cause: each rejected append moved nextIndex back and sent the entries again, so every heartbeat or entry that overtook a large entry cost a full copy, and so did every one that was in transit after a lost message. A heartbeat forgave all unanswered messages, so a slow peer got four more batches with each. A replica that answered nothing got every new entry in full.

Fix: more than 16 KB is sent again only after the peer has also rejected an empty append that left after the first rejection, when the entries ahead of it must have arrived, and has then accepted one; up to 16 KB the old way stays, which costs no round trip. A replica silent for an election timeout gets empty appends only until it answers one. The bytes in flight to one peer are limited to four batches. A chunk is sent again only when a heartbeat sent after it was answered, and replies to copies are ignored. Messages keep their form.

--- a/internal/quorum/cluster_test.go
+++ b/internal/quorum/cluster_test.go
@@ -27,6 +27,11 @@
 	inFlight       []delivery
 	cutLinks       map[[2]ID]bool
 	lossRate       float64
+	fixedDelay     time.Duration // of each message when set; then none is lost or doubled at random
+	bulkDelay      time.Duration // added to fixedDelay for a message of more than bulkSize
+	linkRate       map[ID]int    // bytes of entries and snapshot per second to a receiver, in order; 0 means no limit
+	linkFreeAt     map[ID]time.Time
+	sentBulk       map[ID]int // bytes of entries and snapshot chunks sent, by receiver
 	mutations      mutations
 	skipSync       bool // disks confirm saves without writing them
 	runBeforeGrant bool // operations run before their claim is granted
@@ -102,6 +107,9 @@
 		now:          epoch,
 		random:       rand.New(rand.NewPCG(seed, 1)),
 		cutLinks:     make(map[[2]ID]bool),
+		linkRate:     make(map[ID]int),
+		linkFreeAt:   make(map[ID]time.Time),
+		sentBulk:     make(map[ID]int),
 		mutations:    m,
 		leaders:      make(map[uint64]ID),
 		committed:    make(map[uint64]Entry),
@@ -227,7 +235,33 @@
 	c.runEffects(r, r.state.Saved(finished[done-1].Sequence, c.now))
 }
 
+// bulkSize is the number of bytes of entries and snapshot from which on a message
+// takes longer.
+const bulkSize = 16 << 10
+
 func (c *cluster) send(message Message) {
+	size := len(message.Piece.Data)
+	for _, entry := range message.Entries {
+		size += entry.size()
+	}
+	c.sentBulk[message.To] += size
+	if c.fixedDelay > 0 {
+		delay := c.fixedDelay
+		if size > bulkSize {
+			delay += c.bulkDelay
+		}
+		leavesAt := c.now
+		if rate := c.linkRate[message.To]; rate > 0 {
+			if c.linkFreeAt[message.To].After(c.now) {
+				leavesAt = c.linkFreeAt[message.To]
+			}
+			leavesAt = leavesAt.Add(time.Duration(size) * time.Second / time.Duration(rate))
+			c.linkFreeAt[message.To] = leavesAt
+		}
+		c.nextCall++
+		c.inFlight = append(c.inFlight, delivery{message: message, arrivesAt: leavesAt.Add(delay), order: c.nextCall})
+		return
+	}
 	if c.random.Float64() < c.lossRate {
 		return
 	}
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -135,6 +135,7 @@
 		if replica.ID == s.Settings.ID || s.peers[replica.ID] != nil {
 			continue
 		}
-		s.peers[replica.ID] = &progress{nextIndex: s.log.lastIndex() + 1, lastReplyAt: now}
+		next := s.log.lastIndex() + 1
+		s.peers[replica.ID] = &progress{nextIndex: next, firstSent: next, lastReplyAt: now}
 	}
 }
--- a/internal/quorum/log.go
+++ b/internal/quorum/log.go
@@ -47,6 +47,21 @@
 	return tail[:len(tail):len(tail)]
 }
 
+func sizeOf(entries []Entry) int {
+	size := 0
+	for _, entry := range entries {
+		size += entry.size()
+	}
+	return size
+}
+
+// sizeFrom returns the bytes of the entries from the index on; those that are compacted
+// count as none.
+func (l *log) sizeFrom(index uint64) int {
+	first := max(index, l.snapshot.Index+1)
+	return sizeOf(l.entries[min(first-l.snapshot.Index-1, uint64(len(l.entries))):])
+}
+
 // merge adds the entries and returns those that are new. Entries that conflict
 // with a new one, and all after them, are removed.
 func (l *log) merge(entries []Entry) []Entry {
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -56,9 +56,20 @@
 	lastReplyAt    time.Time
 	confirmedRound uint64 // highest heartbeat round it replied to
 	inFlight       int    // messages with entries that are not answered yet
+	sent           []sentAppend
+	firstSent      uint64 // lowest index whose entry was sent to the peer in this term
+	probing        bool   // entries are held back until a message of probeRound or later is answered
+	probeRound     uint64
 	chunkOffset    uint64 // next offset of the snapshot in transfer
 	snapshotIndex  uint64 // index of the snapshot in transfer, 0 when none
 	chunkSentAt    time.Time
+	chunkRound     uint64 // heartbeat round in which the chunk was sent
+}
+
+// sentAppend is a message with entries that the peer has not matched yet.
+type sentAppend struct {
+	lastIndex uint64
+	bytes     int
 }
 
 // pendingRead is a read that waits until a quorum confirms its heartbeat round.
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -64,19 +64,21 @@
 	}
 }
 
-// maxInFlight limits the unanswered messages to one peer. Entries proposed in the
-// meantime are sent together at the next reply. A heartbeat resets the count, as
-// messages may be lost.
+// maxInFlight limits the unanswered messages to one peer, and their bytes to as many
+// batches. Entries proposed in the meantime are sent together at the next reply. A
+// heartbeat resets the count, as messages may be lost, but not the bytes.
 const maxInFlight = 4
 
 // replicate sends the entries that the peer lacks, without waiting for earlier
-// replies. After a lost message the peer rejects the next one, and its reply
-// moves nextIndex back. A heartbeat is sent even when there are no entries.
+// replies. A heartbeat is sent even when there are no entries.
 func (s *State) replicate(to ID, now time.Time, heartbeat bool) {
 	p := s.peers[to]
 	if p == nil {
 		return
 	}
+	if !p.probing && now.Sub(p.lastReplyAt) >= s.Settings.ElectionTimeout {
+		s.probe(p)
+	}
 	prevTerm, found := s.log.term(p.nextIndex - 1)
 	if !found {
 		s.sendChunk(to, p, now)
@@ -88,16 +90,13 @@
 	if heartbeat {
 		p.inFlight = 0
 	}
-	if p.inFlight >= maxInFlight {
-		return
+	var entries []Entry
+	if !p.probing && p.inFlight < maxInFlight && p.bytesInFlight() < maxInFlight*s.Settings.MaxBatchBytes {
+		entries = s.log.entriesFrom(p.nextIndex, s.Settings.MaxBatchBytes)
 	}
-	entries := s.log.entriesFrom(p.nextIndex, s.Settings.MaxBatchBytes)
 	if len(entries) == 0 && !heartbeat {
 		return
 	}
-	if len(entries) > 0 {
-		p.inFlight++
-	}
 	s.send(Message{
 		Kind:    MessageAppend,
 		To:      to,
@@ -107,7 +106,27 @@
 		Commit:  s.Commit,
 		Round:   s.round,
 	})
-	p.nextIndex += uint64(len(entries))
+	if len(entries) > 0 {
+		p.firstSent = min(p.firstSent, p.nextIndex)
+		p.nextIndex += uint64(len(entries))
+		p.inFlight++
+		p.sent = append(p.sent, sentAppend{lastIndex: p.nextIndex - 1, bytes: sizeOf(entries)})
+	}
+}
+
+func (p *progress) bytesInFlight() int {
+	n := 0
+	for _, sent := range p.sent {
+		n += sent.bytes
+	}
+	return n
+}
+
+// probe holds back entries until the peer answers a message sent from now on. The
+// higher round tells such an answer from earlier ones.
+func (s *State) probe(p *progress) {
+	s.round++
+	p.probing, p.probeRound = true, s.round
 }
 
 // sendEmptyAppend sends a heartbeat to a peer that is still receiving a snapshot,
@@ -173,12 +192,15 @@
 	p.confirmedRound = max(p.confirmedRound, m.Round)
 	s.confirmReads()
 	if m.Reject {
-		p.nextIndex = max(min(p.nextIndex-1, m.Index+1), p.matchIndex+1)
-		s.replicate(m.From, now, false)
+		s.onReject(m, p, now)
 		return
 	}
+	if m.Round >= p.probeRound || m.Index+1 >= p.nextIndex {
+		p.probing = false
+	}
 	if m.Index > p.matchIndex {
 		p.matchIndex = m.Index
+		p.sent = slices.DeleteFunc(p.sent, func(a sentAppend) bool { return a.lastIndex <= m.Index })
 		p.nextIndex = max(p.nextIndex, p.matchIndex+1)
 		p.snapshotIndex = 0
 		s.advanceCommit(now)
@@ -186,6 +208,28 @@
 	s.replicate(m.From, now, false)
 }
 
+// maxResendBytes limits the entries that are sent again at the first rejection: on a
+// link of 2 Mbit/s they take about a round trip.
+const maxResendBytes = 16 << 10
+
+// onReject moves nextIndex back after a rejection. A message can overtake entries in
+// transit, so a larger amount is sent again only after the peer has also rejected an
+// empty message that was sent after the first rejection, and has accepted one.
+func (s *State) onReject(m Message, p *progress, now time.Time) {
+	if p.probing && m.Round < p.probeRound {
+		return
+	}
+	next := max(min(p.nextIndex-1, m.Index+1), p.matchIndex+1)
+	bulk := p.probing || s.log.sizeFrom(next) > maxResendBytes
+	if !bulk || p.probing || next < p.firstSent {
+		p.nextIndex, p.sent = next, nil
+	}
+	if bulk {
+		s.probe(p)
+	}
+	s.replicate(m.From, now, bulk)
+}
+
 // advanceCommit commits up to the highest index that a majority of voters has
 // synced, when its entry is of this term.
 func (s *State) advanceCommit(now time.Time) {
--- a/internal/quorum/snapshot.go
+++ b/internal/quorum/snapshot.go
@@ -3,7 +3,7 @@
 import "time"
 
 // chunkResendInterval is how long the leader waits for a reply before it sends a
-// chunk again.
+// chunk again, if the peer has answered a heartbeat that was sent after the chunk.
 const chunkResendInterval = 500 * time.Millisecond
 
 // Compact replaces the log up to the applied index by data, a snapshot of the
@@ -24,12 +24,16 @@
 // compacted away; one chunk is in flight at a time.
 func (s *State) sendChunk(to ID, p *progress, now time.Time) {
 	snapshot := s.log.snapshot
-	if p.snapshotIndex != snapshot.Index {
+	switch {
+	case p.probing:
+		return
+	case p.snapshotIndex != snapshot.Index:
 		p.snapshotIndex, p.chunkOffset = snapshot.Index, 0
-	} else if now.Sub(p.chunkSentAt) < chunkResendInterval {
+	case p.chunkSentAt.IsZero():
+	case now.Sub(p.chunkSentAt) < chunkResendInterval || p.confirmedRound <= p.chunkRound:
 		return
 	}
-	p.chunkSentAt = now
+	p.chunkSentAt, p.chunkRound = now, s.round
 	end := min(p.chunkOffset+uint64(s.Settings.ChunkBytes), uint64(len(snapshot.Data)))
 	s.send(Message{
 		Kind: MessageSnapshotChunk,
@@ -90,6 +94,10 @@
 	if p.snapshotIndex != m.Piece.Index || m.Piece.Offset > uint64(len(s.log.snapshot.Data)) {
 		return
 	}
+	if m.Piece.Offset == p.chunkOffset {
+		// The reply to a copy; a second chunk in flight would double all that follow.
+		return
+	}
 	p.chunkOffset = m.Piece.Offset
 	p.chunkSentAt = time.Time{}
 	s.sendChunk(m.From, p, now)
