Deliver one-way messages between VMs in the order sent

Cause: the sender started a goroutine for each batch, and net/rpc starts one for each call that it has read; both run in any order. While a large message is decoded, the small ones behind it pile up and are then read at once, and the last started often runs first. Overtaken appends of the replicated log are rejected and were sent again in full, and changes of the steering document that arrive out of order are held, and the whole document is fetched after 150 ms.

Fix: the sender writes each batch before it takes the next, and the receiving codec hands over one-way messages while it reads them. Calls still run beside each other. The bytes on the wire stay as they were, so VMs of both versions should mix (not run). A write that blocks is ended by the timeout of the batch as before.

--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -217,8 +217,7 @@
 			if err != nil {
 				break
 			}
-			p.inFlight <- struct{}{}
-			go p.sendBatch(client, batch)
+			p.sendBatch(client, batch)
 		}
 	}
 }
@@ -236,20 +235,20 @@
 	return batch
 }
 
-// sendBatch sends one batch and closes the connection if that fails or times out.
+// sendBatch writes one batch, so that batches leave in order, and closes the connection
+// if it fails or is not acknowledged in time.
 func (p *peer) sendBatch(client *rpc.Client, batch []reducer.Message) {
-	defer func() { <-p.inFlight }()
-	call := client.Go(serviceName+".Deliver", &Batch{Messages: batch}, &Empty{}, make(chan *rpc.Call, 1))
-	timer := time.NewTimer(deliverTimeout)
-	defer timer.Stop()
-	select {
-	case <-call.Done:
+	p.inFlight <- struct{}{}
+	timer := time.AfterFunc(deliverTimeout, func() { p.closeClient(client) })
+	call := client.Go(serviceName+"."+deliverMethod, &Batch{Messages: batch}, &Empty{}, make(chan *rpc.Call, 1))
+	go func() {
+		<-call.Done
+		timer.Stop()
 		if call.Error != nil {
 			p.closeClient(client)
 		}
-	case <-timer.C:
-		p.closeClient(client)
-	}
+		<-p.inFlight
+	}()
 }
 
 // countingConn counts the bytes written to a connection.
--- /dev/null
+++ b/internal/peerrpc/codec.go
@@ -0,0 +1,63 @@
+package peerrpc
+
+import (
+	"bufio"
+	"encoding/gob"
+	"net"
+	"net/rpc"
+)
+
+// serverCodec reads and writes calls like the default codec of net/rpc, but hands over
+// one-way messages while it reads them. net/rpc starts a goroutine for each call, and
+// these run in any order.
+type serverCodec struct {
+	conn    net.Conn
+	handler Handler
+	decoder *gob.Decoder
+	encoder *gob.Encoder
+	buffer  *bufio.Writer
+}
+
+func newServerCodec(conn net.Conn, handler Handler) *serverCodec {
+	buffer := bufio.NewWriter(conn)
+	return &serverCodec{
+		conn:    conn,
+		handler: handler,
+		decoder: gob.NewDecoder(conn),
+		encoder: gob.NewEncoder(buffer),
+		buffer:  buffer,
+	}
+}
+
+// ReadRequestHeader implements rpc.ServerCodec.
+func (c *serverCodec) ReadRequestHeader(request *rpc.Request) error { return c.decoder.Decode(request) }
+
+// ReadRequestBody implements rpc.ServerCodec.
+func (c *serverCodec) ReadRequestBody(body any) error {
+	if err := c.decoder.Decode(body); err != nil {
+		return err
+	}
+	if batch, ok := body.(*Batch); ok {
+		c.handler.Deliver(batch.Messages)
+	}
+	return nil
+}
+
+// WriteResponse implements rpc.ServerCodec. After a failed write the connection is
+// closed, because the peer cannot tell where the next response begins.
+func (c *serverCodec) WriteResponse(response *rpc.Response, body any) error {
+	err := c.encoder.Encode(response)
+	if err == nil {
+		err = c.encoder.Encode(body)
+	}
+	if err == nil {
+		err = c.buffer.Flush()
+	}
+	if err != nil {
+		c.conn.Close()
+	}
+	return err
+}
+
+// Close implements rpc.ServerCodec.
+func (c *serverCodec) Close() error { return c.conn.Close() }
--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -62,7 +62,7 @@
 		}
 		return
 	}
-	server.ServeConn(conn)
+	server.ServeCodec(newServerCodec(conn, s.Handler))
 }
 
 const maxPeerConns = 4096
@@ -96,17 +96,17 @@
 	}
 }
 
-const serviceName = "Peer"
+const (
+	serviceName   = "Peer"
+	deliverMethod = "Deliver"
+)
 
 // PeerService holds the methods that peers call by net/rpc, as serviceName plus the
 // name of the method.
 type PeerService struct{ handler Handler }
 
-// Deliver handles a batch of one-way messages.
-func (p *PeerService) Deliver(batch *Batch, _ *Empty) error {
-	p.handler.Deliver(batch.Messages)
-	return nil
-}
+// Deliver acknowledges a batch of one-way messages, which the codec has handled.
+func (p *PeerService) Deliver(*Batch, *Empty) error { return nil }
 
 // Propose replicates a command if this VM is the control leader.
 func (p *PeerService) Propose(args *ProposeArgs, reply *reducer.ProposalResult) error {
