Keep transfers of documents going on slow paths and with many receivers

A transfer is now kept with each VM that fetches it, up to 32 MiB together. - A part that took more than 500 ms was ignored, and another VM asked from the start: nothing was kept in 30 s on a path of 600 ms. The time limit doubles, a late first part counts, and a part is asked for twice before the VM is left. - A control VM that fetched a change before its log brought it did not offer it; a relay that held the document already did not either. - VMs of the previous release could make an entry queue 14.7 MB of whole sections, and were themselves asked five times within 2.4 s. Two at a time are served, each once in 2 s; they are given 5 s. Gossip says who sends parts. - A VM without a newer document, or named too early, did not answer; it says so. - After a small change a busy entry named no VM that it had served.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -26,6 +26,7 @@
 	Control     bool   // holds a control replica
 	Stopping    bool   // takes no new callers
 	Document    uint64 // log index of its steering document, 0 for none
+	Parts       bool   // it sends documents in parts; VMs of earlier releases do not
 	Services    []dispatch.Summary
 }
 
--- a/internal/reducer/document.go
+++ b/internal/reducer/document.go
@@ -30,6 +30,7 @@
 	s.emit(LoadDocument{Position: position, Sections: s.sections})
 	s.publish()
 	s.offerRelayed()
+	s.endFinished()
 	return true
 }
 
@@ -40,11 +41,16 @@
 func (s *State) sendChange(names ...document.Section) {
 	closed := s.takeAddedClosures()
 	before := s.sections
-	s.transfers.relaying = ledger.Position{} // the change is sent to the failure domain below
-	if !s.adoptSections(s.ledger.Document, s.ledger.Sections) {
+	isLeader := s.quorum.Role == quorum.RoleLeader
+	if !s.ledger.Document.After(s.sectionsAt) {
+		// It was fetched before the log brought it; other VMs may lack it.
+		s.offerChange(closed, isLeader)
 		return
 	}
-	isLeader := s.quorum.Role == quorum.RoleLeader
+	if !s.transfers.relaying.After(s.ledger.Document) {
+		s.transfers.relaying = ledger.Position{} // the change is sent to the failure domain below
+	}
+	s.adoptSections(s.ledger.Document, s.ledger.Sections)
 	update := s.buildUpdate(before, names)
 	update.Closed = closed
 	if update.bytes() > maxPushedBytes {
@@ -204,7 +210,7 @@
 		return
 	}
 	newest := s.heldUpdates[len(s.heldUpdates)-1]
-	s.wantDocument(newest.From, newest.Position.Index)
+	s.wantDocument(documentSource{peer: newest.From, position: newest.Position.Index})
 }
 
 // patchSections returns the sections held with an update applied. It returns
@@ -236,12 +242,17 @@
 // VM, if the document here is newer: a part of it, or to a VM of an earlier
 // release whole sections.
 func (s *State) receiveDocumentRequest(request DocumentRequest) {
-	if !s.sectionsAt.After(request.Have) {
+	switch {
+	case !s.sectionsAt.After(request.Have):
+		if request.Parts {
+			s.transmit(request.Peer, Message{Part: &DocumentPart{From: s.Settings.Peer, Behind: true}})
+		}
 		return
-	}
-	if request.Parts {
+	case request.Parts:
 		s.sendPart(request)
 		return
+	case !s.servesWhole(request.Peer):
+		return
 	}
 	update := DocumentUpdate{From: s.Settings.Peer, Position: s.sectionsAt, Versions: s.Versions()}
 	for _, section := range s.sections {
--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -63,12 +63,12 @@
 		}
 	}
 	if gossip.From.Document > s.sectionsAt.Index {
-		s.wantDocument(gossip.From.Peer, gossip.From.Document)
+		s.wantDocument(documentSource{peer: gossip.From.Peer, position: gossip.From.Document, inParts: gossip.From.Parts})
 	}
 	for _, domain := range gossip.Domains {
 		if domain.Document > s.sectionsAt.Index && len(domain.Entries) > 0 {
 			s.fetchTurn++
-			s.wantDocument(domain.Entries[s.fetchTurn%len(domain.Entries)].Peer, domain.Document)
+			s.wantDocument(documentSource{peer: domain.Entries[s.fetchTurn%len(domain.Entries)].Peer, position: domain.Document, inParts: gossip.From.Parts})
 		}
 	}
 }
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -158,6 +158,7 @@
 		Region:      settings.Region,
 		Incarnation: settings.Incarnation,
 		Control:     settings.Control,
+		Parts:       true,
 	}
 	s := &State{
 		Settings:         settings,
--- a/internal/reducer/transfer.go
+++ b/internal/reducer/transfer.go
@@ -19,14 +19,19 @@
 const (
 	maxPushedBytes     = 4 << 10                // text of an update that is pushed; a VM may get it from three others
 	partBytes          = 16 << 10               // takes 65 ms on a link of 2 Mbit/s
-	partTimeout        = 500 * time.Millisecond // without a part, after which another VM is asked
+	partTimeout        = 500 * time.Millisecond // without an answer, after which a part is asked for again; at least
+	maxPartTimeout     = 4 * time.Second        // the same at most: it doubles with each part that does not come
+	wholeTimeout       = 5 * time.Second        // the same for VMs of earlier releases, which answer with whole sections
 	relayDelay         = 300 * time.Millisecond // after which an entry offers a document that a control VM of its failure domain should have offered
-	maxSources         = 4                      // VMs remembered that can be asked
 	busyRetry          = 50 * time.Millisecond  // before a VM that serves others is asked again
 	maxRedirects       = 3                      // taken one after the other without a pause
-	maxTransfers       = 4                      // kept for VMs that fetch them
+	maxSources         = 4                      // VMs remembered that can be asked
 	maxServed          = 2                      // VMs that an entry serves at a time: their parts stand before its own messages
 	maxServedByControl = 64                     // the same for a control VM, whose link has more capacity
+	maxRemembered      = 128                    // VMs remembered that were served
+	keepTransfer       = 10 * time.Second       // after its last part, for a VM that asks for a part again
+	maxKeptBytes       = 32 << 20               // of kept transfers, beyond which VMs wait that need another one
+	wholeServed        = 2 * time.Second        // for so long a VM that was sent whole sections counts as served now
 	maxDifferences     = 16                     // of single sections, kept for later transfers
 	maxOlderBytes      = 2 << 20                // text of older versions of one section, kept to send differences from them
 	minOlderTexts      = 2                      // older versions of a section kept in any case
@@ -46,9 +51,10 @@
 	From   string // peer address of the sender
 	Target ledger.Position
 	Offset int // in the transfer, in bytes
-	Total  int // bytes of the transfer; 0 from a VM that serves others now
+	Total  int // bytes of the transfer; 0 from a VM that sends none now
 	Data   []byte
 
+	Behind  bool   // the sender holds no newer document; otherwise it serves others now
 	Instead string // peer address of a VM that was served, which can be asked; may be empty
 }
 
@@ -73,12 +79,6 @@
 	target ledger.Position
 }
 
-// outgoingTransfer is kept while VMs fetch it.
-type outgoingTransfer struct {
-	key  transferKey
-	data []byte
-}
-
 // incomingTransfer is what this VM fetches now.
 type incomingTransfer struct {
 	source  string // peer address of the VM asked last; empty while nothing is fetched
@@ -86,6 +86,9 @@
 	target  ledger.Position // of the parts received
 	data    []byte
 	askedAt time.Time
+	timeout time.Duration // from askedAt
+	again   bool          // the part was asked for twice
+	asked   []string      // VMs asked for the first part
 
 	retryAt   time.Time // when to ask again, after an answer that the source serves others; else zero
 	redirects int       // since the last pause
@@ -94,7 +97,8 @@
 // servedVM is a VM that fetches a transfer from this one, or has fetched it.
 type servedVM struct {
 	peer   string
-	target ledger.Position
+	key    transferKey
+	data   []byte    // of the transfer; nil for whole sections
 	sentAt time.Time // of its last part
 	ended  bool      // that was the end of the transfer
 }
@@ -105,9 +109,9 @@
 	sources     []documentSource // VMs that hold a newer document, the last heard of last
 	relaying    ledger.Position  // of the newest document to offer within the failure domain once it is here
 	relayDue    time.Time        // not before
-	outgoing    []outgoingTransfer
-	served      []servedVM // those served last, the newest last
-	turn        int        // selects one of the served VMs
+	offered     ledger.Position  // within the failure domain
+	served      []servedVM       // those served last, the newest last
+	turn        int              // selects one of the served VMs
 	differences []sectionDelta
 	older       map[document.Section][]ledger.Section // earlier versions, the newest last
 }
@@ -116,6 +120,7 @@
 type documentSource struct {
 	peer     string
 	position uint64 // log index of the document
+	inParts  bool   // the VM is known to send parts; those of earlier releases do not
 }
 
 // rememberOlder keeps the sections that were replaced, so that this VM can send the
@@ -160,6 +165,7 @@
 // to some VMs of the others.
 func (s *State) offerChange(closed []document.Closure, isLeader bool) {
 	offer := DocumentOffer{From: s.Settings.Peer, Position: s.sectionsAt, Closed: closed}
+	s.transfers.offered = s.sectionsAt
 	s.sendToDomain(Message{Offer: &offer})
 	if !isLeader {
 		return
@@ -197,16 +203,14 @@
 	if s.closeEarly(offer.Position, offer.Closed) && offer.Relay {
 		s.sendToDomain(Message{Closures: &ClosureUpdate{Position: offer.Position, Closures: offer.Closed}})
 	}
-	if !offer.Position.After(s.sectionsAt) {
-		return
-	}
-	if offer.Relay && offer.Position.After(s.transfers.relaying) {
+	if offer.Relay && offer.Position.After(s.transfers.relaying) && offer.Position.After(s.transfers.offered) {
 		s.transfers.relaying, s.transfers.relayDue = offer.Position, s.now
 		if !s.Settings.Control && s.hasControlVM() {
 			s.transfers.relayDue = s.now.Add(relayDelay)
 		}
 	}
-	s.wantDocument(offer.From, offer.Position.Index)
+	s.offerRelayed()
+	s.wantDocument(documentSource{peer: offer.From, position: offer.Position.Index, inParts: true})
 }
 
 // hasControlVM reports whether another live VM of the failure domain is a control VM.
@@ -225,26 +229,42 @@
 	s.offerChange(nil, false)
 }
 
-// wantDocument notes that a VM holds the document at an index, and fetches it unless
-// another transfer is in progress.
-func (s *State) wantDocument(peer string, index uint64) {
-	if peer == "" || peer == s.Settings.Peer || index <= s.sectionsAt.Index {
+// wantDocument notes that a VM holds a document, and fetches it unless another transfer
+// is in progress.
+func (s *State) wantDocument(source documentSource) {
+	if source.peer == "" || source.peer == s.Settings.Peer || source.position <= s.sectionsAt.Index {
 		return
 	}
 	t := &s.transfers
-	t.dropSource(peer)
-	t.sources = append(t.sources, documentSource{peer: peer, position: index})
+	for _, known := range t.sources {
+		source.inParts = source.inParts || known.peer == source.peer && known.inParts
+	}
+	t.dropSource(source.peer)
+	t.sources = append(t.sources, source)
 	if len(t.sources) > maxSources {
 		t.sources = t.sources[1:]
 	}
 	if t.incoming.source == "" {
-		s.beginTransfer(peer)
+		s.beginTransfer(source, partTimeout)
 	}
 }
 
+// dropSource forgets a VM that does not send what it offered.
+func (t *transferState) dropSource(peer string) {
+	t.sources = slices.DeleteFunc(t.sources, func(d documentSource) bool { return d.peer == peer })
+}
+
 // beginTransfer asks a VM for the first part of the document.
-func (s *State) beginTransfer(peer string) {
-	s.transfers.incoming = incomingTransfer{source: peer, from: s.Versions()}
+func (s *State) beginTransfer(source documentSource, timeout time.Duration) {
+	if !source.inParts {
+		timeout = wholeTimeout
+	}
+	s.transfers.incoming = incomingTransfer{
+		source:  source.peer,
+		from:    s.Versions(),
+		timeout: timeout,
+		asked:   append(s.transfers.incoming.asked, source.peer),
+	}
 	s.requestPart()
 }
 
@@ -261,7 +281,8 @@
 	}})
 }
 
-// tickTransfers asks another VM when a part does not come, and offers what is due.
+// tickTransfers asks again, or another VM, when a part does not come, and offers what is
+// due.
 func (s *State) tickTransfers() {
 	s.offerRelayed()
 	in := &s.transfers.incoming
@@ -270,34 +291,58 @@
 		s.requestPart()
 		return
 	}
-	if in.source == "" || s.now.Sub(in.askedAt) < partTimeout {
+	if in.source == "" || s.now.Sub(in.askedAt) < in.timeout {
+		return
+	}
+	timeout := min(2*in.timeout, maxPartTimeout)
+	if len(in.data) > 0 && !in.again {
+		in.again, in.timeout = true, timeout
+		s.requestPart()
 		return
 	}
 	s.transfers.dropSource(in.source)
-	s.endTransfer()
+	if !s.beginFromKnown(timeout) {
+		s.transfers.incoming = incomingTransfer{}
+	}
 }
 
-// dropSource forgets a VM that does not send what it offered.
-func (t *transferState) dropSource(peer string) {
-	t.sources = slices.DeleteFunc(t.sources, func(d documentSource) bool { return d.peer == peer })
+// beginFromKnown begins a transfer from the VM heard of last that holds a newer document;
+// it reports whether there is one.
+func (s *State) beginFromKnown(timeout time.Duration) bool {
+	t := &s.transfers
+	t.sources = slices.DeleteFunc(t.sources, func(d documentSource) bool { return d.position <= s.sectionsAt.Index })
+	if len(t.sources) == 0 {
+		return false
+	}
+	s.beginTransfer(t.sources[len(t.sources)-1], timeout)
+	return true
 }
 
-// endTransfer ends the transfer and begins the next one if a VM is known to hold a newer
-// document.
-func (s *State) endTransfer() {
+// endFinished ends a transfer of a document that has come another way.
+func (s *State) endFinished() {
 	t := &s.transfers
-	t.incoming = incomingTransfer{}
 	t.sources = slices.DeleteFunc(t.sources, func(d documentSource) bool { return d.position <= s.sectionsAt.Index })
-	if len(t.sources) > 0 {
-		s.beginTransfer(t.sources[len(t.sources)-1].peer)
+	if len(t.sources) == 0 && !t.incoming.target.After(s.sectionsAt) {
+		t.incoming = incomingTransfer{}
 	}
 }
 
+// endTransfer ends the transfer and begins the next one if a VM is known to hold a newer
+// document.
+func (s *State) endTransfer() {
+	s.transfers.incoming = incomingTransfer{}
+	s.beginFromKnown(partTimeout)
+}
+
 // receivePart takes the next part of a transfer, and the first one also of another
-// document than the one asked for: the sender may hold a newer one by now. A transfer from
-// a document that was replaced meanwhile is fetched anew.
+// document than the one asked for: the sender may hold a newer one by now. The first part
+// may also come late, from a VM that was asked before. A transfer from a document that was
+// replaced meanwhile begins anew.
 func (s *State) receivePart(part DocumentPart) {
 	in := &s.transfers.incoming
+	if part.From != in.source && part.Total > 0 && part.Offset == 0 && len(in.data) == 0 && slices.Contains(in.asked, part.From) {
+		in.source, in.retryAt = part.From, time.Time{}
+	}
 	if in.source == "" || part.From != in.source || part.Total > maxTransferBytes {
 		return
 	}
@@ -305,33 +350,44 @@
 		s.askElsewhere(part)
 		return
 	}
-	if part.Offset == 0 {
+	if in.from != s.Versions() {
+		s.transfers.incoming = incomingTransfer{}
+		s.beginTransfer(documentSource{peer: part.From, inParts: true}, partTimeout)
+		return
+	}
+	if part.Offset == 0 && part.Target != in.target {
 		in.target, in.data = part.Target, nil
 	}
 	if part.Target != in.target || part.Offset != len(in.data) || len(part.Data) == 0 {
 		return
 	}
 	in.data = append(in.data, part.Data...)
+	in.again, in.timeout = false, min(max(2*s.now.Sub(in.askedAt), partTimeout), maxPartTimeout)
 	if len(in.data) < part.Total {
 		s.requestPart()
 		return
 	}
-	if in.from == s.Versions() {
-		if err := s.applyTransfer(*in); err != nil {
-			s.logTransfer("refused: "+err.Error(), *in, 0)
-			s.transfers.dropSource(in.source)
-		}
+	if err := s.applyTransfer(*in); err != nil {
+		s.logTransfer("refused: "+err.Error(), *in, 0)
+		s.transfers.dropSource(part.From)
 	}
 	s.endTransfer()
 }
 
-// askElsewhere follows the answer of a VM that serves others now: it asks a VM that was
-// served, or else another known one after a pause.
+// askElsewhere follows the answer of a VM that sends no part now: it asks a VM that was
+// served, or another known one, after a pause if all may be busy.
 func (s *State) askElsewhere(part DocumentPart) {
 	t := &s.transfers
 	if !t.incoming.retryAt.IsZero() {
 		return
 	}
+	if part.Behind {
+		t.dropSource(part.From)
+		if !s.beginFromKnown(partTimeout) {
+			t.incoming = incomingTransfer{}
+		}
+		return
+	}
 	next := part.Instead
 	if next == s.Settings.Peer {
 		next = ""
@@ -343,9 +399,15 @@
 			next = t.sources[(at+1)%len(t.sources)].peer
 		}
 	}
-	redirects := t.incoming.redirects + 1
-	t.incoming = incomingTransfer{source: next, from: s.Versions(), askedAt: s.now, redirects: redirects}
-	if pause || redirects > maxRedirects {
+	t.incoming = incomingTransfer{
+		source:    next,
+		from:      s.Versions(),
+		askedAt:   s.now,
+		timeout:   partTimeout,
+		asked:     append(t.incoming.asked, next),
+		redirects: t.incoming.redirects + 1,
+	}
+	if pause || t.incoming.redirects > maxRedirects {
 		t.incoming.retryAt = s.now.Add(busyRetry)
 		return
 	}
@@ -416,34 +478,30 @@
 // sendPart answers a request for a part. If the transfer that it asks for is no longer
 // kept, the answer is the first part of one to the newest document.
 func (s *State) sendPart(request DocumentRequest) {
-	if s.servesEnough(request.Peer) {
-		s.transmit(request.Peer, Message{Part: &DocumentPart{From: s.Settings.Peer, Instead: s.transfers.servedBefore(s.sectionsAt)}})
-		return
-	}
-	key := transferKey{from: request.Versions, target: request.Target}
-	offset := request.Offset
-	at := slices.IndexFunc(s.transfers.outgoing, func(o outgoingTransfer) bool { return o.key == key })
-	if offset == 0 || at < 0 {
+	t := &s.transfers
+	t.dropServed(s.now)
+	key, offset := transferKey{from: request.Versions, target: request.Target}, request.Offset
+	data := t.keptFor(func(vm servedVM) bool { return vm.peer == request.Peer && vm.key == key })
+	if data == nil || offset == 0 {
 		key.target, offset = s.sectionsAt, 0
-		at = slices.IndexFunc(s.transfers.outgoing, func(o outgoingTransfer) bool { return o.key == key })
+		data = t.keptFor(func(vm servedVM) bool { return vm.key == key })
 	}
-	if at < 0 {
-		data, err := s.buildTransfer(request.Versions)
+	if s.servesEnough(request.Peer) || data == nil && t.keptBytes() > maxKeptBytes {
+		s.transmit(request.Peer, Message{Part: &DocumentPart{From: s.Settings.Peer, Instead: t.servedBefore(request.Have)}})
+		return
+	}
+	if data == nil {
+		built, err := s.buildTransfer(request.Versions)
 		if err != nil {
 			s.log(CodeDocumentNotSent, request.Peer+": "+err.Error(), 0)
 			return
 		}
-		if len(s.transfers.outgoing) == maxTransfers {
-			s.transfers.outgoing = s.transfers.outgoing[1:]
-		}
-		s.transfers.outgoing = append(s.transfers.outgoing, outgoingTransfer{key: key, data: data})
-		at = len(s.transfers.outgoing) - 1
+		data = built
 	}
-	data := s.transfers.outgoing[at].data
 	if offset >= len(data) {
 		return
 	}
-	s.transfers.noteServed(servedVM{peer: request.Peer, target: key.target, sentAt: s.now, ended: offset+partBytes >= len(data)})
+	t.noteServed(servedVM{peer: request.Peer, key: key, data: data, sentAt: s.now, ended: offset+partBytes >= len(data)})
 	s.transmit(request.Peer, Message{Part: &DocumentPart{
 		From:   s.Settings.Peer,
 		Target: key.target,
@@ -453,6 +511,39 @@
 	}})
 }
 
+// keptFor returns the transfer of a VM that was served, or nil.
+func (t *transferState) keptFor(matches func(servedVM) bool) []byte {
+	for _, vm := range t.served {
+		if vm.data != nil && matches(vm) {
+			return vm.data
+		}
+	}
+	return nil
+}
+
+// keptBytes returns the bytes of all kept transfers; VMs share the same one.
+func (t *transferState) keptBytes() int {
+	total := 0
+	counted := make(map[transferKey]bool)
+	for _, vm := range t.served {
+		if !counted[vm.key] {
+			counted[vm.key] = true
+			total += len(vm.data)
+		}
+	}
+	return total
+}
+
+// dropServed forgets the transfers whose last part was sent keepTransfer ago. The VMs
+// are remembered, since others can fetch from them.
+func (t *transferState) dropServed(now time.Time) {
+	for i := range t.served {
+		if now.Sub(t.served[i].sentAt) > keepTransfer {
+			t.served[i].data = nil
+		}
+	}
+}
+
 // servesEnough reports whether this VM serves so many others now that another one has to
 // wait.
 func (s *State) servesEnough(peer string) bool {
@@ -462,7 +553,7 @@
 	}
 	serving := 0
 	for _, vm := range s.transfers.served {
-		if vm.ended || s.now.Sub(vm.sentAt) > partTimeout {
+		if !vm.servedNow(s.now) {
 			continue
 		}
 		if vm.peer == peer {
@@ -473,20 +564,45 @@
 	return serving >= limit
 }
 
+// servedNow reports whether parts for the VM may still be on this VM's link.
+func (v servedVM) servedNow(now time.Time) bool {
+	if v.key == wholeSections {
+		return now.Sub(v.sentAt) <= wholeServed
+	}
+	return !v.ended && now.Sub(v.sentAt) <= partTimeout
+}
+
+// wholeSections is the key of VMs that were sent whole sections.
+var wholeSections = transferKey{}
+
+// servesWhole notes that a VM of an earlier release, which asks several times a second,
+// is sent whole sections; it returns false if the VM has to wait.
+func (s *State) servesWhole(peer string) bool {
+	sentLately := slices.ContainsFunc(s.transfers.served, func(vm servedVM) bool {
+		return vm.peer == peer && vm.key == wholeSections && vm.servedNow(s.now)
+	})
+	if sentLately || s.servesEnough(peer) {
+		return false
+	}
+	s.transfers.noteServed(servedVM{peer: peer, key: wholeSections, sentAt: s.now})
+	return true
+}
+
 // noteServed notes the last part that a VM was sent.
 func (t *transferState) noteServed(vm servedVM) {
 	t.served = slices.DeleteFunc(t.served, func(v servedVM) bool { return v.peer == vm.peer })
 	t.served = append(t.served, vm)
-	if len(t.served) > 2*maxServedByControl {
+	if len(t.served) > maxRemembered {
 		t.served = t.served[1:]
 	}
 }
 
-// servedBefore returns in turn the VMs that have fetched the document at a position.
+// servedBefore returns in turn the VMs that have fetched a document newer than the
+// position.
 func (t *transferState) servedBefore(position ledger.Position) string {
 	for range t.served {
 		t.turn = (t.turn + 1) % len(t.served)
-		if vm := t.served[t.turn]; vm.ended && vm.target == position {
+		if vm := t.served[t.turn]; vm.ended && vm.key.target.After(position) {
 			return vm.peer
 		}
 	}
--- a/internal/reducer/transfer_test.go
+++ b/internal/reducer/transfer_test.go
@@ -163,6 +163,7 @@
 		"a part comes twice": func(f *fleet, _, to *State, first Message) {
 			to.Apply(testStart, Received{first})
 			f.deliver(to, testStart, Received{first})
+			f.deliver(to, testStart.Add(partTimeout), Tick{})
 		},
 		"an update changes what the transfer starts from": func(f *fleet, _, to *State, first Message) {
 			to.Apply(testStart, Received{update()})
