Let a repeat wait for the same change in the leader's log

Cause: a caller proposes again when no answer came in time (2 s in package node, 3.5 s in a call of an operator, who then asks another control VM). The ledger tells a repeat by its number or change id, but only once the entry is applied; until then the leader appended every copy and replicated it.

Fix: the reducer keeps the command of a pending proposal that names its change (an edition by number and source, a Put by change id, with all its fields). A repeat in the same term waits for that entry and gets the result that an entry right behind it would get, or is answered as lost with the first one.

Why closures still get an entry each: a leader that is deposed without knowing may commit an entry by delayed replies after the new leader has committed it and its opposite. A waiting CLOSE would then be acknowledged though it is not in force. "This edition or change is in the log" stays true in that case.

--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -26,6 +26,9 @@
 		s.emit(Answer{Call: e.Call, Value: ProposalResult{Refused: quorum.RefuseNotLeader, Leader: s.leader}})
 		return
 	}
+	if s.joinPending(e) {
+		return
+	}
 	e.Command.At = s.now
 	data, err := ledger.Encode(e.Command)
 	if err != nil {
@@ -33,6 +36,7 @@
 		return
 	}
 	s.applyQuorumEffects(s.quorum.Propose(e.Call, data, s.now))
+	s.rememberPending(e)
 }
 
 func (s *State) changeReplica(e ChangeReplica) {
@@ -245,6 +249,10 @@
 	answer := ProposalResult{Result: result, Position: position, Leader: s.leader}
 	answer.Lost = proposal.term != position.Term
 	s.emit(Answer{Call: proposal.call, Value: answer})
+	answer.Result = result.Repeated()
+	for _, call := range proposal.repeats {
+		s.emit(Answer{Call: call, Value: answer})
+	}
 }
 
 func (s *State) handleRefused(e quorum.Refused) {
@@ -276,11 +284,19 @@
 		return
 	}
 	for _, index := range slices.Sorted(maps.Keys(s.pendingProposals)) {
-		s.emit(Answer{Call: s.pendingProposals[index].call, Value: ProposalResult{Lost: true, Leader: s.leader}})
+		proposal := s.pendingProposals[index]
+		s.answerLost(proposal.call)
+		for _, call := range proposal.repeats {
+			s.answerLost(call)
+		}
 	}
 	s.pendingProposals = make(map[uint64]pendingProposal)
 }
 
+func (s *State) answerLost(call uint64) {
+	s.emit(Answer{Call: call, Value: ProposalResult{Lost: true, Leader: s.leader}})
+}
+
 // advanceHeartbeat raises the heartbeat counter of the leader, which gossip
 // carries to all VMs; it shows that the leader has its quorum.
 func (s *State) advanceHeartbeat() {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -138,8 +138,10 @@
 }
 
 type pendingProposal struct {
-	call uint64
-	term uint64
+	call    uint64
+	term    uint64
+	command *ledger.Command // nil unless a repeat may wait for it
+	repeats []uint64        // calls that proposed the command again, oldest first
 }
 
 type pendingRead struct {
--- a/internal/reducer/session_test.go
+++ b/internal/reducer/session_test.go
@@ -30,6 +30,7 @@
 	answers      map[uint64]func(any)
 	servers      map[string]*sessionServer
 	warningsOnly bool
+	slowSync     time.Duration // beyond syncTime
 }
 
 type sessionVM struct {
@@ -274,7 +275,7 @@
 
 func (s *session) saveLog(vm *sessionVM, save quorum.Save) {
 	incarnation := vm.incarnation
-	s.after(syncTime, func() {
+	s.after(syncTime+s.slowSync, func() {
 		if !vm.up || vm.incarnation != incarnation {
 			return
 		}
