Forward a change once for all callers that wait for it

Seen: three callers that send one edition to a VM at once made it forward three copies to the leader (TestSameProposalIsForwardedOnce). A caller that gave up and sent the edition again, as operators do after a second, caused a second copy while the first was under way (TestCallerThatReturnsJoinsItsFirstProposal).

Cause: each call encoded and forwarded its own copy, and the end of a caller's connection ended the wait for the proposal, though not its commit.

Fix: Node.Propose keeps the repeatable proposals (editions by number and source, Puts with a change id) that are under way. A caller with the same change waits for that one and is answered as a duplicate; if it fails, the caller proposes by itself. A proposal runs until the time limit of its first caller, also when that caller gives up. Closures, claims and the rest are proposed as before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	state         *reducer.State
 	view          atomic.Pointer[reducer.View]
 	calls         pendingCalls
+	proposals     sharedProposals
 	logWriter     *logWriter
 	loader        *documentLoader
 	rosterFile    *rosterFile // nil without a data folder
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -132,6 +132,13 @@
 // may propose the command more than once, so applying it twice must be safe. The
 // error is ErrNoLeader, or that the VM is stopping.
 func (n *Node) Propose(ctx context.Context, command ledger.Command) (reducer.ProposalResult, error) {
+	if command.Repeatable() {
+		return n.proposeShared(ctx, command)
+	}
+	return n.proposeAlone(ctx, command)
+}
+
+func (n *Node) proposeAlone(ctx context.Context, command ledger.Command) (reducer.ProposalResult, error) {
 	return viaLeader(ctx, n, func(ctx context.Context, peer string) (reducer.ProposalResult, reducer.Leader, bool) {
 		answer := n.callLeader(ctx, peer, "Propose", &peerrpc.ProposeArgs{Command: command}, func() reducer.ProposalResult {
 			return n.proposeLocally(ctx, command)
