Answer 503, not 404, while a newer document is known but not in force

Cause: an entry decided by the document in force even when gossip, an offer or a held change had told it that this one was outdated.

Change: a request that no route fits is refused with 503 document-outdated, not run, and a Retry-After of 300 ms, as long as the VM knows of a newer document; at most 10 s after it heard of it, so that a faulty VM cannot hide 404s. Only such requests ask the reducer.

Test: TestUnknownRouteIsNotDeniedByAnOutdatedDocument; without the check three of its seven cases fail (offer, gossip, held change).

--- a/internal/callerhttp/recognise.go
+++ b/internal/callerhttp/recognise.go
@@ -39,18 +39,28 @@
 		in.service = services.ByHost(in.request.Host)
 	}
 	if in.service == nil {
-		in.refuse(http.StatusNotFound, "unknown-service", "no service has this name or host", 0)
+		in.refuseUnmatched("unknown-service", "no service has this name or host")
 		return false
 	}
 	var matched bool
 	in.rule, matched = in.service.Match(in.request.Method, in.request.URL.Path)
 	if !matched {
-		in.refuse(http.StatusNotFound, "no-rule", "no rule of the service fits the method and path", 0)
+		in.refuseUnmatched("no-rule", "no rule of the service fits the method and path")
 		return false
 	}
 	return in.setDeadline() && in.checkKey()
 }
 
+// refuseUnmatched refuses a request that the document in force does not provide for. A
+// newer document that this VM knows of may do so, and callers take a 404 for final.
+func (in *inbound) refuseUnmatched(reason, detail string) {
+	if in.relay.Node.IsOutdated(in.request.Context()) {
+		in.refuse(http.StatusServiceUnavailable, "document-outdated", "a newer steering document is not in force here yet", outdatedRetryDelay)
+		return
+	}
+	in.refuse(http.StatusNotFound, reason, detail, 0)
+}
+
 // applyRoute takes the rule and the deadline from the route. It only fills in the
 // route's first service; the reducer chooses the one that gets the request.
 func (in *inbound) applyRoute() bool {
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -25,14 +25,16 @@
 
 // Limits on what a caller may send, and times around a request's deadline.
 const (
-	bodyPrefixBytes   = 64 << 10  // of a body, kept for retries
-	maxOnceBodyBytes  = 1 << 20   // of the body of a `once` request
-	maxBodyBytes      = 256 << 20 // of any body, also of an answer: a faulty server may send one without end
-	maxTimeout        = 10 * time.Minute
-	claimLeaseMargin  = 5 * time.Second  // a claim's lease ends so long after the request's deadline
-	writeMargin       = 30 * time.Second // after the deadline, for a slow caller to take the answer
-	readMargin        = time.Second      // after the deadline, so that the deadline ends the request, and not a failed read
-	startupRetryDelay = time.Second      // within it, a control quorum forms and its document reaches the VMs
+	bodyPrefixBytes    = 64 << 10  // of a body, kept for retries
+	maxOnceBodyBytes   = 1 << 20   // of the body of a `once` request
+	maxBodyBytes       = 256 << 20 // of any body, also of an answer: a faulty server may send one without end
+	maxTimeout         = 10 * time.Minute
+	claimLeaseMargin   = 5 * time.Second        // a claim's lease ends so long after the request's deadline
+	writeMargin        = 30 * time.Second       // after the deadline, for a slow caller to take the answer
+	readMargin         = time.Second            // after the deadline, so that the deadline ends the request, and not a failed read
+	outdatedRetryDelay = 300 * time.Millisecond // within it, a VM usually has the newer document that it knows of
+	maxLoggedBytes     = 128                    // of a host or path
+	startupRetryDelay  = time.Second            // within it, a control quorum forms and its document reaches the VMs
 )
 
 // Relay answers callers' requests from backend servers.
@@ -333,6 +335,11 @@
 	if in.route != nil {
 		fields = append(fields, reducer.Field{Name: "route", Value: in.route.Name})
 	}
+	if in.service == nil {
+		fields = append(fields,
+			reducer.Field{Name: "host", Value: truncate(in.request.Host)},
+			reducer.Field{Name: "path", Value: truncate(in.request.URL.Path)})
+	}
 	if in.view != nil {
 		fields = append(fields, reducer.Field{Name: "document", Value: int64(in.view.Position.Index)})
 	}
@@ -343,6 +350,9 @@
 	in.relay.Node.LogDecision(reducer.Decision{Code: reducer.CodeRequestEnded, Request: in.id, Outcome: outcome, Fields: fields})
 }
 
+// truncate returns the first maxLoggedBytes of a text from a caller.
+func truncate(text string) string { return text[:min(len(text), maxLoggedBytes)] }
+
 func (in *inbound) replay(outcome *ledger.Outcome) {
 	in.outcome, in.status = "replayed", outcome.Status
 	header := in.writer.Header()
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -99,6 +99,13 @@
 	x.node.calls.close(x.call)
 }
 
+// IsOutdated reports whether this VM knows of a newer document than the one in force; on
+// an error it is taken as the newest.
+func (n *Node) IsOutdated(ctx context.Context) bool {
+	outdated, err := callReducer[bool](ctx, n, func(call uint64) reducer.Event { return reducer.OutdatedAsked{Call: call} })
+	return err == nil && outdated
+}
+
 const resolveTimeout = 30 * time.Second
 
 // ResolveClaim settles or releases a claim in the background. It retries until the
--- a/internal/reducer/document.go
+++ b/internal/reducer/document.go
@@ -130,7 +130,27 @@
 	return section, true
 }
 
+// outdatedFor is how long a VM counts its document as outdated after it heard of a newer
+// one that does not come: a faulty VM may name an index that does not exist.
+const outdatedFor = 10 * time.Second
+
+// noteNewer notes that another VM holds the document at a log index.
+func (s *State) noteNewer(index uint64) {
+	if index > max(s.newestIndex, s.documentAt.Index) {
+		s.newestIndex, s.newestHeardAt = index, s.now
+	}
+}
+
+// isOutdated reports whether this VM knows of a newer document than the one in force.
+func (s *State) isOutdated() bool {
+	if s.sectionsAt.After(s.documentAt) {
+		return true
+	}
+	return s.newestIndex > s.documentAt.Index && s.now.Sub(s.newestHeardAt) < outdatedFor
+}
+
 func (s *State) receiveUpdate(update DocumentUpdate) {
+	s.noteNewer(update.Position.Index)
 	update = s.receiveClosures(update)
 	if !s.applyUpdate(update) {
 		s.holdUpdate(update)
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -148,6 +148,10 @@
 // StatusAsked asks for the status; answered by Status.
 type StatusAsked struct{ Call uint64 }
 
+// OutdatedAsked asks whether this VM knows of a newer document than the one in force;
+// answered by bool.
+type OutdatedAsked struct{ Call uint64 }
+
 // HistoryAsked asks for the versions of a section; answered by []ledger.Version.
 type HistoryAsked struct {
 	Call    uint64
@@ -177,6 +181,7 @@
 func (Leave) reducerEvent()                 {}
 func (SeedsChanged) reducerEvent()          {}
 func (StatusAsked) reducerEvent()           {}
+func (OutdatedAsked) reducerEvent()         {}
 func (HistoryAsked) reducerEvent()          {}
 
 // Message is a one-way message between VMs. Exactly one of the pointers is set,
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -60,6 +60,8 @@
 	heldSince   time.Time        // first update held, or last attempt to apply the held ones
 
 	changedSections []document.Section // by the log entries being applied
+	newestIndex     uint64             // highest log index of a document that another VM said it holds
+	newestHeardAt   time.Time
 	document        *document.Document // in force; nil until the first one is loaded
 	documentAt      ledger.Position    // of document
 	blocks          *plan.Blocks
@@ -244,6 +246,8 @@
 		s.Settings.Seeds, s.members.Seeds = e.Seeds, e.Seeds
 	case StatusAsked:
 		s.emit(Answer{Call: e.Call, Value: s.status()})
+	case OutdatedAsked:
+		s.emit(Answer{Call: e.Call, Value: s.isOutdated()})
 	case HistoryAsked:
 		s.answerHistory(e)
 	default:
--- a/internal/reducer/transfer.go
+++ b/internal/reducer/transfer.go
@@ -232,6 +232,7 @@
 // wantDocument notes that a VM holds a document, and fetches it unless another transfer
 // is in progress.
 func (s *State) wantDocument(source documentSource) {
+	s.noteNewer(source.position)
 	if source.peer == "" || source.peer == s.Settings.Peer || source.position <= s.sectionsAt.Index {
 		return
 	}
