--- a/internal/reducer/document.go
+++ b/internal/reducer/document.go
@@ -73,7 +73,7 @@
 // buildUpdate returns the patches that turn the named sections of before into
 // the present ones.
 func (s *State) buildUpdate(before []ledger.Section, names []document.Section) DocumentUpdate {
-	update := DocumentUpdate{From: s.Settings.Peer, Position: s.sectionsAt, Versions: s.Versions()}
+	update := DocumentUpdate{From: s.Settings.Peer, Position: s.sectionsAt, Versions: s.Versions(), Parts: true}
 	for _, section := range s.sections {
 		if !slices.Contains(names, section.Name) {
 			continue
@@ -230,7 +230,7 @@
 		return
 	}
 	newest := s.heldUpdates[len(s.heldUpdates)-1]
-	s.wantDocument(documentSource{peer: newest.From, position: newest.Position.Index})
+	s.wantDocument(documentSource{peer: newest.From, position: newest.Position.Index, inParts: newest.Parts})
 }
 
 // patchSections returns the sections held with an update applied. It returns
@@ -274,7 +274,7 @@
 	case !s.servesWhole(request.Peer):
 		return
 	}
-	update := DocumentUpdate{From: s.Settings.Peer, Position: s.sectionsAt, Versions: s.Versions()}
+	update := DocumentUpdate{From: s.Settings.Peer, Position: s.sectionsAt, Versions: s.Versions(), Parts: true}
 	for _, section := range s.sections {
 		if section.Version == request.Versions.Get(section.Name) {
 			continue
--- a/internal/reducer/transfer.go
+++ b/internal/reducer/transfer.go
@@ -245,7 +245,8 @@
 	if len(t.sources) > maxSources {
 		t.sources = t.sources[1:]
 	}
-	if t.incoming.source == "" {
+	waitsForWhole := t.incoming.timeout == wholeTimeout
+	if t.incoming.source == "" || waitsForWhole && source.inParts {
 		s.beginTransfer(source, partTimeout)
 	}
 }
@@ -255,6 +256,14 @@
 	t.sources = slices.DeleteFunc(t.sources, func(d documentSource) bool { return d.peer == peer })
 }
 
+// alsoAsked returns the VMs asked for the first part, with one more.
+func (in *incomingTransfer) alsoAsked(peer string) []string {
+	if slices.Contains(in.asked, peer) {
+		return in.asked
+	}
+	return append(in.asked, peer)
+}
+
 // beginTransfer asks a VM for the first part of the document.
 func (s *State) beginTransfer(source documentSource, timeout time.Duration) {
 	if !source.inParts {
@@ -264,7 +273,7 @@
 		source:  source.peer,
 		from:    s.Versions(),
 		timeout: timeout,
-		asked:   append(s.transfers.incoming.asked, source.peer),
+		asked:   s.transfers.incoming.alsoAsked(source.peer),
 	}
 	s.requestPart()
 }
@@ -405,7 +414,7 @@
 		from:      s.Versions(),
 		askedAt:   s.now,
 		timeout:   partTimeout,
-		asked:     append(t.incoming.asked, next),
+		asked:     t.incoming.alsoAsked(next),
 		redirects: t.incoming.redirects + 1,
 	}
 	if pause || t.incoming.redirects > maxRedirects {
--- a/internal/reducer/transferfaults_test.go
+++ b/internal/reducer/transferfaults_test.go
@@ -321,3 +321,47 @@
 		t.Errorf("names %q after a small change, want a1:1, which has the large one", part.Instead)
 	}
 }
+
+// A transfer that waited for a document that had come another way kept the VM from fetching the next one.
+func TestDocumentThatCameAnotherWayEndsTheTransfer(t *testing.T) {
+	older, newer := []byte("older\n"), []byte("newer\n")
+	whole := SectionPatch{Name: document.SectionRoutes, Version: 2, Middle: newer}
+	difference := NewPatch(ledger.Section{Name: document.SectionRoutes, Version: 1, Text: older}, ledger.Section{Name: document.SectionRoutes, Version: 2, Text: newer})
+	tests := map[string]struct {
+		from  string // sender of the update; b1:1 was asked
+		patch SectionPatch
+	}{
+		"whole sections from the VM asked, of an earlier release": {"b1:1", whole},
+		"a change pushed by the VM asked":                         {"b1:1", difference},
+		"a change pushed by another VM":                           {"d1:1", difference},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := namedVM(t, "a1")
+			holdRoutes(s, 1, 1, older)
+			gossip := member.Gossip{From: member.VM{ID: "b1", Peer: "b1:1", Domain: "b", Document: 9}}
+			s.Apply(testStart, Received{Message{Gossip: &gossip}})
+			versions := s.Versions()
+			versions.Routes = 2
+			s.Apply(testStart, Received{Message{Spread: &DocumentUpdate{
+				From: tt.from, Position: ledger.Position{Term: 1, Index: 9}, Versions: versions, Sections: []SectionPatch{tt.patch},
+			}}})
+			if got := documentRequests(s.Apply(testStart, offerOf("c1:1", 12))); !slices.Equal(got, []string{"c1:1"}) {
+				t.Errorf("asked %v for the next document, want c1:1", got)
+			}
+		})
+	}
+}
+
+// A VM of an earlier release that is dead must not hold up a document that another one offers.
+func TestVMThatSendsPartsIsAskedBeforeOneOfAnEarlierRelease(t *testing.T) {
+	s := namedVM(t, "a1")
+	gossip := member.Gossip{From: member.VM{ID: "b1", Peer: "b1:1", Domain: "b", Document: 9}}
+	s.Apply(testStart, Received{Message{Gossip: &gossip}})
+	if got := documentRequests(s.Apply(testStart, offerOf("c1:1", 9))); !slices.Equal(got, []string{"c1:1"}) {
+		t.Errorf("asked %v, want the VM that offers", got)
+	}
+	if got := documentRequests(s.Apply(testStart, offerOf("d1:1", 9))); len(got) > 0 {
+		t.Errorf("asked %v while that transfer is in progress", got)
+	}
+}
