--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -306,6 +306,7 @@
 	Versions ledger.Versions // of all sections, including unchanged ones
 	Sections []SectionPatch
 	Closed   []document.Closure // added by this change; in force before the patches are
+	Parts    bool               // VM From also sends the document in parts; VMs of earlier releases do not
 	Relay    bool               // the receiver forwards it to the other VMs of its failure domain
 }
 
