Close the connection to a peer only when it makes no progress

Seen: 1.4 MB of bulk and 50 heartbeats over a loopback proxy of 250,000 bytes/s (an entry's link).

Cause: each batch had a timer of 5 s from its sending. The bytes ahead of it, and its own, may need longer to cross a slow link. All batches in flight and the bytes under way were then lost.

Fix: the limit of 5 s is one of the connection, and restarts when the peer sends anything. Written bytes count only while the oldest unanswered batch is being written, because others may only fill the buffer of the kernel. A batch that needs longer at 32 KiB/s, thus one of more than 160 KiB, gets that time. Batches end at 64 KiB (as estimated by Message.EstimatedBytes) or one message, so that acknowledgements come often, and a silent peer with bulk under way is still closed after 5 s. Messages are encoded as before. A silent peer whose oldest batch is one message above 160 KiB is closed later than before.

--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -18,9 +18,9 @@
 	dialTimeout        = 2 * time.Second
 	maxQueuedMessages  = 4096 // one-way messages to one peer
 	maxBatchMessages   = 256
+	maxBatchBytes      = 64 << 10               // of more than one message, as estimated
 	maxBatchesInFlight = 16                     // to one peer
 	redialDelay        = 100 * time.Millisecond // after a failed dial
-	deliverTimeout     = 5 * time.Second        // of one batch
 )
 
 // Network holds one connection to each peer that was called or sent a message.
@@ -50,17 +50,23 @@
 	}
 	close(n.closed)
 	for _, p := range n.peers {
-		p.closeClient(nil)
+		p.closeConnection(nil)
 	}
 }
 
+// connection is an open connection to a peer.
+type connection struct {
+	*rpc.Client
+	conn *progressConn
+}
+
 // peer is the connection to one address, with its queue of one-way messages.
 type peer struct {
 	network *Network
 	address string
 
 	mutex           sync.Mutex
-	client          *rpc.Client
+	connection      *connection
 	lastDialFailure time.Time
 	queue           []reducer.Message
 	wake            chan struct{}
@@ -103,11 +109,11 @@
 // Call calls a method of a peer and waits for the reply. An error other than a
 // *NoReplyError means that the peer did not receive the call.
 func (n *Network) Call(ctx context.Context, address, method string, args, reply any) error {
-	client, err := n.peer(address).connect()
+	c, err := n.peer(address).connect()
 	if err != nil {
 		return err
 	}
-	call := client.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	call := c.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
@@ -118,7 +124,7 @@
 	}
 	var serverError rpc.ServerError
 	if !errors.As(call.Error, &serverError) {
-		n.peer(address).closeClient(client)
+		n.peer(address).closeConnection(c)
 	}
 	return &NoReplyError{Peer: address, Cause: call.Error}
 }
@@ -139,40 +145,40 @@
 
 // connect returns the open connection, or dials a new one unless a dial failed less
 // than redialDelay ago.
-func (p *peer) connect() (*rpc.Client, error) {
-	if client, _ := p.openClient(); client != nil {
-		return client, nil
+func (p *peer) connect() (*connection, error) {
+	if c, _ := p.openConnection(); c != nil {
+		return c, nil
 	}
 	p.dialMutex.Lock()
 	defer p.dialMutex.Unlock()
-	client, lastFailure := p.openClient()
-	if client != nil {
-		return client, nil
+	c, lastFailure := p.openConnection()
+	if c != nil {
+		return c, nil
 	}
 	if time.Since(lastFailure) < redialDelay {
 		return nil, errDialBackoff
 	}
-	client, err := p.dial()
+	c, err := p.dial()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if err != nil {
 		p.lastDialFailure = time.Now()
 		return nil, fmt.Errorf("connect to peer %s: %w", p.address, err)
 	}
-	p.client = client
-	return client, nil
+	p.connection = c
+	return c, nil
 }
 
-// openClient returns the open connection, or nil, and the time of the last failed
+// openConnection returns the open connection, or nil, and the time of the last failed
 // dial.
-func (p *peer) openClient() (*rpc.Client, time.Time) {
+func (p *peer) openConnection() (*connection, time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.client, p.lastDialFailure
+	return p.connection, p.lastDialFailure
 }
 
 // dial opens a connection and runs the handshake.
-func (p *peer) dial() (*rpc.Client, error) {
+func (p *peer) dial() (*connection, error) {
 	select {
 	case <-p.network.closed:
 		return nil, net.ErrClosed
@@ -189,18 +195,19 @@
 		conn.Close()
 		return nil, err
 	}
-	return rpc.NewClient(&countingConn{Conn: conn, sent: &p.network.BytesSent}), nil
+	counted := &progressConn{Conn: conn, sent: &p.network.BytesSent}
+	return &connection{Client: rpc.NewClient(counted), conn: counted}, nil
 }
 
-// closeClient closes the open connection if it is the given one; nil matches any.
-func (p *peer) closeClient(client *rpc.Client) {
+// closeConnection closes the open connection if it is the given one; nil matches any.
+func (p *peer) closeConnection(c *connection) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.client == nil || (client != nil && client != p.client) {
+	if p.connection == nil || (c != nil && c != p.connection) {
 		return
 	}
-	p.client.Close()
-	p.client = nil
+	p.connection.Close()
+	p.connection = nil
 }
 
 // deliverQueue sends queued messages in batches, up to maxBatchesInFlight at a time. A
@@ -213,20 +220,28 @@
 			return
 		}
 		for batch := p.takeBatch(); len(batch) > 0; batch = p.takeBatch() {
-			client, err := p.connect()
+			c, err := p.connect()
 			if err != nil {
 				break
 			}
-			p.sendBatch(client, batch)
+			p.sendBatch(c, batch)
 		}
 	}
 }
 
-// takeBatch removes up to maxBatchMessages messages from the queue and returns them.
+// takeBatch removes messages from the queue and returns them: at most maxBatchMessages,
+// and as many as take maxBatchBytes, but at least one.
 func (p *peer) takeBatch() []reducer.Message {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	n := min(len(p.queue), maxBatchMessages)
+	n, bytes := 0, 0
+	for n < min(len(p.queue), maxBatchMessages) {
+		bytes += p.queue[n].EstimatedBytes()
+		if n > 0 && bytes > maxBatchBytes {
+			break
+		}
+		n++
+	}
 	batch := p.queue[:n:n]
 	p.queue = p.queue[n:]
 	if len(p.queue) == 0 {
@@ -236,30 +251,18 @@
 }
 
 // sendBatch writes one batch, so that batches leave in order, and closes the connection
-// if it fails or is not acknowledged in time.
-func (p *peer) sendBatch(client *rpc.Client, batch []reducer.Message) {
+// if it fails.
+func (p *peer) sendBatch(c *connection, batch []reducer.Message) {
 	p.inFlight <- struct{}{}
-	timer := time.AfterFunc(deliverTimeout, func() { p.closeClient(client) })
-	call := client.Go(serviceName+"."+deliverMethod, &Batch{Messages: batch}, &Empty{}, make(chan *rpc.Call, 1))
+	sent := c.conn.beginBatch()
+	call := c.Go(serviceName+"."+deliverMethod, &Batch{Messages: batch}, &Empty{}, make(chan *rpc.Call, 1))
+	c.conn.endBatch(sent)
 	go func() {
 		<-call.Done
-		timer.Stop()
+		c.conn.answered(sent)
 		if call.Error != nil {
-			p.closeClient(client)
+			p.closeConnection(c)
 		}
 		<-p.inFlight
 	}()
 }
-
-// countingConn counts the bytes written to a connection.
-type countingConn struct {
-	net.Conn
-	sent *atomic.Int64
-}
-
-// Write implements net.Conn.
-func (c *countingConn) Write(data []byte) (int, error) {
-	n, err := c.Conn.Write(data)
-	c.sent.Add(int64(n))
-	return n, err
-}
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -245,6 +245,45 @@
 	}
 }
 
+// EstimatedBytes returns about how many bytes the message takes between VMs.
+func (m Message) EstimatedBytes() int {
+	const messageBytes, elementBytes, indexEntryBytes = 64, 48, 20
+	data, elements := m.DocumentBytes(), len(m.Roster)
+	switch {
+	case m.Quorum != nil:
+		data += len(m.Quorum.Piece.Data)
+		elements += len(m.Quorum.Entries)
+		for i := range m.Quorum.Entries {
+			data += len(m.Quorum.Entries[i].Data)
+		}
+	case m.Gossip != nil:
+		data += len(m.Gossip.Beats) + len(m.Gossip.Versions)
+		elements += len(m.Gossip.VMs) + len(m.Gossip.Domains)
+		for i := range m.Gossip.VMs {
+			elements += len(m.Gossip.VMs[i].Services)
+		}
+		for i := range m.Gossip.Domains {
+			d := &m.Gossip.Domains[i]
+			elements += len(d.Entries) + len(d.Services) + len(d.Barred)
+		}
+	case m.Servers != nil:
+		elements += len(m.Servers.Records)
+	case m.Index != nil:
+		data += indexEntryBytes * len(m.Index.Known)
+	case m.Spread != nil:
+		elements += len(m.Spread.Sections) + len(m.Spread.Closed)
+	case m.Offer != nil:
+		elements += len(m.Offer.Closed)
+	case m.Handover != nil:
+		elements += len(m.Handover.Servers) + len(m.Handover.Tickets)
+	case m.Bar != nil:
+		elements += len(m.Bar.Entries)
+	case m.Closures != nil:
+		elements += len(m.Closures.Closures)
+	}
+	return messageBytes + data + elementBytes*elements
+}
+
 // ServerUpdate carries records of backend servers.
 type ServerUpdate struct {
 	Records []roster.Record
