Bound the bytes that wait for a peer; count and log what does not fit

Seen: TestBulkForOnePeerIsBounded sends 300 messages of 256 KiB to a peer that takes none until all are sent: all 78,643,200 bytes were kept.

Cause: the queue of a peer was bounded by 4,096 messages of any size, and what is unacknowledged by 16 batches.

Fix: the estimated bytes that are queued and unacknowledged are counted for each peer. At most 40 MiB of messages of 4 KiB and more are kept, and 1 MiB of smaller ones, apart, so that heartbeats pass when bulk has filled its bound. A larger message passes if no other bulk waits. What does not fit is dropped, counted by kind in heatherwood_messages_dropped_total, and reported by HW1045 at most once a second. That includes messages beyond the bound of 4,096, dropped silently before.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -61,6 +61,12 @@
 	m.DocumentBytesSent.Add(message.DocumentBytes())
 }
 
+// CountDropped counts a message that was dropped before it was sent to another VM, by
+// its kind.
+func (m *Metrics) CountDropped(message reducer.Message) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_messages_dropped_total{kind=%q}`, message.Kind())).Inc()
+}
+
 // Write writes all metrics in the Prometheus text format. The gauges are taken from
 // the status; bytesSent are the bytes sent to peers.
 func (m *Metrics) Write(w io.Writer, status reducer.Status, bytesSent int64) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,6 +39,7 @@
 	rosterFile    *rosterFile // nil without a data folder
 	trail         *auditTrail
 	requestCounts requestCounts
+	drops         messageDrops
 	replicaID     string // id of the control replica; empty means the VM's id
 	server        *peerrpc.Server
 	logFolder     *disk.Folder
@@ -87,6 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n.Network.OnDropped = n.countDrop
 	n.Network.OnRefused = func(peer string) { n.Apply(reducer.PeerUnreachable{Peer: peer}) }
 	n.server = &peerrpc.Server{
 		Key:     []byte(vmSettings.SharedKey),
@@ -211,6 +213,7 @@
 			return
 		case <-n.Clock.After(tickInterval):
 			n.Apply(reducer.Tick{})
+			n.logDrops()
 		}
 	}
 }
--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -25,9 +25,10 @@
 
 // Network holds one connection to each peer that was called or sent a message.
 type Network struct {
-	Key       []byte            // the site's key
-	OnRefused func(peer string) // called when a peer's address refuses a connection
-	BytesSent atomic.Int64      // bytes written to peers
+	Key       []byte                                     // the site's key
+	OnRefused func(peer string)                          // called when a peer's address refuses a connection
+	OnDropped func(peer string, message reducer.Message) // called when a message does not fit the backlog of a peer
+	BytesSent atomic.Int64                               // bytes written to peers
 
 	mutex  sync.Mutex
 	peers  map[string]*peer
@@ -68,12 +69,19 @@
 	mutex           sync.Mutex
 	connection      *connection
 	lastDialFailure time.Time
-	queue           []reducer.Message
+	queue           []queuedMessage
+	backlog         backlog
 	wake            chan struct{}
 	inFlight        chan struct{} // one element per batch in flight
 	dialMutex       sync.Mutex
 }
 
+// queuedMessage is a one-way message with its estimated size.
+type queuedMessage struct {
+	message reducer.Message
+	bytes   int
+}
+
 func (n *Network) peer(address string) *peer {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -91,21 +99,33 @@
 	return p
 }
 
-// Send queues a one-way message to a peer. The message is dropped if the peer's queue
-// is full, and may be lost in transit.
+// Send queues a one-way message to a peer. The message is dropped if too many messages
+// or bytes are waiting for the peer, and may be lost in transit.
 func (n *Network) Send(address string, message reducer.Message) {
 	p := n.peer(address)
-	p.mutex.Lock()
-	if len(p.queue) < maxQueuedMessages {
-		p.queue = append(p.queue, message)
+	if !p.enqueue(queuedMessage{message: message, bytes: message.EstimatedBytes()}) {
+		if n.OnDropped != nil {
+			n.OnDropped(address, message)
+		}
+		return
 	}
-	p.mutex.Unlock()
 	select {
 	case p.wake <- struct{}{}:
 	default:
 	}
 }
 
+// enqueue returns false if the message does not fit.
+func (p *peer) enqueue(q queuedMessage) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.queue) >= maxQueuedMessages || !p.backlog.add(q.bytes) {
+		return false
+	}
+	p.queue = append(p.queue, q)
+	return true
+}
+
 // Call calls a method of a peer and waits for the reply. An error other than a
 // *NoReplyError means that the peer did not receive the call.
 func (n *Network) Call(ctx context.Context, address, method string, args, reply any) error {
@@ -210,8 +230,8 @@
 	p.connection = nil
 }
 
-// deliverQueue sends queued messages in batches, up to maxBatchesInFlight at a time. A
-// batch is dropped if the peer cannot be reached.
+// deliverQueue sends queued messages in batches, up to maxBatchesInFlight at a time. The
+// queue is dropped if the peer cannot be reached.
 func (p *peer) deliverQueue() {
 	for {
 		select {
@@ -222,6 +242,8 @@
 		for batch := p.takeBatch(); len(batch) > 0; batch = p.takeBatch() {
 			c, err := p.connect()
 			if err != nil {
+				p.removeFromBacklog(batch)
+				p.dropQueue()
 				break
 			}
 			p.sendBatch(c, batch)
@@ -230,13 +252,13 @@
 }
 
 // takeBatch removes messages from the queue and returns them: at most maxBatchMessages,
-// and as many as take maxBatchBytes, but at least one.
-func (p *peer) takeBatch() []reducer.Message {
+// and as many as take maxBatchBytes, but at least one. They stay in the backlog.
+func (p *peer) takeBatch() []queuedMessage {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	n, bytes := 0, 0
 	for n < min(len(p.queue), maxBatchMessages) {
-		bytes += p.queue[n].EstimatedBytes()
+		bytes += p.queue[n].bytes
 		if n > 0 && bytes > maxBatchBytes {
 			break
 		}
@@ -250,16 +272,38 @@
 	return batch
 }
 
+func (p *peer) dropQueue() {
+	p.mutex.Lock()
+	dropped := p.queue
+	p.queue = nil
+	p.mutex.Unlock()
+	p.removeFromBacklog(dropped)
+}
+
+func (p *peer) removeFromBacklog(messages []queuedMessage) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for i := range messages {
+		p.backlog.remove(messages[i].bytes)
+	}
+}
+
 // sendBatch writes one batch, so that batches leave in order, and closes the connection
 // if it fails.
-func (p *peer) sendBatch(c *connection, batch []reducer.Message) {
+func (p *peer) sendBatch(c *connection, batch []queuedMessage) {
+	messages := make([]reducer.Message, len(batch))
+	for i := range batch {
+		messages[i] = batch[i].message
+		batch[i].message = reducer.Message{} // the queue may still hold the array
+	}
 	p.inFlight <- struct{}{}
 	sent := c.conn.beginBatch()
-	call := c.Go(serviceName+"."+deliverMethod, &Batch{Messages: batch}, &Empty{}, make(chan *rpc.Call, 1))
+	call := c.Go(serviceName+"."+deliverMethod, &Batch{Messages: messages}, &Empty{}, make(chan *rpc.Call, 1))
 	c.conn.endBatch(sent)
 	go func() {
 		<-call.Done
 		c.conn.answered(sent)
+		p.removeFromBacklog(batch)
 		if call.Error != nil {
 			p.closeConnection(c)
 		}
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -49,6 +49,7 @@
 	CodeServerNotice          Code = 1042
 	CodeDocumentReceived      Code = 1043
 	CodeDocumentNotSent       Code = 1044
+	CodeMessagesDropped       Code = 1045
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -104,6 +105,7 @@
 	{CodeServerNotice, "info", "server said in an answer that it leaves, or wants no requests for a while"},
 	{CodeDocumentReceived, "info", "text of a newer document arrived"},
 	{CodeDocumentNotSent, "error", "document could not be encoded for another VM"},
+	{CodeMessagesDropped, "warn", "messages to another VM were dropped: too much is waiting for it"},
 }
 
 // Info returns the catalogue entry of a code.
