--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 	rosterFile    *rosterFile // nil without a data folder
 	trail         *auditTrail
 	requestCounts requestCounts
+	drops         messageDrops
 	replicaID     string // id of the control replica; empty means the VM's id
 	server        *peerrpc.Server
 	logFolder     *disk.Folder
@@ -88,6 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n.Network.OnDropped = n.countDrop
 	n.Network.OnRefused = func(peer string) { n.Apply(reducer.PeerUnreachable{Peer: peer}) }
 	n.server = &peerrpc.Server{
 		Key:     []byte(vmSettings.SharedKey),
@@ -212,6 +214,7 @@
 			return
 		case <-n.Clock.After(tickInterval):
 			n.Apply(reducer.Tick{})
+			n.logDrops()
 		}
 	}
 }
