End a call with its context behind bulk; dial a lost peer again within 15 s

Found by the review of: a call to a peer that takes no bytes did not end with its context, but with the connection: net/rpc writes synchronously. Now the write has a goroutine of its own.

--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -133,9 +133,11 @@
 	if err != nil {
 		return err
 	}
-	call := c.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	done := make(chan *rpc.Call, 1)
+	go c.Go(serviceName+"."+method, args, reply, done) // blocks while bytes before it are being written
+	var call *rpc.Call
 	select {
-	case <-call.Done:
+	case call = <-done:
 	case <-ctx.Done():
 		return &NoReplyError{Peer: address, Cause: ctx.Err()}
 	}
--- a/internal/peerrpc/progress.go
+++ b/internal/peerrpc/progress.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	deliverTimeout  = 5 * time.Second // without progress while a batch is unanswered
-	lowestRate      = 32 << 10        // bytes a second at which a batch crosses a link
+	deliverTimeout  = 5 * time.Second  // without progress while a batch is unanswered
+	longestTimeout  = 15 * time.Second // the same for a large batch: a peer that was lost must be dialed again soon
+	lowestRate      = 32 << 10         // bytes a second at which a batch crosses a link
 	writeChunkBytes = 64 << 10
 )
 
@@ -117,7 +118,7 @@
 	if b.complete {
 		end = b.end
 	}
-	return max(deliverTimeout, time.Duration(end-b.start)*time.Second/lowestRate)
+	return min(max(deliverTimeout, time.Duration(end-b.start)*time.Second/lowestRate), longestTimeout)
 }
 
 // closeWithoutProgress closes the connection if the time limit is over.
