--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -169,6 +169,9 @@
 	case sendFailed != nil:
 		return fmt.Sprintf("the send to server %s ended %s after %.0f ms (%s); then: %s",
 			sendFailed.stringField("server"), sendFailed.Outcome, sendFailed.numberField("took_ms"), causeOrDefault(sendFailed.stringField("why")), sendFailed.stringField("next"))
+	case ended.stringField("host") != "":
+		return fmt.Sprintf("it ended with status %.0f: %s; nothing in the document with log index %.0f, then in force on %s, fits %s%s",
+			ended.numberField("status"), ended.Outcome, ended.numberField("document"), ended.VM, ended.stringField("host"), ended.stringField("path"))
 	default:
 		return fmt.Sprintf("it ended with status %.0f: %s", ended.numberField("status"), ended.Outcome)
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -39,7 +39,11 @@
 		"late, server did not know the object": {placedCold + ended("200", "answered"), "was not known to have handled the object"},
 		"VM died":                              {placed, "no end is logged"},
 		"refused before a server was chosen":   {ended("404", "unknown-service"), "it ended with status 404: unknown-service"},
-		"answered by the second send":          {placed + sendFailed + placed + ended("200", "answered"), "the send before it, to server s1, had ended broken"},
+		"refused by an old document": {
+			requestLine("HW1031", "04.000", `"status":503,"took_ms":1,"server":"","host":"shop.example","path":"/new/","document":49,"outcome":"document-outdated"`),
+			"document-outdated; nothing in the document with log index 49, then in force on e1, fits shop.example/new/",
+		},
+		"answered by the second send": {placed + sendFailed + placed + ended("200", "answered"), "the send before it, to server s1, had ended broken"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
