Log the limits that servers name in their answers

Change: the header of a limit is read (Heatherwood-Limit; the platform's in platform/), and a change of it is logged as HW1042 with outcome limit, limit-ended or limit-invalid. A value that is no number, negative, infinite or above a million a second changes nothing. No decision goes by the limit yet.

--- a/internal/callerhttp/dialect.go
+++ b/internal/callerhttp/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,6 +19,7 @@
 	RequestIDHeader      string // carries the caller's id of a request; servers repeat it; empty if callers send none
 	ObjectHeader         string // names the object of a request
 	LeavingHeader        string // on answers of a server that will stop, with the value 1
+	LimitHeader          string // on answers of a server that limits the requests a second of all VMs together
 	DigestHeader         string // on every successful answer of a server; empty if servers send none
 	FractionalRetryAfter bool   // Retry-After may have a fraction of a second
 	ForwardClientIP      bool   // add X-Forwarded-For with the caller's address
@@ -47,6 +49,7 @@
 	return Dialect{
 		ObjectHeader:    problem.HeaderObject,
 		LeavingHeader:   problem.HeaderLeaving,
+		LimitHeader:     problem.HeaderLimit,
 		ForwardClientIP: true,
 		ParseTimeout: func(header http.Header) (time.Duration, error) {
 			text := header.Get(problem.HeaderTimeout)
@@ -87,9 +90,32 @@
 	if response.StatusCode == http.StatusServiceUnavailable {
 		n.StayAway = parseRetryAfter(response.Header.Get("Retry-After"))
 	}
+	if text := response.Header.Get(d.LimitHeader); d.LimitHeader != "" && text != "" {
+		limit, err := parseLimit(text)
+		if err != nil {
+			n.BadLimit = text[:min(len(text), maxLoggedLimitBytes)]
+		}
+		n.Limit = limit
+	}
 	return n
 }
 
+const (
+	maxLimitPerSecond   = 1e6 // a server that names more than this means something else
+	maxLoggedLimitBytes = 32
+)
+
+var errLimit = fmt.Errorf("a limit must be a number of requests a second from 0 to %g", float64(maxLimitPerSecond))
+
+// parseLimit returns the limit that a server names, in requests a second.
+func parseLimit(text string) (routing.Limit, error) {
+	perSecond, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(perSecond >= 0 && perSecond <= maxLimitPerSecond) {
+		return routing.Limit{}, errLimit
+	}
+	return routing.Limit{Named: true, PerSecond: perSecond}, nil
+}
+
 const maxStayAway = time.Hour // a longer Retry-After counts as so long
 
 // parseRetryAfter returns the time of a Retry-After header in seconds, which may have a
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -19,6 +19,8 @@
 	Site
 	routing.Ejection
 	routing.Notices
+	Limit    routing.Limit // that it named in its last answer to this VM
+	BadLimit string        // text in its last answer that is no limit
 
 	idHash            uint64
 	inOwnRegion       bool                 // in the region of the entry
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -17,6 +17,7 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderObject         = "Heatherwood-Object"
 	HeaderLeaving        = "Heatherwood-Leaving" // of a server's answer: it will stop
+	HeaderLimit          = "Heatherwood-Limit"   // of a server's answer: requests a second that it takes from all VMs together
 )
 
 // Problem is a problem document, the body of a refusal.
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -102,7 +102,7 @@
 	{CodeDiskRecovered, "info", "data folder takes writes again; the replica goes on with what it holds"},
 	{CodeHeaderTimeout, "info", "caller's connection closed: the header of a request did not end in time"},
 	{CodeRequestsCutOff, "warn", "requests were cut off: they outlasted the stop"},
-	{CodeServerNotice, "info", "server said in an answer that it leaves, or wants no requests for a while"},
+	{CodeServerNotice, "info", "server said in an answer that it leaves, wants no requests for a while, or limits their rate"},
 	{CodeDocumentReceived, "info", "text of a newer document arrived"},
 	{CodeDocumentNotSent, "error", "document could not be encoded for another VM"},
 	{CodeMessagesDropped, "warn", "messages to another VM were dropped: too much is waiting for it"},
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -169,9 +169,10 @@
 	if e.AddressReused {
 		s.endReplaced(run.server)
 	}
-	if !e.Notice.IsZero() {
+	if e.Leaving || e.StayAway > 0 {
 		s.noteServer(r, run.server, e.Notice)
 	}
+	s.noteLimit(r, run.server, e)
 	phase := quarantine.Clear
 	if e.ServerDied {
 		phase = s.markSuspected(r, run.server.ID)
@@ -196,7 +197,7 @@
 // noteServer applies what a server said about itself: from this moment on this VM sends
 // it nothing new. That it leaves is told to all VMs.
 func (s *State) noteServer(r *relay.Request, server *placing.Server, n routing.Notice) {
-	s.logNotice(r, n)
+	s.logWish(r, n)
 	server.Note(n, s.now)
 	if n.Leaving {
 		s.roster.MarkLeaving(server.ID, server.Start, s.now)
@@ -204,6 +205,22 @@
 	}
 }
 
+// noteLimit logs a limit that differs from the one that the server named in its last
+// answer. Only a complete answer without a limit says that there is none.
+func (s *State) noteLimit(r *relay.Request, server *placing.Server, e RequestSent) {
+	if e.BadLimit != server.BadLimit {
+		server.BadLimit = e.BadLimit
+		if e.BadLimit != "" {
+			s.logNotice(r, "limit-invalid", Field{"text", e.BadLimit})
+		}
+	}
+	if e.Limit == server.Limit || !e.Limit.Named && (e.Result != routing.ResultOK || e.BadLimit != "") {
+		return
+	}
+	server.Limit = e.Limit
+	s.logLimit(r, e.Limit)
+}
+
 func nextAction(step relay.Step) string {
 	switch {
 	case step.SlotRequest != nil:
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -154,7 +154,7 @@
 		s.handlePlacedSent(e, r)
 		return
 	}
-	if !e.Notice.IsZero() {
+	if e.Leaving || e.StayAway > 0 {
 		s.noteToOwner(r, e.Notice)
 	}
 	answered := e.Result == routing.ResultOK || e.Result == routing.ResultError
@@ -172,7 +172,7 @@
 // noteToOwner tells the owner of the service what a server said about itself, ahead of
 // the end of the grant.
 func (s *State) noteToOwner(r *relay.Request, n routing.Notice) {
-	s.logNotice(r, n)
+	s.logWish(r, n)
 	notice := dispatch.ServerNotice{Service: r.Service, Server: r.Grant.Server, Notice: n}
 	if pool := s.pool(r.Service); pool != nil {
 		s.applyPoolEffects(pool, pool.Note(notice, s.now))
@@ -181,17 +181,30 @@
 	s.transmit(s.ownerOf(r.Service).Peer, Message{Notice: &notice})
 }
 
-// logNotice logs what a server said about itself, with the request that heard it.
-func (s *State) logNotice(r *relay.Request, n routing.Notice) {
+// logWish logs that a server leaves or wants no requests.
+func (s *State) logWish(r *relay.Request, n routing.Notice) {
 	outcome := "stay-away"
 	if n.Leaving {
 		outcome = "leaving"
 	}
-	s.emit(Decision{Code: CodeServerNotice, Request: r.ID, Outcome: outcome, Fields: []Field{
+	s.logNotice(r, outcome, Field{"stay_away", n.StayAway})
+}
+
+// logLimit logs the limit that a server named, or that it names none any more.
+func (s *State) logLimit(r *relay.Request, limit routing.Limit) {
+	if !limit.Named {
+		s.logNotice(r, "limit-ended")
+		return
+	}
+	s.logNotice(r, "limit", Field{"per_second", limit.PerSecond})
+}
+
+// logNotice logs what a server said about itself, with the request that heard it.
+func (s *State) logNotice(r *relay.Request, outcome string, fields ...Field) {
+	s.emit(Decision{Code: CodeServerNotice, Request: r.ID, Outcome: outcome, Fields: append([]Field{
 		{"service", r.Service},
 		{"server", r.Grant.Server},
-		{"stay_away", n.StayAway},
-	}})
+	}, fields...)})
 }
 
 // finishGrant ends the grant of a request and returns the phase of its
--- a/internal/routing/notice.go
+++ b/internal/routing/notice.go
@@ -6,10 +6,16 @@
 type Notice struct {
 	Leaving  bool          // it will stop: no new requests until its next start
 	StayAway time.Duration // it wants no requests from this VM for so long; 0 for no such wish
+	Limit    Limit         // that it names
+	BadLimit string        // text of a limit that cannot be read, for the log
 }
 
-// IsZero reports whether the notice says nothing.
-func (n Notice) IsZero() bool { return n == Notice{} }
+// Limit is the rate of requests that a server takes from all VMs together. The zero
+// value is that of a server without a limit.
+type Limit struct {
+	Named     bool
+	PerSecond float64 // requests a second, 0 or more
+}
 
 // Notices is the state of a server according to its notices. A server embeds it.
 type Notices struct {
