Failing tests: servers get a multiple of the limit that they name

Change: stand-in servers name limits; one test on processes of the platform, one on a whole site of ten VMs for services whose servers entries choose, and for slots granted by an owner or lent to another failure domain.

--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,8 @@
 
 	mutex     sync.Mutex
 	runsByKey map[string]int // by Idempotency-Key
+	limit     string         // value of the header by which its answers name a limit; empty without one
+	arrivals  []time.Time    // of requests since the limit was named
 }
 
 // Start listens on a free port of the IP address and begins to announce the server.
@@ -85,6 +88,7 @@
 	defer s.running.Add(-1)
 	for highest := s.maxRunning.Load(); running > highest && !s.maxRunning.CompareAndSwap(highest, running); highest = s.maxRunning.Load() {
 	}
+	s.nameLimit(w)
 	const maxBody = 1 << 20
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 	if err != nil {
@@ -125,6 +129,32 @@
 	})
 }
 
+// nameLimit names the limit of the server, if it has one, in the answer.
+func (s *Server) nameLimit(w http.ResponseWriter) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.limit == "" {
+		return
+	}
+	s.arrivals = append(s.arrivals, time.Now())
+	w.Header().Set(problem.HeaderLimit, s.limit)
+}
+
+// SetLimit makes later answers name a limit in requests a second, in the text that the
+// header will hold; "" ends it. It is not enforced.
+func (s *Server) SetLimit(text string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.limit, s.arrivals = text, nil
+}
+
+// Arrivals returns the times of the requests that arrived since the limit was set.
+func (s *Server) Arrivals() []time.Time {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return slices.Clone(s.arrivals)
+}
+
 // streamSlowly sends an answer of 50 KiB in 50 parts, with a pause after each.
 func (s *Server) streamSlowly(w http.ResponseWriter, r *http.Request) {
 	const parts, partBytes, pause = 50, 1 << 10, 50 * time.Millisecond
