Keep limits of servers whose slots an owner grants

Cause: nothing went by the limit. Evidence: TestServersGetTheirLimitsFromAllVMsTogether, up to 234 requests in 4 s of 19 allowed from an owner, 96 through slots lent to another domain. Change: the owner counts for all VMs by a token bucket for each limited server. Slots of such a server are not lent, those lent are taken back. Requests that would wait for a limit until after their deadline are refused at once. The limit is handed over with the pool. Red with these removed: the bucket in the choice, taking tokens, their cap, each check against lending, taking back, the handover, the refusal.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -309,6 +309,16 @@
 // Waiting returns the number of waiting requests of a rank.
 func (q *Queue) Waiting(rank int) int { return len(q.states[rank].waiting) }
 
+// WaitingBefore returns the number of waiting requests of the rank and of more urgent
+// ones.
+func (q *Queue) WaitingBefore(rank int) int {
+	total := 0
+	for i := range q.states[:rank+1] {
+		total += len(q.states[i].waiting)
+	}
+	return total
+}
+
 // TotalWaiting returns the number of waiting requests.
 func (q *Queue) TotalWaiting() int { return len(q.byID) }
 
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -10,9 +10,6 @@
 // Timings and limits of allowances.
 const (
 	TTL         = 1500 * time.Millisecond // of an allowance, from when the request for it was sent
-	burstTime   = 250 * time.Millisecond  // of the rate, which may be saved up
-	burstBase   = 1.0                     // requests that may be saved up besides
-	minRate     = 0.1                     // requests a second of a server that names less: one that names none has to be asked whether that still holds
 	maxWait     = 4 * time.Second         // until a VM that got nothing asks again
 	forgetAfter = 30 * time.Second        // without a request for allowances
 )
@@ -49,20 +46,19 @@
 
 // bucket is the token bucket of one server.
 type bucket struct {
-	tokens     float64
-	refilledAt time.Time
-	askedAt    time.Time // last request
-	turn       time.Time // at which the last VM that got nothing was told to return
-	refused    int       // requests that got nothing since countedAt
-	countedAt  time.Time
+	routing.TokenBucket
+	askedAt   time.Time // last request
+	turn      time.Time // at which the last VM that got nothing was told to return
+	refused   int       // requests that got nothing since countedAt
+	countedAt time.Time
 }
 
 // Allow answers a request. The share is the part of the limit that this VM may hand out,
 // less than 1 while another VM may take itself for the allocator.
 func (a *Allocator) Allow(r Request, limit routing.Limit, share float64, now time.Time) Grant {
-	rate := max(limit.PerSecond, minRate) * share
+	rate := limit.Rate() * share
 	b := a.bucketOf(r.Start, now)
-	b.refill(rate, now)
+	b.Refill(rate, now)
 	b.askedAt = now
 	if now.Sub(b.countedAt) >= TTL {
 		b.refused, b.countedAt = 0, now
@@ -73,7 +69,7 @@
 		grant.Count, grant.Wait = 0, b.nextTurn(rate, now)
 		return grant
 	}
-	b.tokens -= float64(grant.Count)
+	b.Tokens -= float64(grant.Count)
 	return grant
 }
 
@@ -85,24 +81,16 @@
 	}
 	b := a.buckets[start]
 	if b == nil {
-		b = &bucket{refilledAt: now.Add(TTL)}
+		b = &bucket{TokenBucket: routing.TokenBucket{RefilledAt: now.Add(TTL)}}
 		a.buckets[start] = b
 	}
 	return b
 }
 
-func (b *bucket) refill(rate float64, now time.Time) {
-	if now.After(b.refilledAt) {
-		b.tokens += rate * now.Sub(b.refilledAt).Seconds()
-		b.refilledAt = now
-	}
-	b.tokens = min(b.tokens, burstBase+rate*burstTime.Seconds())
-}
-
 // forOne returns how many allowances one VM may get now: what there is, divided by the
 // VMs that ask for some.
 func (b *bucket) forOne() int {
-	available := int(b.tokens)
+	available := int(b.Tokens)
 	if available <= 1 {
 		return available
 	}
@@ -112,9 +100,9 @@
 // nextTurn returns how long a VM that got nothing should wait. Each is given a turn of
 // its own, one allowance after the other.
 func (b *bucket) nextTurn(rate float64, now time.Time) time.Duration {
-	earliest := now.Add(seconds(max(0, 1-b.tokens) / rate))
-	if b.refilledAt.After(now) {
-		earliest = earliest.Add(b.refilledAt.Sub(now))
+	earliest := now.Add(seconds(max(0, 1-b.Tokens) / rate))
+	if b.RefilledAt.After(now) {
+		earliest = earliest.Add(b.RefilledAt.Sub(now))
 	}
 	next := b.turn.Add(seconds(1 / rate))
 	if next.Before(earliest) || next.Sub(now) > maxWait {
@@ -145,6 +133,5 @@
 // Most returns the most requests that begin within a window at a server with the limit,
 // whatever becomes of the messages between VMs, while one VM at a time is the allocator.
 func Most(limit routing.Limit, window time.Duration) int {
-	rate := max(limit.PerSecond, minRate)
-	return int(burstBase + rate*(burstTime+TTL+window).Seconds())
+	return int(routing.Burst(limit.Rate()) + limit.Rate()*(TTL+window).Seconds())
 }
--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -177,6 +177,9 @@
 	s.State = routing.StateServing
 	s.Slots = slots.Slots
 	s.OneWay = oneWay
+	if slots.Slots > 0 {
+		s.SetLimit(routing.Limit{}, now) // a server with a limit is not lent
+	}
 	if until.After(s.Expires) {
 		s.Expires = until
 	}
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -25,6 +25,7 @@
 			Announcement: s.Announcement,
 			Remaining:    s.Expires.Sub(now),
 			Reserved:     s.Lent,
+			Limit:        s.Limit,
 		})
 	}
 	for _, t := range sortedTickets(p.tickets) {
@@ -67,6 +68,7 @@
 			s = p.Routing.Announce(handed.Announcement, time.Time{}, now.Add(-p.Policy.WarmUp))
 			s.Expires = now.Add(handed.Remaining)
 		}
+		s.SetLimit(handed.Limit, now)
 		if handed.Reserved > 0 {
 			p.reserveHandedOver(handed, now)
 		}
@@ -180,6 +182,7 @@
 	Usable   int           `json:"usable"` // slots that may be in use now
 	Inflight int           `json:"inflight"`
 	Lent     int           `json:"lent"`
+	Limit    routing.Limit `json:"limit"`
 }
 
 // Servers lists the servers for status pages.
@@ -195,6 +198,7 @@
 			Usable:   s.UsableSlots(now, p.Policy.WarmUp),
 			Inflight: s.Inflight,
 			Lent:     s.Lent,
+			Limit:    s.Limit,
 		})
 	}
 	return views
--- a/internal/dispatch/loan.go
+++ b/internal/dispatch/loan.go
@@ -119,7 +119,7 @@
 	remaining := min(wanted, p.SpareSlots()+l.reservedSlots())
 	for i := range l.slots {
 		s := p.Routing.Find(l.slots[i].server)
-		if s == nil || !s.Usable(now) {
+		if s == nil || !s.Usable(now) || s.Limit.Named {
 			continue
 		}
 		l.slots[i].granted = min(remaining, l.slots[i].reserved)
@@ -129,7 +129,7 @@
 		if remaining <= 0 {
 			break
 		}
-		if s.Borrowed(p.Domain) {
+		if s.Borrowed(p.Domain) || s.Limit.Named {
 			continue
 		}
 		if n := min(remaining, s.FreeSlots()); n > 0 {
@@ -213,8 +213,14 @@
 
 // SpareSlots returns the number of slots that could be lent: the capacity of own
 // servers less headroom, own use, waiting requests and reserved slots.
+// Servers that name a limit lend none: nobody counts requests for the lessees.
 func (p *Pool) SpareSlots() int {
 	capacity := p.Routing.OwnCapacity()
+	for _, s := range p.ownServers() {
+		if s.Limit.Named {
+			capacity -= max(0, s.FreeSlots())
+		}
+	}
 	headroom := ceilOfShare(p.Policy.Headroom, capacity)
 	return max(0, capacity-headroom-p.ownInUse()-p.Queue.TotalWaiting()-p.totalReserved())
 }
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -24,6 +24,8 @@
 	Address string // host:port
 	Domain  string
 	Shifted bool // the server is in another failure domain
+
+	Limit routing.Limit // of the server, as the owner knows it
 }
 
 // Reason states why a request got no slot.
@@ -127,6 +129,7 @@
 	Announcement routing.Announcement
 	Remaining    time.Duration
 	Reserved     int // slots lent to other failure domains that may still be in use
+	Limit        routing.Limit
 }
 
 // HandedTicket is a grant whose request is still running.
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -178,6 +178,10 @@
 		p.deny(request, ReasonNoServers, stay)
 		return p.takeEffects()
 	}
+	if wait := p.Routing.LimitedWait(p.Queue.WaitingBefore(request.Rank), now); wait > request.Remaining && !p.hasLender() {
+		p.deny(request, ReasonQueueFull, wait)
+		return p.takeEffects()
+	}
 	p.enqueue(request, now)
 	p.grantWaiting(now)
 	return p.takeEffects()
@@ -313,6 +317,7 @@
 		Address: server.Address,
 		Domain:  server.Domain,
 		Shifted: shifted,
+		Limit:   server.Limit,
 	}}})
 }
 
@@ -392,7 +397,11 @@
 		return nil
 	}
 	first := notice.Leaving && !s.SaidLeaving()
+	limited := notice.Limit.Named && !s.Limit.Named
 	p.Routing.Note(notice.Server, notice.Notice, now)
+	if limited {
+		p.revokeLoans(notice.Server, now)
+	}
 	switch {
 	case s.Borrowed(p.Domain):
 		p.emit(SendNotice{Domain: s.Domain, Notice: notice})
--- a/internal/reducer/allowance.go
+++ b/internal/reducer/allowance.go
@@ -6,7 +6,6 @@
 
 	"github.com/heatherwood/heatherwood/internal/allowance"
 	"github.com/heatherwood/heatherwood/internal/relay"
-	"github.com/heatherwood/heatherwood/internal/routing"
 )
 
 // A server may limit the requests a second of all VMs together. The entries that choose
@@ -14,7 +13,7 @@
 // domain, its allocator, has allowed.
 
 // noteLimit applies the limit that a server named in an answer, and tells all VMs of a
-// change. Only a complete answer without a limit says that there is none.
+// change.
 func (s *State) noteLimit(r *relay.Request, run placedRun, e RequestSent) {
 	server := run.server
 	if e.BadLimit != server.BadLimit {
@@ -23,7 +22,7 @@
 			s.logNotice(r, "limit-invalid", Field{"text", e.BadLimit})
 		}
 	}
-	if !e.Limit.Named && (e.Result != routing.ResultOK || e.BadLimit != "") {
+	if !e.Limit.Named && !endsLimit(e) {
 		return
 	}
 	if s.roster.NoteLimit(server.ID, server.Start, e.Limit, s.now) {
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -154,9 +154,7 @@
 		s.handlePlacedSent(e, r)
 		return
 	}
-	if e.Leaving || e.StayAway > 0 {
-		s.noteToOwner(r, e.Notice)
-	}
+	s.noteToOwner(r, e)
 	answered := e.Result == routing.ResultOK || e.Result == routing.ResultError
 	phase := quarantine.Clear
 	if !answered {
@@ -170,9 +168,24 @@
 }
 
 // noteToOwner tells the owner of the service what a server said about itself, ahead of
-// the end of the grant.
-func (s *State) noteToOwner(r *relay.Request, n routing.Notice) {
-	s.logWish(r, n)
+// the end of the grant, unless it said no more than the owner knew.
+func (s *State) noteToOwner(r *relay.Request, e RequestSent) {
+	n := e.Notice
+	if n.BadLimit != "" {
+		s.logNotice(r, "limit-invalid", Field{"text", n.BadLimit})
+	}
+	limitChanged := n.Limit != r.Grant.Limit && (n.Limit.Named || endsLimit(e))
+	if limitChanged {
+		n.Unlimited = !n.Limit.Named
+		s.logLimit(r, n.Limit)
+	}
+	hasWish := n.Leaving || n.StayAway > 0
+	if hasWish {
+		s.logWish(r, n)
+	}
+	if !hasWish && !limitChanged {
+		return
+	}
 	notice := dispatch.ServerNotice{Service: r.Service, Server: r.Grant.Server, Notice: n}
 	if pool := s.pool(r.Service); pool != nil {
 		s.applyPoolEffects(pool, pool.Note(notice, s.now))
@@ -181,6 +194,12 @@
 	s.transmit(s.ownerOf(r.Service).Peer, Message{Notice: &notice})
 }
 
+// endsLimit reports whether an answer says that its server names no limit: a complete
+// one without a limit does.
+func endsLimit(e RequestSent) bool {
+	return !e.Limit.Named && e.BadLimit == "" && e.Result == routing.ResultOK
+}
+
 // logWish logs that a server leaves or wants no requests.
 func (s *State) logWish(r *relay.Request, n routing.Notice) {
 	outcome := "stay-away"
--- a/internal/routing/notice.go
+++ b/internal/routing/notice.go
@@ -4,17 +4,11 @@
 
 // Notice is what a server says about itself in an answer, beside the answer.
 type Notice struct {
-	Leaving  bool          // it will stop: no new requests until its next start
-	StayAway time.Duration // it wants no requests from this VM for so long; 0 for no such wish
-	Limit    Limit         // that it names
-	BadLimit string        // text of a limit that cannot be read, for the log
-}
-
-// Limit is the rate of requests that a server takes from all VMs together. The zero
-// value is that of a server without a limit.
-type Limit struct {
-	Named     bool
-	PerSecond float64 // requests a second, 0 or more
+	Leaving   bool          // it will stop: no new requests until its next start
+	StayAway  time.Duration // it wants no requests from this VM for so long; 0 for no such wish
+	Limit     Limit         // that it names
+	Unlimited bool          // it names none any more
+	BadLimit  string        // text of a limit that cannot be read, for the log
 }
 
 // Notices is the state of a server according to its notices. A server embeds it.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -70,11 +70,11 @@
 		s.warmUpStart = latest(s.UsableAt, now)
 	}
 	if a.Start != s.Start {
-		s.Notices = Notices{}
+		s.Notices, s.Limit = Notices{}, Limit{}
 	}
 	s.Announcement = a
 	s.Expires = now.Add(AnnouncementTTL)
-	s.refresh(now, p.WarmUp, p.unknownLatency())
+	s.refresh(p.Domain, now, p.WarmUp, p.unknownLatency())
 	return s
 }
 
@@ -100,7 +100,10 @@
 		return
 	}
 	s.Note(n, now)
-	s.refresh(now, p.WarmUp, p.unknownLatency())
+	if n.Limit.Named || n.Unlimited {
+		s.SetLimit(n.Limit, now)
+	}
+	s.refresh(p.Domain, now, p.WarmUp, p.unknownLatency())
 }
 
 // SoonestStayAway returns the shortest time for which a server wants no requests, or
@@ -145,7 +148,7 @@
 // least once per tick and after each change of a server.
 func (p *Pool) Refresh(now time.Time) {
 	for _, s := range p.Servers {
-		s.refresh(now, p.WarmUp, p.unknownLatency())
+		s.refresh(p.Domain, now, p.WarmUp, p.unknownLatency())
 	}
 }
 
@@ -182,8 +185,16 @@
 	return best
 }
 
-// Begin takes a slot of the server.
-func (p *Pool) Begin(s *Server) { s.Inflight++ }
+// Begin takes a slot of the server, and what its limit allows for one request.
+func (p *Pool) Begin(s *Server) {
+	s.Inflight++
+	if !s.Limit.Named {
+		return
+	}
+	if s.bucket.Tokens--; s.bucket.Tokens < 1 {
+		s.usableSlots = 0
+	}
+}
 
 // End frees the slot and updates the latency, error rate and ejection of the server
 // from the result.
@@ -207,7 +218,7 @@
 	default:
 		return
 	}
-	s.refresh(now, p.WarmUp, p.unknownLatency())
+	s.refresh(p.Domain, now, p.WarmUp, p.unknownLatency())
 }
 
 func (s *Server) recordSuccess(now time.Time) {
@@ -253,7 +264,7 @@
 	}
 	s.ejectedUntil = now.Add(backoff.First)
 	s.probing = true
-	s.refresh(now, p.WarmUp, p.unknownLatency())
+	s.refresh(p.Domain, now, p.WarmUp, p.unknownLatency())
 }
 
 // MarkSlow updates the median latency and limits servers that are far slower than it
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -74,6 +74,9 @@
 
 	Ejection
 	Notices
+	Limit  Limit       // of the requests of all VMs
+	bucket TokenBucket // of Limit
+
 	warmUpStart    time.Time
 	latency        float64 // moving average, in seconds
 	errorRate      float64 // moving average of the share of failed requests
@@ -122,9 +125,12 @@
 func (s *Server) FreeSlots() int { return s.usableSlots - s.Inflight - s.Lent }
 
 // refresh computes the usable slots and costs, so that Choose does not depend on
-// the time.
-func (s *Server) refresh(now time.Time, warmUp time.Duration, unknownLatency float64) {
+// the time. own is the failure domain of the pool.
+func (s *Server) refresh(own string, now time.Time, warmUp time.Duration, unknownLatency float64) {
 	s.usableSlots = s.UsableSlots(now, warmUp)
+	if s.limitReached(own, now) {
+		s.usableSlots = 0
+	}
 	expected := s.latency
 	if expected == 0 {
 		expected = unknownLatency
