Pass notices of borrowed servers on under the id that their owner knows

Callers saw: requests went on to a lent server that had said that it leaves, from all VMs but the one that heard it. Cause: a lessee keeps a borrowed server as DOMAIN/ID and passed its notices on under that id, which the owner does not know; it dropped them. Found while limits were added to notices. Change: the prefix is removed. Result: TestNoticeOfBorrowedServerReachesItsOwner was red before (leaving at the lessee true, at the owner false) and passes.

--- a/internal/dispatch/notice_test.go
+++ b/internal/dispatch/notice_test.go
@@ -52,3 +52,20 @@
 		})
 	}
 }
+
+// The owner of a borrowed server finds it by the id that it has there.
+func TestNoticeOfBorrowedServerReachesItsOwner(t *testing.T) {
+	lender := NewPool(policy(), Location{VM: "a", Peer: "a", Domain: "a", Region: "r"}, &quarantine.Table{}, 1<<40)
+	lender.Announce(routing.Announcement{ID: "s1", Address: "127.0.0.1:1", Service: "web", Slots: 4, State: routing.StateServing, Start: 1}, start)
+	lessee := NewPool(policy(), Location{VM: "b", Peer: "b", Domain: "b", Region: "r"}, &quarantine.Table{}, 1<<41)
+	lessee.AcceptLoan(Loan{Service: "web", Lender: "a", Domain: "a", Region: "r", Sequence: 1, TTL: loanTTL, Slots: []LoanSlots{{Server: "s1", Address: "127.0.0.1:1", Slots: 2}}}, 0, start)
+	borrowed := lessee.Routing.Servers[0]
+	for _, effect := range lessee.Note(ServerNotice{Service: "web", Server: borrowed.ID, Notice: routing.Notice{Leaving: true}}, start) {
+		if notice, ok := effect.(SendNotice); ok && notice.Domain == "a" {
+			lender.Note(notice.Notice, start)
+		}
+	}
+	if !borrowed.SaidLeaving() || !lender.Routing.Find("s1").SaidLeaving() {
+		t.Errorf("leaving at the lessee %v, at the owner %v, want both", borrowed.SaidLeaving(), lender.Routing.Find("s1").SaidLeaving())
+	}
+}
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/admission"
@@ -404,6 +405,7 @@
 	}
 	switch {
 	case s.Borrowed(p.Domain):
+		notice.Server = strings.TrimPrefix(notice.Server, borrowedPrefix(s.Domain))
 		p.emit(SendNotice{Domain: s.Domain, Notice: notice})
 	case first:
 		p.draining = append(p.draining, drainingServer{id: notice.Server, drainingSince: now})
