Replace a silent connection between VMs by a second one that answers

Cause: one connection to each peer carries everything, and was given up only after 5 to 15 s without an answer; what it carried was lost then. Change: after 0.4 s without progress a second connection gets the oldest unanswered batch again; if only that one answers it replaces the first, and the rest is sent again in order. Streams and sequences let the receiver handle each batch once. HW1046 and two metrics tell of each replacement.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -16,6 +16,9 @@
 	Lookups      *metrics.Counter // answered GET /v1/entries
 	AuditDropped *metrics.Counter // audit records dropped before they were written or shipped
 
+	SilentLinks   *metrics.Counter   // connections to peers that were replaced because they were silent
+	SilentSeconds *metrics.Histogram // without progress on these, until they were found silent
+
 	DocumentBytesSent     *metrics.Counter // of document text, to other VMs
 	DocumentBytesReceived *metrics.Counter // of document text, of all copies of it
 
@@ -30,6 +33,9 @@
 		Lookups:      set.NewCounter("heatherwood_lookups_total"),
 		AuditDropped: set.NewCounter("heatherwood_audit_dropped_total"),
 
+		SilentLinks:   set.NewCounter("heatherwood_silent_links_total"),
+		SilentSeconds: set.NewHistogram("heatherwood_silent_link_seconds"),
+
 		DocumentBytesSent:     set.NewCounter("heatherwood_document_bytes_sent_total"),
 		DocumentBytesReceived: set.NewCounter("heatherwood_document_bytes_received_total"),
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -90,6 +90,7 @@
 		return nil, err
 	}
 	n.Network.OnDropped = n.countDrop
+	n.Network.OnSilent = n.logSilence
 	n.Network.OnRefused = func(peer string) { n.Apply(reducer.PeerUnreachable{Peer: peer}) }
 	n.server = &peerrpc.Server{
 		Key:     []byte(vmSettings.SharedKey),
--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -28,6 +30,7 @@
 	Key       []byte                                     // the site's key
 	OnRefused func(peer string)                          // called when a peer's address refuses a connection
 	OnDropped func(peer string, message reducer.Message) // called when a message does not fit the backlog of a peer
+	OnSilent  func(peer string, s Silence)               // called when a silent connection was replaced
 	BytesSent atomic.Int64                               // bytes written to peers
 
 	mutex  sync.Mutex
@@ -71,6 +74,10 @@
 	lastDialFailure time.Time
 	queue           []queuedMessage
 	backlog         backlog
+	stream          uint64
+	lastSequence    uint64
+	unanswered      []*batch // oldest first
+	pingWanted      bool     // a call waits for its reply
 	wake            chan struct{}
 	inFlight        chan struct{} // one element per batch in flight
 	dialMutex       sync.Mutex
@@ -82,6 +89,18 @@
 	bytes   int
 }
 
+// batch is a batch of messages that the peer has not acknowledged.
+type batch struct {
+	sequence   uint64
+	messages   []queuedMessage
+	connection *connection // on which it was sent last
+	sentAt     time.Time   // for the first time
+}
+
+// maxBatchAge is how long after it was sent first a batch is sent again on a new
+// connection; later its messages are lost.
+const maxBatchAge = 5 * time.Second
+
 func (n *Network) peer(address string) *peer {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -90,6 +109,7 @@
 		p = &peer{
 			network:  n,
 			address:  address,
+			stream:   rand.Uint64() | 1,
 			wake:     make(chan struct{}, 1),
 			inFlight: make(chan struct{}, maxBatchesInFlight),
 		}
@@ -109,6 +129,10 @@
 		}
 		return
 	}
+	p.wakeUp()
+}
+
+func (p *peer) wakeUp() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
@@ -135,11 +159,9 @@
 	}
 	done := make(chan *rpc.Call, 1)
 	go c.Go(serviceName+"."+method, args, reply, done) // blocks while bytes before it are being written
-	var call *rpc.Call
-	select {
-	case call = <-done:
-	case <-ctx.Done():
-		return &NoReplyError{Peer: address, Cause: ctx.Err()}
+	call, err := n.peer(address).awaitReply(ctx, done)
+	if err != nil {
+		return &NoReplyError{Peer: address, Cause: err}
 	}
 	if call.Error == nil {
 		return nil
@@ -151,6 +173,26 @@
 	return &NoReplyError{Peer: address, Cause: call.Error}
 }
 
+// awaitReply waits for the reply to a call. Meanwhile the peer is asked from time to time
+// to acknowledge an empty batch, so that a silent connection is noticed.
+func (p *peer) awaitReply(ctx context.Context, done <-chan *rpc.Call) (*rpc.Call, error) {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case call := <-done:
+			return call, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-ticker.C:
+			p.mutex.Lock()
+			p.pingWanted = len(p.unanswered) == 0
+			p.mutex.Unlock()
+			p.wakeUp()
+		}
+	}
+}
+
 // NoReplyError reports a call without a usable reply that may have reached the peer.
 type NoReplyError struct {
 	Peer  string
@@ -217,8 +259,10 @@
 		conn.Close()
 		return nil, err
 	}
-	counted := &progressConn{Conn: conn, sent: &p.network.BytesSent}
-	return &connection{Client: rpc.NewClient(counted), conn: counted}, nil
+	counted := &progressConn{Conn: conn, sent: &p.network.BytesSent, openedAt: time.Now()}
+	c := &connection{Client: rpc.NewClient(counted), conn: counted}
+	counted.onSilent = func() { p.race(c) }
+	return c, nil
 }
 
 // closeConnection closes the open connection if it is the given one; nil matches any.
@@ -229,11 +273,15 @@
 		return
 	}
 	p.connection.Close()
+	if !p.connection.conn.hasRead() {
+		p.lastDialFailure = time.Now() // it broke before any answer: not to be dialed again at once
+	}
 	p.connection = nil
 }
 
-// deliverQueue sends queued messages in batches, up to maxBatchesInFlight at a time. The
-// queue is dropped if the peer cannot be reached.
+// deliverQueue sends queued messages in batches, up to maxBatchesInFlight at a time.
+// Batches that were not acknowledged on an earlier connection are sent again first. All
+// are dropped if the peer cannot be reached.
 func (p *peer) deliverQueue() {
 	for {
 		select {
@@ -241,23 +289,58 @@
 		case <-p.network.closed:
 			return
 		}
-		for batch := p.takeBatch(); len(batch) > 0; batch = p.takeBatch() {
+		for p.hasWork() {
 			c, err := p.connect()
 			if err != nil {
-				p.removeFromBacklog(batch)
-				p.dropQueue()
+				p.dropAll()
 				break
 			}
-			p.sendBatch(c, batch)
+			if b := p.nextBatch(c); b != nil {
+				p.sendBatch(c, b)
+			}
 		}
 	}
 }
 
-// takeBatch removes messages from the queue and returns them: at most maxBatchMessages,
-// and as many as take maxBatchBytes, but at least one. They stay in the backlog.
-func (p *peer) takeBatch() []queuedMessage {
+// hasWork reports whether a batch is to be sent, or sent again.
+func (p *peer) hasWork() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.queue) > 0 || p.pingWanted || slices.ContainsFunc(p.unanswered, func(b *batch) bool { return b.connection != p.connection })
+}
+
+// nextBatch returns the batch to send on the connection: the oldest one that was not
+// acknowledged on another, or one of queued messages, or nil if there is nothing to send.
+func (p *peer) nextBatch(c *connection) *batch {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.unanswered = slices.DeleteFunc(p.unanswered, func(b *batch) bool {
+		expired := b.connection != c && time.Since(b.sentAt) > maxBatchAge
+		if expired {
+			p.removeFromBacklog(b.messages)
+		}
+		return expired
+	})
+	for _, b := range p.unanswered {
+		if b.connection != c {
+			b.connection = c
+			return b
+		}
+	}
+	messages := p.takeMessages()
+	if len(messages) == 0 && !p.pingWanted {
+		return nil
+	}
+	p.pingWanted = false
+	p.lastSequence++
+	b := &batch{sequence: p.lastSequence, messages: messages, connection: c, sentAt: time.Now()}
+	p.unanswered = append(p.unanswered, b)
+	return b
+}
+
+// takeMessages removes messages from the queue and returns them: at most maxBatchMessages,
+// and as many as take maxBatchBytes, but at least one. They stay in the backlog.
+func (p *peer) takeMessages() []queuedMessage {
 	n, bytes := 0, 0
 	for n < min(len(p.queue), maxBatchMessages) {
 		bytes += p.queue[n].bytes
@@ -266,48 +349,65 @@
 		}
 		n++
 	}
-	batch := p.queue[:n:n]
+	messages := p.queue[:n:n]
 	p.queue = p.queue[n:]
 	if len(p.queue) == 0 {
 		p.queue = nil
 	}
-	return batch
+	return messages
 }
 
-func (p *peer) dropQueue() {
+// dropAll drops the queue and the batches that were not acknowledged.
+func (p *peer) dropAll() {
 	p.mutex.Lock()
-	dropped := p.queue
-	p.queue = nil
-	p.mutex.Unlock()
-	p.removeFromBacklog(dropped)
+	defer p.mutex.Unlock()
+	p.removeFromBacklog(p.queue)
+	for _, b := range p.unanswered {
+		p.removeFromBacklog(b.messages)
+	}
+	p.queue, p.unanswered, p.pingWanted = nil, nil, false
 }
 
 func (p *peer) removeFromBacklog(messages []queuedMessage) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
 	for i := range messages {
 		p.backlog.remove(messages[i].bytes)
 	}
 }
 
+// acknowledge removes an acknowledged batch.
+func (p *peer) acknowledge(b *batch) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if i := slices.Index(p.unanswered, b); i >= 0 {
+		p.unanswered = slices.Delete(p.unanswered, i, i+1)
+		p.removeFromBacklog(b.messages)
+	}
+}
+
+// deliver begins the call that delivers a batch.
+func (p *peer) deliver(c *connection, b *batch) *rpc.Call {
+	args := &Batch{Messages: make([]reducer.Message, len(b.messages)), Stream: p.stream, Sequence: b.sequence}
+	for i := range b.messages {
+		args.Messages[i] = b.messages[i].message
+	}
+	return c.Go(serviceName+"."+deliverMethod, args, &Empty{}, make(chan *rpc.Call, 1))
+}
+
 // sendBatch writes one batch, so that batches leave in order, and closes the connection
 // if it fails.
-func (p *peer) sendBatch(c *connection, batch []queuedMessage) {
-	messages := make([]reducer.Message, len(batch))
-	for i := range batch {
-		messages[i] = batch[i].message
-		batch[i].message = reducer.Message{} // the queue may still hold the array
-	}
+func (p *peer) sendBatch(c *connection, b *batch) {
 	p.inFlight <- struct{}{}
 	sent := c.conn.beginBatch()
-	call := c.Go(serviceName+"."+deliverMethod, &Batch{Messages: messages}, &Empty{}, make(chan *rpc.Call, 1))
+	call := p.deliver(c, b)
 	c.conn.endBatch(sent)
 	go func() {
 		<-call.Done
 		c.conn.answered(sent)
-		p.removeFromBacklog(batch)
-		if call.Error != nil {
+		if call.Error == nil {
+			p.acknowledge(b)
+		} else {
 			p.closeConnection(c)
+			p.wakeUp()
 		}
 		<-p.inFlight
 	}()
--- a/internal/peerrpc/codec.go
+++ b/internal/peerrpc/codec.go
@@ -12,17 +12,17 @@
 // these run in any order.
 type serverCodec struct {
 	conn    net.Conn
-	handler Handler
+	server  *Server
 	decoder *gob.Decoder
 	encoder *gob.Encoder
 	buffer  *bufio.Writer
 }
 
-func newServerCodec(conn net.Conn, handler Handler) *serverCodec {
+func newServerCodec(conn net.Conn, server *Server) *serverCodec {
 	buffer := bufio.NewWriter(conn)
 	return &serverCodec{
 		conn:    conn,
-		handler: handler,
+		server:  server,
 		decoder: gob.NewDecoder(conn),
 		encoder: gob.NewEncoder(buffer),
 		buffer:  buffer,
@@ -38,7 +38,7 @@
 		return err
 	}
 	if batch, ok := body.(*Batch); ok {
-		c.handler.Deliver(batch.Messages)
+		c.server.deliver(c.conn, batch)
 	}
 	return nil
 }
--- a/internal/peerrpc/message.go
+++ b/internal/peerrpc/message.go
@@ -10,7 +10,12 @@
 )
 
 // Batch is a group of one-way messages.
-type Batch struct{ Messages []reducer.Message }
+type Batch struct {
+	Messages []reducer.Message
+
+	Stream   uint64 // identifies the sender and its start; 0 from VMs of earlier releases
+	Sequence uint64 // rises with each batch of the stream; one that is not above the last is a repeat
+}
 
 // Empty is an empty reply.
 type Empty struct{}
--- a/internal/peerrpc/progress.go
+++ b/internal/peerrpc/progress.go
@@ -16,18 +16,24 @@
 )
 
 // progressConn counts the bytes written to a connection, and closes it when it makes no
-// progress while a batch is unanswered. Progress is that the peer sent something, or,
+// progress while a batch is unanswered; long before, a second one is tried. Progress is that the peer sent something, or,
 // while the oldest unanswered batch is being written, that the connection took a part of
 // it. Other written bytes do not count: they may only fill the buffer of the kernel.
 type progressConn struct {
 	net.Conn
-	sent *atomic.Int64 // bytes written to all peers
+	sent     *atomic.Int64 // bytes written to all peers
+	onSilent func()        // called, on a goroutine of its own, after silentAfter without progress
+	openedAt time.Time
 
 	mutex      sync.Mutex
 	written    int64 // bytes
 	progress   time.Time
 	unanswered []*sentBatch // oldest first
 	timer      *time.Timer  // nil before the first batch
+	read       bool         // the peer has sent something
+	failed     bool         // it ended or was closed
+	racing     bool         // onSilent runs
+	raceDue    time.Time    // earliest next call of onSilent
 }
 
 // sentBatch is a batch by the place of its bytes among those written to the connection.
@@ -41,12 +47,31 @@
 	n, err := c.Conn.Read(data)
 	if n > 0 {
 		c.mutex.Lock()
-		c.progress = time.Now()
+		c.progress, c.read = time.Now(), true
+		c.mutex.Unlock()
+	}
+	if err != nil {
+		c.mutex.Lock()
+		c.failed = true
 		c.mutex.Unlock()
 	}
 	return n, err
 }
 
+// hasFailed reports whether the connection ended or was closed.
+func (c *progressConn) hasFailed() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.failed
+}
+
+// hasRead reports whether the peer has sent anything since the handshake.
+func (c *progressConn) hasRead() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.read
+}
+
 // Write implements net.Conn. It writes long data in parts, so that each counts as progress.
 func (c *progressConn) Write(data []byte) (int, error) {
 	total := 0
@@ -105,32 +130,77 @@
 func (c *progressConn) restartTimer() {
 	c.progress = time.Now()
 	if c.timer == nil {
-		c.timer = time.AfterFunc(c.limit(), c.closeWithoutProgress)
+		c.timer = time.AfterFunc(c.silentLimit(), c.checkProgress)
 		return
 	}
-	c.timer.Reset(c.limit())
+	c.timer.Reset(c.silentLimit())
 }
 
-// limit returns how long the oldest unanswered batch may take without progress.
-func (c *progressConn) limit() time.Duration {
+// oldestBytes returns the length of the oldest unanswered batch, as far as it is known.
+func (c *progressConn) oldestBytes() int64 {
 	b := c.unanswered[0]
-	end := c.written
 	if b.complete {
-		end = b.end
+		return b.end - b.start
 	}
-	return min(max(deliverTimeout, time.Duration(end-b.start)*time.Second/lowestRate), longestTimeout)
+	return c.written - b.start
 }
 
-// closeWithoutProgress closes the connection if the time limit is over.
-func (c *progressConn) closeWithoutProgress() {
+// limit returns how long the oldest unanswered batch may take without progress.
+func (c *progressConn) limit() time.Duration {
+	return min(max(deliverTimeout, timeToCross(c.oldestBytes())), longestTimeout)
+}
+
+// silentLimit returns after which time without progress the connection counts as silent.
+func (c *progressConn) silentLimit() time.Duration {
+	return silentAfter + timeToCross(c.oldestBytes())
+}
+
+func timeToCross(bytes int64) time.Duration { return time.Duration(bytes) * time.Second / lowestRate }
+
+// checkProgress tries a second connection while this one is silent, and closes it when
+// the time limit is over.
+func (c *progressConn) checkProgress() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if len(c.unanswered) == 0 {
 		return
 	}
-	if left := c.limit() - time.Since(c.progress); left > 0 {
+	now := time.Now()
+	quiet := now.Sub(c.progress)
+	if quiet >= c.limit() {
+		c.Conn.Close()
+		return
+	}
+	if left := c.silentLimit() - quiet; left > 0 {
 		c.timer.Reset(left)
 		return
 	}
-	c.Conn.Close()
+	if c.onSilent != nil && !c.racing && !now.Before(c.raceDue) {
+		c.racing, c.raceDue = true, now.Add(raceInterval)
+		go func() {
+			c.onSilent()
+			c.mutex.Lock()
+			c.racing = false
+			c.mutex.Unlock()
+		}()
+	}
+	c.timer.Reset(min(c.limit()-quiet, raceInterval))
+}
+
+// isSilent reports whether the connection still makes no progress.
+func (c *progressConn) isSilent() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.unanswered) > 0 && time.Since(c.progress) >= c.silentLimit()
+}
+
+func (c *progressConn) silence() Silence {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := time.Now()
+	s := Silence{Quiet: now.Sub(c.progress), Age: now.Sub(c.openedAt), Unanswered: len(c.unanswered)}
+	if len(c.unanswered) > 0 {
+		s.Bytes = c.written - c.unanswered[0].start
+	}
+	return s
 }
--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"maps"
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/reducer"
@@ -20,6 +22,61 @@
 	listener net.Listener
 	conns    map[net.Conn]struct{} // open connections
 	closed   bool
+	streams  map[uint64]*stream
+}
+
+// stream is what is known of the batches of one sender.
+type stream struct {
+	mutex  sync.Mutex // held while a batch is handled
+	last   uint64     // sequence of the last batch handled
+	conn   net.Conn   // that brought it
+	usedAt time.Time
+}
+
+const (
+	maxStreams     = 2 * maxPeerConns
+	streamIdleTime = time.Minute // after which a stream may be forgotten
+
+	earlierCloseDelay = time.Second // the sender closes a connection that it replaces by itself, unless that is lost too
+)
+
+// deliver handles a batch unless it was handled before, on another connection. A sender
+// uses one connection at a time; an earlier one that brought no newer batch is closed.
+func (s *Server) deliver(conn net.Conn, b *Batch) {
+	if b.Stream == 0 {
+		s.Handler.Deliver(b.Messages)
+		return
+	}
+	st := s.stream(b.Stream)
+	st.mutex.Lock()
+	defer st.mutex.Unlock()
+	if b.Sequence <= st.last {
+		return
+	}
+	if earlier := st.conn; earlier != nil && earlier != conn {
+		time.AfterFunc(earlierCloseDelay, func() { earlier.Close() })
+	}
+	st.last, st.conn = b.Sequence, conn
+	s.Handler.Deliver(b.Messages)
+}
+
+func (s *Server) stream(id uint64) *stream {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := time.Now()
+	if s.streams == nil {
+		s.streams = make(map[uint64]*stream)
+	}
+	st := s.streams[id]
+	if st == nil {
+		if len(s.streams) >= maxStreams {
+			maps.DeleteFunc(s.streams, func(_ uint64, st *stream) bool { return now.Sub(st.usedAt) > streamIdleTime })
+		}
+		st = &stream{}
+		s.streams[id] = st
+	}
+	st.usedAt = now
+	return st
 }
 
 // Serve accepts connections until Close, and then returns nil.
@@ -62,7 +119,7 @@
 		}
 		return
 	}
-	server.ServeCodec(newServerCodec(conn, s.Handler))
+	server.ServeCodec(newServerCodec(conn, s))
 }
 
 const maxPeerConns = 4096
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -50,6 +50,7 @@
 	CodeDocumentReceived      Code = 1043
 	CodeDocumentNotSent       Code = 1044
 	CodeMessagesDropped       Code = 1045
+	CodeLinkReplaced          Code = 1046
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -106,6 +107,7 @@
 	{CodeDocumentReceived, "info", "text of a newer document arrived"},
 	{CodeDocumentNotSent, "error", "document could not be encoded for another VM"},
 	{CodeMessagesDropped, "warn", "messages to another VM were dropped: too much is waiting for it"},
+	{CodeLinkReplaced, "info", "silent connection to another VM was replaced by a second one that answers"},
 }
 
 // Info returns the catalogue entry of a code.
