Show limits of servers in the status, the metrics and explain

Cause: an operator could not see which servers name a limit, who allocates them and what this VM may send, nor that a request was refused because of limits.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -198,8 +198,12 @@
 
 // describeRefusal describes a line that logs that no server was chosen.
 func describeRefusal(notPlaced *Line) string {
-	return fmt.Sprintf("no server was chosen (%s): %.0f servers of %s could be used, %.0f ms were left, and the caller was told to return after %.0f ms",
-		notPlaced.Outcome, notPlaced.numberField("candidates"), notPlaced.stringField("service"), notPlaced.numberField("left_ms"), notPlaced.numberField("retry_after_ms"))
+	limits := ""
+	if limited := notPlaced.numberField("limited"); limited > 0 {
+		limits = fmt.Sprintf(", %.0f more would have gone beyond the limits that they name", limited)
+	}
+	return fmt.Sprintf("no server was chosen (%s): %.0f servers of %s could be used%s, %.0f ms were left, and the caller was told to return after %.0f ms",
+		notPlaced.Outcome, notPlaced.numberField("candidates"), notPlaced.stringField("service"), limits, notPlaced.numberField("left_ms"), notPlaced.numberField("retry_after_ms"))
 }
 
 // causeOrDefault returns the cause, or a text that none was logged.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -25,6 +25,7 @@
 	placedCold := requestLine("HW1028", "02.000", `"server":"s1","service":"web","warm":false,"expected_ms":900,"outcome":"sent"`)
 	sendFailed := requestLine("HW1030", "03.000", `"server":"s1","took_ms":1000,"why":"EOF","next":"refuse","outcome":"broken"`)
 	notPlaced := requestLine("HW1029", "03.000", `"service":"web","candidates":4,"left_ms":500,"retry_after_ms":300,"outcome":"queue-full"`)
+	limited := requestLine("HW1029", "03.000", `"service":"web","candidates":0,"limited":3,"left_ms":500,"retry_after_ms":300,"outcome":"queue-full"`)
 	ended := func(status, outcome string) string {
 		return requestLine("HW1031", "04.000", `"status":`+status+`,"took_ms":1900,"server":"s1","outcome":"`+outcome+`"`)
 	}
@@ -34,6 +35,7 @@
 	}{
 		"no server chosen":                     {notPlaced + ended("503", "queue-full"), "no server was chosen (queue-full): 4 servers of web could be used, 500 ms were left"},
 		"server crashed":                       {placed + sendFailed + ended("502", "connection-lost"), "the send to server s1 ended broken after 1000 ms (EOF); then: refuse"},
+		"no server chosen for their limits":    {limited + ended("503", "queue-full"), "0 servers of web could be used, 3 more would have gone beyond the limits that they name, 500 ms"},
 		"no server chosen after a crash":       {placed + sendFailed + notPlaced + ended("503", "queue-full"), "ended broken after 1000 ms (EOF); then no server was chosen"},
 		"late, load report was old":            {placed + ended("200", "answered"), "200 ms were expected of server s1 from a load of 3.0 that was 900 ms old"},
 		"late, server did not know the object": {placedCold + ended("200", "answered"), "was not known to have handled the object"},
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -83,6 +83,7 @@
 	fmt.Fprintf(w, "heatherwood_document_index %d\n", status.Document.Index)
 	fmt.Fprintf(w, "heatherwood_document_stale %d\n", gaugeValue(status.Stale))
 	fmt.Fprintf(w, "heatherwood_claims %d\n", status.Claims)
+	fmt.Fprintf(w, "heatherwood_limited_servers %d\n", len(status.Limits))
 	for _, service := range status.Services {
 		if len(service.Servers) == 0 && service.Summary.Service == "" {
 			continue
--- a/internal/placing/quota.go
+++ b/internal/placing/quota.go
@@ -163,3 +163,13 @@
 		s.quota.take(g, now)
 	}
 }
+
+// Allowances returns how many allowances this entry holds for a server, and the time
+// since it asked for some, or -1 if it never did.
+func (p *Pool) Allowances(id string, now time.Time) (int, time.Duration) {
+	s := p.Find(id)
+	if s == nil || s.quota.askedAt.IsZero() {
+		return 0, -1
+	}
+	return s.quota.available(now), now.Sub(s.quota.askedAt)
+}
--- a/internal/reducer/allowance.go
+++ b/internal/reducer/allowance.go
@@ -5,7 +5,9 @@
 	"slices"
 
 	"github.com/heatherwood/heatherwood/internal/allowance"
+	"github.com/heatherwood/heatherwood/internal/member"
 	"github.com/heatherwood/heatherwood/internal/relay"
+	"github.com/heatherwood/heatherwood/internal/roster"
 )
 
 // A server may limit the requests a second of all VMs together. The entries that choose
@@ -63,11 +65,7 @@
 		s.receiveAllowanceRequest(message)
 		return
 	}
-	for _, domain := range s.members.Domains(s.now) {
-		if domain.Name == entry.Domain {
-			s.transmit(domain.Owner(allocatorKey(request.Start.Server)).Peer, message)
-		}
-	}
+	s.transmit(s.allocatorOf(entry).Peer, message)
 }
 
 // receiveAllowanceRequest answers a request for a server that this VM allocates, and
@@ -104,3 +102,42 @@
 		pool.TakeAllowances(grant.Grant, s.now)
 	}
 }
+
+// limitStatus lists the limited servers that entries choose themselves, by id.
+func (s *State) limitStatus() []LimitStatus {
+	var limits []LimitStatus
+	for _, entry := range s.roster.Entries {
+		if !entry.Limit.Named || entry.Gone || entry.Silent {
+			continue
+		}
+		limit := LimitStatus{
+			Server:    entry.ID,
+			Service:   entry.Service,
+			PerSecond: entry.Limit.PerSecond,
+			Version:   entry.LimitVersion,
+			Allocator: s.allocatorOf(entry).ID,
+			Age:       -1,
+		}
+		if pool := s.placingPools[entry.Service]; pool != nil {
+			limit.Allowances, limit.Age = pool.Allowances(entry.ID, s.now)
+		}
+		limits = append(limits, limit)
+	}
+	return limits
+}
+
+// allocatorOf returns the VM that most likely allocates the server, or the zero value if
+// no VM of its failure domain is known.
+func (s *State) allocatorOf(entry *roster.Entry) member.EntryRef {
+	key := allocatorKey(entry.ID)
+	if entry.Domain == s.Settings.Domain {
+		vm := s.members.Owner(key)
+		return member.EntryRef{ID: vm.ID, Peer: vm.Peer}
+	}
+	for _, domain := range s.members.Domains(s.now) {
+		if domain.Name == entry.Domain {
+			return domain.Owner(key)
+		}
+	}
+	return member.EntryRef{}
+}
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -186,9 +186,22 @@
 	Domains   []DomainStatus     `json:"domains"`
 	Services  []ServiceStatus    `json:"services"`
 	Barred    []QuarantineStatus `json:"barred"`
+	Limits    []LimitStatus      `json:"limits"`
 	LogLength uint64             `json:"logLength"`
 }
 
+// LimitStatus is the limit of a server that entries choose themselves, and the part of it
+// that this VM may use.
+type LimitStatus struct {
+	Server     string        `json:"server"`
+	Service    string        `json:"service"`
+	PerSecond  float64       `json:"perSecond"`  // requests, of all VMs together
+	Version    uint64        `json:"version"`    // rises with each change since the start of the server
+	Allocator  string        `json:"allocator"`  // VM that hands out the allowances, as far as this VM knows it
+	Allowances int           `json:"allowances"` // that this VM holds
+	Age        time.Duration `json:"age"`        // since this VM asked for allowances last; -1 if it never did
+}
+
 // VMStatus is a VM of the own failure domain.
 type VMStatus struct {
 	ID       string `json:"id"`
