Send the number of a batch only where it does not follow the one before

Change: the stream goes with the first batch of a connection, the sequence only where it is not that of the batch before plus one, which is after batches were sent again. In the steady state a batch has no byte more than before.

--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -61,7 +61,8 @@
 // connection is an open connection to a peer.
 type connection struct {
 	*rpc.Client
-	conn *progressConn
+	conn         *progressConn
+	lastSequence uint64 // of the last batch sent on it
 }
 
 // peer is the connection to one address, with its queue of one-way messages.
@@ -386,7 +387,14 @@
 
 // deliver begins the call that delivers a batch.
 func (p *peer) deliver(c *connection, b *batch) *rpc.Call {
-	args := &Batch{Messages: make([]reducer.Message, len(b.messages)), Stream: p.stream, Sequence: b.sequence}
+	args := &Batch{Messages: make([]reducer.Message, len(b.messages))}
+	if c.lastSequence == 0 {
+		args.Stream = p.stream
+	}
+	if b.sequence != c.lastSequence+1 || c.lastSequence == 0 {
+		args.Sequence = b.sequence
+	}
+	c.lastSequence = b.sequence
 	for i := range b.messages {
 		args.Messages[i] = b.messages[i].message
 	}
--- a/internal/peerrpc/codec.go
+++ b/internal/peerrpc/codec.go
@@ -13,6 +13,8 @@
 type serverCodec struct {
 	conn    net.Conn
 	server  *Server
+	stream  *stream // of the batches on the connection; nil from VMs of earlier releases
+	last    uint64  // sequence of the last batch on the connection
 	decoder *gob.Decoder
 	encoder *gob.Encoder
 	buffer  *bufio.Writer
@@ -38,11 +40,26 @@
 		return err
 	}
 	if batch, ok := body.(*Batch); ok {
-		c.server.deliver(c.conn, batch)
+		c.deliver(batch)
 	}
 	return nil
 }
 
+func (c *serverCodec) deliver(b *Batch) {
+	if b.Stream != 0 {
+		c.stream = c.server.stream(b.Stream)
+	}
+	if c.stream == nil {
+		c.server.Handler.Deliver(b.Messages)
+		return
+	}
+	c.last++
+	if b.Sequence != 0 {
+		c.last = b.Sequence
+	}
+	c.stream.deliver(c.conn, c.last, func() { c.server.Handler.Deliver(b.Messages) })
+}
+
 // WriteResponse implements rpc.ServerCodec. After a failed write the connection is
 // closed, because the peer cannot tell where the next response begins.
 func (c *serverCodec) WriteResponse(response *rpc.Response, body any) error {
--- a/internal/peerrpc/message.go
+++ b/internal/peerrpc/message.go
@@ -13,8 +13,12 @@
 type Batch struct {
 	Messages []reducer.Message
 
-	Stream   uint64 // identifies the sender and its start; 0 from VMs of earlier releases
-	Sequence uint64 // rises with each batch of the stream; one that is not above the last is a repeat
+	// Stream identifies the sender and its start, and Sequence rises with each batch of the
+	// stream; one that is not above the last is a repeat. To save bytes, the stream is sent
+	// with the first batch of a connection, and the sequence where it does not follow that
+	// of the batch before. VMs of earlier releases send neither.
+	Stream   uint64
+	Sequence uint64
 }
 
 // Empty is an empty reply.
--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/dispatch"
@@ -27,10 +28,10 @@
 
 // stream is what is known of the batches of one sender.
 type stream struct {
-	mutex  sync.Mutex // held while a batch is handled
-	last   uint64     // sequence of the last batch handled
-	conn   net.Conn   // that brought it
-	usedAt time.Time
+	mutex  sync.Mutex   // held while a batch is handled
+	last   uint64       // sequence of the last batch handled
+	conn   net.Conn     // that brought it
+	usedAt atomic.Int64 // nanoseconds since 1970
 }
 
 const (
@@ -42,22 +43,18 @@
 
 // deliver handles a batch unless it was handled before, on another connection. A sender
 // uses one connection at a time; an earlier one that brought no newer batch is closed.
-func (s *Server) deliver(conn net.Conn, b *Batch) {
-	if b.Stream == 0 {
-		s.Handler.Deliver(b.Messages)
-		return
-	}
-	st := s.stream(b.Stream)
+func (st *stream) deliver(conn net.Conn, sequence uint64, handle func()) {
+	st.usedAt.Store(time.Now().UnixNano())
 	st.mutex.Lock()
 	defer st.mutex.Unlock()
-	if b.Sequence <= st.last {
+	if sequence <= st.last {
 		return
 	}
 	if earlier := st.conn; earlier != nil && earlier != conn {
 		time.AfterFunc(earlierCloseDelay, func() { earlier.Close() })
 	}
-	st.last, st.conn = b.Sequence, conn
-	s.Handler.Deliver(b.Messages)
+	st.last, st.conn = sequence, conn
+	handle()
 }
 
 func (s *Server) stream(id uint64) *stream {
@@ -70,12 +67,12 @@
 	st := s.streams[id]
 	if st == nil {
 		if len(s.streams) >= maxStreams {
-			maps.DeleteFunc(s.streams, func(_ uint64, st *stream) bool { return now.Sub(st.usedAt) > streamIdleTime })
+			maps.DeleteFunc(s.streams, func(_ uint64, st *stream) bool { return now.Sub(time.Unix(0, st.usedAt.Load())) > streamIdleTime })
 		}
 		st = &stream{}
 		s.streams[id] = st
 	}
-	st.usedAt = now
+	st.usedAt.Store(now.UnixNano())
 	return st
 }
 
