Place objects by the limits that servers name

Objects of limited servers ran now there, now on one of several others, cold on each. Change: a limited server counts in the order of objects with a weight, its limit as a part of the load that each server would have, so that its other objects move to one server each, at all entries alike.

--- a/internal/placing/cache.go
+++ b/internal/placing/cache.go
@@ -75,7 +75,7 @@
 		if s.Closed || s.SaidLeaving() || region != "" && s.Region != region || !req.allows(s.Region) || s.isCold(now) {
 			continue
 		}
-		order.add(s, rendezvousHash(object, s.idHash))
+		order.add(s, weigh(rendezvousHash(object, s.idHash), s.weight()))
 	}
 	if !cached {
 		return order
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -18,6 +18,8 @@
 
 	Demand map[string]float64 // by region, in any unit; nil where objects have no homes
 
+	Entries int // VMs that send to the servers; 0 if unknown
+
 	ColdEntries    int // entries among which first requests to a cold server are staggered; 0 where each may start at once
 	ColdEntryIndex int // index of this entry among them, from 0
 }
@@ -138,7 +140,8 @@
 	Own     Site      // of the entry
 	Servers []*Server // by id
 
-	homes homes // of the objects of callers in the own region
+	demand demand
+	homes  homes // of the objects of callers in the own region
 	caches
 	shortlist   []*Server            // reused between requests: the first in the order of the object, and those that ran it recently
 	limited     []option             // reused between requests: those that only lack an allowance
@@ -184,6 +187,7 @@
 	p.Servers = servers
 	p.updateHomes()
 	p.resetCaches()
+	p.weighLimited()
 }
 
 // updateHomes divides the objects over the regions by the slots of the servers that are
@@ -218,6 +222,9 @@
 	usual := p.usualRunTimes(req)
 	p.probeBudget = min(p.probeBudget+probeShare, maxProbeBudget)
 	p.homes.advance(now)
+	if p.demand.count(now) {
+		p.weighLimited()
+	}
 	preferred := p.preferredServers(req, now)
 	result := p.evaluate(p.shortlist, preferred, usual, req, now)
 	if result.best.server == nil {
--- a/internal/placing/quota.go
+++ b/internal/placing/quota.go
@@ -127,8 +127,9 @@
 
 // SetLimit applies a limit to a start of a server, ahead of the next Update.
 func (p *Pool) SetLimit(id string, start int64, limit routing.Limit) {
-	if s := p.Find(id); s != nil && s.Start == start {
+	if s := p.Find(id); s != nil && s.Start == start && s.Limit != limit {
 		s.setLimit(limit)
+		p.weighLimited()
 	}
 }
 
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -22,6 +22,7 @@
 	Limit    routing.Limit // of the requests of all VMs
 	BadLimit string        // text in its last answer to this VM that is no limit
 
+	limitWeight       float64 // in the orders of objects, while it names a limit; otherwise 0
 	quota             quota
 	idHash            uint64
 	inOwnRegion       bool                 // in the region of the entry
--- a/internal/placing/simulation_test.go
+++ b/internal/placing/simulation_test.go
@@ -94,7 +94,7 @@
 		for domain := range sc.domains {
 			demand[site(domain).Region]++
 		}
-		pool := NewPool(Policy{Service: "web", ColdRate: sc.coldRate, Demand: demand}, site(i%len(sc.domains)))
+		pool := NewPool(Policy{Service: "web", ColdRate: sc.coldRate, Demand: demand, Entries: sc.entries}, site(i%len(sc.domains)))
 		sm.pools = append(sm.pools, pool)
 	}
 	sm.announce()
--- a/internal/reducer/placing_pools.go
+++ b/internal/reducer/placing_pools.go
@@ -66,7 +66,7 @@
 			s.placingPools[service.Name] = pool
 		}
 		s.limitColdRate(&pool.Policy, service.ColdRate)
-		pool.Policy.Demand = demand
+		pool.Policy.Demand, pool.Policy.Entries = demand, s.entryCount
 		pool.Update(s.usableServers(service))
 	}
 }
