Ask for acknowledgements once for all calls that wait for a peer

Cause: each waiting call asked for one every 0.25 s. Change: at most one in 0.25 s for each peer. An answer without a limit from a server that has none costs no look-up in the roster.

--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -79,6 +79,7 @@
 	lastSequence    uint64
 	unanswered      []*batch // oldest first
 	pingWanted      bool     // a call waits for its reply
+	pingDue         time.Time
 	wake            chan struct{}
 	inFlight        chan struct{} // one element per batch in flight
 	dialMutex       sync.Mutex
@@ -186,14 +187,25 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-ticker.C:
-			p.mutex.Lock()
-			p.pingWanted = len(p.unanswered) == 0
-			p.mutex.Unlock()
-			p.wakeUp()
+			p.ping(time.Now())
 		}
 	}
 }
 
+// ping asks the peer to acknowledge an empty batch, unless another batch is unanswered or
+// a ping was sent less than pingInterval ago: many calls may wait at once.
+func (p *peer) ping(now time.Time) {
+	p.mutex.Lock()
+	due := len(p.unanswered) == 0 && !now.Before(p.pingDue)
+	if due {
+		p.pingWanted, p.pingDue = true, now.Add(pingInterval)
+	}
+	p.mutex.Unlock()
+	if due {
+		p.wakeUp()
+	}
+}
+
 // NoReplyError reports a call without a usable reply that may have reached the peer.
 type NoReplyError struct {
 	Peer  string
--- a/internal/peerrpc/progress.go
+++ b/internal/peerrpc/progress.go
@@ -16,9 +16,10 @@
 )
 
 // progressConn counts the bytes written to a connection, and closes it when it makes no
-// progress while a batch is unanswered; long before, a second one is tried. Progress is that the peer sent something, or,
-// while the oldest unanswered batch is being written, that the connection took a part of
-// it. Other written bytes do not count: they may only fill the buffer of the kernel.
+// progress while a batch is unanswered; long before, onSilent tries a second one. Progress
+// is that the peer sent something, or, while the oldest unanswered batch is being written,
+// that the connection took a part of it. Other written bytes do not count: they may only
+// fill the buffer of the kernel.
 type progressConn struct {
 	net.Conn
 	sent     *atomic.Int64 // bytes written to all peers
--- a/internal/peerrpc/silence.go
+++ b/internal/peerrpc/silence.go
@@ -1,8 +1,6 @@
 package peerrpc
 
-import (
-	"time"
-)
+import "time"
 
 // A connection may go silent for good without an error, while the peer and the path to it
 // are sound. Nothing but a second connection tells that from a peer that stands still or
--- a/internal/peerrpc/silence_test.go
+++ b/internal/peerrpc/silence_test.go
@@ -245,3 +245,20 @@
 func (proposingHandler) Propose(ledger.Command) reducer.ProposalResult {
 	return reducer.ProposalResult{}
 }
+
+// Many calls that wait at once ask for no more acknowledgements than one does.
+func TestWaitingCallsPingTogether(t *testing.T) {
+	p := &peer{wake: make(chan struct{}, 1)}
+	now := time.Now()
+	pings := 0
+	for range 400 {
+		now = now.Add(10 * time.Millisecond)
+		if p.ping(now); p.pingWanted {
+			pings++
+			p.pingWanted = false
+		}
+	}
+	if most := int(4*time.Second/pingInterval) + 1; pings > most || pings < most-2 {
+		t.Errorf("%d pings in 4 s, want about %d", pings, most)
+	}
+}
--- a/internal/reducer/allowance.go
+++ b/internal/reducer/allowance.go
@@ -24,7 +24,7 @@
 			s.logNotice(r, "limit-invalid", Field{"text", e.BadLimit})
 		}
 	}
-	if !e.Limit.Named && !endsLimit(e) {
+	if !e.Limit.Named && !(server.Limit.Named && endsLimit(e)) {
 		return
 	}
 	if s.roster.NoteLimit(server.ID, server.Start, e.Limit, s.now) {
