Log where connections to backend servers fail

The logs of the incident show each failed send by itself, but not how many of the servers that a VM tries it cannot reach, since when nothing answers it, or whether other VMs reach the same servers at that time.

HW1047 says so for each failure domain of servers, once when it begins and once when it ends: the number of servers, how the last one failed, and the time since any of them answered. The evidence is kept in internal/reach. No decision uses it yet.

--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -51,6 +51,7 @@
 	CodeDocumentNotSent       Code = 1044
 	CodeMessagesDropped       Code = 1045
 	CodeLinkReplaced          Code = 1046
+	CodeWayChanged            Code = 1047
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -108,6 +109,7 @@
 	{CodeDocumentNotSent, "error", "document could not be encoded for another VM"},
 	{CodeMessagesDropped, "warn", "messages to another VM were dropped: too much is waiting for it"},
 	{CodeLinkReplaced, "info", "silent connection to another VM was replaced by a second one that answers"},
+	{CodeWayChanged, "info", "connections from this VM to the backend servers of a failure domain fail, or work again"},
 }
 
 // Info returns the catalogue entry of a code.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -11,6 +11,7 @@
 	"github.com/heatherwood/heatherwood/internal/plan"
 	"github.com/heatherwood/heatherwood/internal/quarantine"
 	"github.com/heatherwood/heatherwood/internal/quorum"
+	"github.com/heatherwood/heatherwood/internal/reach"
 	"github.com/heatherwood/heatherwood/internal/relay"
 	"github.com/heatherwood/heatherwood/internal/replicaset"
 	"github.com/heatherwood/heatherwood/internal/roster"
@@ -87,6 +88,7 @@
 	lastTicket    uint64                    // of placedRuns
 	replicaSet    replicaset.State
 	allocator     allowance.Allocator // of servers that name a limit
+	ways          reach.Tracker       // to backend servers
 
 	suspicionsSent    int                  // quarantine updates sent since the last tick
 	learnedDomains    map[string]bool      // failure domains whose servers this VM has known as a control VM does
@@ -303,6 +305,7 @@
 	s.tickTransfers()
 	s.tickRoster()
 	s.tickAllowances()
+	s.tickWays()
 	s.tickReplicaSet()
 	s.quarantine.RemoveExpired(s.now)
 	s.checkStale()
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -150,6 +150,7 @@
 	if r == nil || r.Grant == nil {
 		return
 	}
+	s.noteWay(r.Grant, e)
 	if r.PlacedLocally {
 		s.handlePlacedSent(e, r)
 		return
