--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -55,7 +55,11 @@
 		Node:    n,
 		Dialect: dialect,
 		Transport: &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: maxConnectTimeout}).DialContext,
+			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+				ctx, cancel := context.WithTimeout(ctx, maxConnectTimeout)
+				defer cancel()
+				return n.DialServer(ctx, address)
+			},
 			MaxIdleConnsPerHost:    idlePerHost,
 			IdleConnTimeout:        90 * time.Second,
 			DisableCompression:     true,
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -59,7 +59,7 @@
 	}
 	latency := in.relay.Node.Clock.Now().Sub(sentAt)
 	sent.Result, sent.Latency = result, latency
-	sent.ServerDied = result == routing.ResultBroken && response == nil && connectionRefused(grant.Address)
+	sent.ServerDied = result == routing.ResultBroken && response == nil && in.relay.connectionRefused(grant.Address)
 	step, err := in.exchange.ReportSend(context.WithoutCancel(ctx), sent.RequestSent)
 	if err != nil || !step.Stream {
 		if response != nil {
@@ -90,8 +90,10 @@
 // connectionRefused reports whether a new connection to the address is refused or
 // reset: a server may break one connection and live, but one that refuses the next has
 // died.
-func connectionRefused(address string) bool {
-	conn, err := net.DialTimeout("tcp", address, refusalCheckTimeout)
+func (l *Relay) connectionRefused(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), refusalCheckTimeout)
+	defer cancel()
+	conn, err := l.Node.DialServer(ctx, address)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -28,6 +29,9 @@
 	DataDir      string // directory for the control replicas; if empty, a temporary one that Stop removes
 	StartServers bool   // whether Start also starts the simulated backend servers
 	Logger       zerolog.Logger
+
+	// DialServer, if set, returns how a VM connects to backend servers.
+	DialServer func(vm string) func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Demo is a site whose VMs and backend servers run in this process.
@@ -117,6 +121,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if d.Options.DialServer != nil {
+		n.DialServer = d.Options.DialServer(vmSettings.ID)
+	}
 	if err := n.Start(); err != nil {
 		return nil, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,10 @@
 	Network  *peerrpc.Network
 	Metrics  *Metrics
 
+	// DialServer opens a connection to a backend server, by host:port. It is set before
+	// Start.
+	DialServer func(ctx context.Context, address string) (net.Conn, error)
+
 	mutex         sync.Mutex // guards state and keeps its effects in order
 	state         *reducer.State
 	view          atomic.Pointer[reducer.View]
@@ -68,6 +72,10 @@
 		stopped:  make(chan struct{}),
 		failed:   make(chan error, 1),
 	}
+	dialer := &net.Dialer{}
+	n.DialServer = func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
 	n.calls.answers = make(map[uint64]chan any)
 	durable, err := n.openLog()
 	if err != nil {
