--- a/internal/callerhttp/recognise.go
+++ b/internal/callerhttp/recognise.go
@@ -11,6 +11,7 @@
 
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/problem"
+	"github.com/heatherwood/heatherwood/internal/relay"
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
@@ -18,7 +19,7 @@
 // refuses it and returns false.
 func (in *inbound) matchRequest() bool {
 	if in.view == nil || !in.view.Ready {
-		in.refuse(http.StatusServiceUnavailable, "starting", "no steering document is in force yet", startupRetryAfter(in.id))
+		in.refuse(http.StatusServiceUnavailable, relay.ReasonStarting, "no steering document is in force yet", startupRetryAfter(in.id))
 		return false
 	}
 	if in.request.Header.Get("Upgrade") != "" {
@@ -55,7 +56,7 @@
 // newer document that this VM knows of may do so, and callers take a 404 for final.
 func (in *inbound) refuseUnmatched(reason, detail string) {
 	if in.relay.Node.IsOutdated(in.request.Context()) {
-		in.refuse(http.StatusServiceUnavailable, "document-outdated", "a newer steering document is not in force here yet", outdatedRetryDelay)
+		in.refuse(http.StatusServiceUnavailable, relay.ReasonDocumentOutdated, "a newer steering document is not in force here yet", outdatedRetryDelay)
 		return
 	}
 	in.refuse(http.StatusNotFound, reason, detail, 0)
@@ -174,7 +175,7 @@
 // headerFits reports whether the header is within the document's limit.
 func (in *inbound) headerFits() bool {
 	limit := in.view.Document.Routes.Limits.Header
-	if limit <= 0 {
+	if limit <= 0 || in.detour != nil {
 		return true
 	}
 	const lineOverhead = len(": \r\n")
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -43,6 +43,9 @@
 	Dialect        Dialect
 	Transport      *http.Transport
 	ConnectTimeout ConnectTimeout // of sends that need a new connection
+
+	peers              *http.Transport // to other VMs that serve requests for this one
+	peerConnectTimeout ConnectTimeout
 }
 
 // NewRelay returns a Relay with a connection pool for each backend server.
@@ -51,11 +54,14 @@
 		idlePerHost     = 64
 		maxAnswerHeader = 64 << 10 // bytes; a faulty server may send a header without end
 	)
-	return &Relay{
+	l := &Relay{
 		Node:    n,
 		Dialect: dialect,
 		Transport: &http.Transport{
 			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+				if isOpenOnly(ctx) {
+					return nil, errOpenOnly
+				}
 				ctx, cancel := context.WithTimeout(ctx, maxConnectTimeout)
 				defer cancel()
 				return n.DialServer(ctx, address)
@@ -65,7 +71,10 @@
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxAnswerHeader,
 		},
+		peers: newPeerTransport(n, idlePerHost, maxAnswerHeader),
 	}
+	n.ProbeServer = l.probeServer
+	return l
 }
 
 // inbound is a caller's request while this VM serves it.
@@ -86,24 +95,31 @@
 	bodyRest     io.Reader // what follows bodyPrefix
 	bodyComplete bool      // bodyPrefix is the whole body
 	exchange     *node.Exchange
-	outcome      string // for metrics, audit trail and log
-	server       string // of the last send
-	domain       string // of that server
-	status       int    // answered to the caller
-	anySend      bool   // the request was sent to a server
+	outcome      string      // for metrics, audit trail and log
+	server       string      // of the last send
+	domain       string      // of that server
+	status       int         // answered to the caller
+	anySend      bool        // the request was sent to a server
+	detour       *detourInfo // nil for a request that the caller sent to this VM
 }
 
 // ServeHTTP implements http.Handler.
-func (l *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (l *Relay) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.serve(w, r, nil) }
+
+// serve answers a request; d tells of the VM that passed it on, if the caller did not send it
+// to this one.
+func (l *Relay) serve(w http.ResponseWriter, r *http.Request, d *detourInfo) {
 	in := &inbound{
 		relay:      l,
 		writer:     w,
 		request:    r,
 		view:       l.Node.View(),
 		receivedAt: l.Node.Clock.Now(),
+		detour:     d,
 	}
 	in.assignID()
-	if !in.matchRequest() || !in.readBody() {
+	in.markAnswer(problem.DetourAnswerVM)
+	if !in.fitsDetour() || !in.matchRequest() || !in.readBody() {
 		in.logEnd()
 		return
 	}
@@ -126,6 +142,9 @@
 	if header := in.relay.Dialect.RequestIDHeader; header != "" {
 		in.id = in.request.Header.Get(header)
 	}
+	if in.detour != nil {
+		in.id = in.request.Header.Get(in.relay.Dialect.answerIDHeader())
+	}
 	if in.id == "" {
 		in.id = uuid.NewString()
 	}
@@ -183,6 +202,9 @@
 		Route:        in.route,
 		TargetTime:   in.targetTime,
 	}
+	if in.detour != nil {
+		request.TakenOver, request.EarlierRuns = true, in.detour.runs
+	}
 	if in.route != nil && in.route.Affinity {
 		request.Object = in.request.Header.Get(in.relay.Dialect.ObjectHeader)
 	}
@@ -217,7 +239,7 @@
 // placedElsewhere reports whether the client's address block is placed in another
 // failure domain; an address outside all blocks counts as placed in every domain.
 func (in *inbound) placedElsewhere() bool {
-	if in.route != nil {
+	if in.route != nil || in.detour != nil {
 		return false
 	}
 	client, err := clientAddress("", in.request.RemoteAddr)
@@ -229,7 +251,11 @@
 
 // runSteps performs the steps that the reducer returns until the caller has an answer.
 func (in *inbound) runSteps(ctx context.Context) {
-	exchange, step, err := in.relay.Node.BeginExchange(ctx, in.newRelayRequest(), in.placedElsewhere())
+	exchange, step, err := in.relay.Node.BeginExchange(ctx, reducer.RequestBegan{
+		Request:           in.newRelayRequest(),
+		AssignedElsewhere: in.placedElsewhere(),
+		From:              in.detour.sender(),
+	})
 	in.exchange = exchange
 	ended := false
 	defer func() {
@@ -254,6 +280,12 @@
 			if ended {
 				return
 			}
+		case step.Detour != nil:
+			in.anySend, in.server, in.domain = true, "", step.Detour.Domain
+			step, err, ended = in.sendDetour(ctx, *step.Detour)
+			if ended {
+				return
+			}
 		case step.Replay != nil:
 			in.replay(step.Replay)
 			return
@@ -278,7 +310,7 @@
 // refuseAborted answers a request whose steps ended early: its caller hung up, its
 // deadline passed, or the VM stopped.
 func (in *inbound) refuseAborted(ctx context.Context) {
-	reason, detail := "stopping", "the VM stopped"
+	reason, detail := relay.ReasonStopping, "the VM stopped"
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reason, detail = "deadline", "the deadline passed"
@@ -367,6 +399,7 @@
 		header.Set("Location", outcome.Location)
 	}
 	header.Set("Heatherwood-Replayed", "true")
+	in.markAnswer(problem.DetourAnswerServer)
 	in.writer.WriteHeader(outcome.Status)
 	in.writer.Write(outcome.Body)
 }
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -33,7 +33,10 @@
 		step, err := in.exchange.ReportSend(context.WithoutCancel(ctx), reducer.RequestSent{Result: routing.ResultUnused, Cause: "the deadline passed before the send"})
 		return step, err, false
 	}
-	sent := in.roundTrip(ctx, grant)
+	sendCtx, abandon := context.WithCancelCause(withOpenOnly(ctx, grant.OpenOnly))
+	defer abandon(nil)
+	in.exchange.OnAbandon(func() { abandon(errAbandoned) })
+	sent := in.roundTrip(sendCtx, in.relay.Transport, &in.relay.ConnectTimeout, in.outbound(sendCtx, grant.Address, grant.Server))
 	response, result := sent.response, sent.Result
 	if response != nil && in.relay.Dialect.isForeign(response, in.id) {
 		// Not even a refusal counts: it says nothing about this request.
@@ -52,14 +55,15 @@
 	}
 	if response != nil && in.route != nil {
 		sent.Load = in.relay.Dialect.parseLoad(response.Header)
-		if result, sent.Cause = in.bufferAnswer(ctx, response, result); result == routing.ResultBroken || result == routing.ResultTimeout || result == routing.ResultCancelled {
+		if result, sent.Cause = in.bufferAnswer(sendCtx, response, result); result == routing.ResultBroken || result == routing.ResultTimeout || result == routing.ResultCancelled {
 			response.Body.Close()
 			response = nil
 		}
 	}
 	latency := in.relay.Node.Clock.Now().Sub(sentAt)
 	sent.Result, sent.Latency = result, latency
-	sent.ServerDied = result == routing.ResultBroken && response == nil && in.relay.connectionRefused(grant.Address)
+	in.exchange.OnAbandon(nil)
+	sent.ServerDied = result == routing.ResultBroken && response == nil && sendCtx.Err() == nil && in.relay.connectionRefused(grant.Address)
 	step, err := in.exchange.ReportSend(context.WithoutCancel(ctx), sent.RequestSent)
 	if err != nil || !step.Stream {
 		if response != nil {
@@ -115,12 +119,15 @@
 	response *http.Response
 }
 
+// errAbandoned is the cause of the end of a send whose way was found to be lost.
+var errAbandoned = errors.New("the send was given up: the way to the server is lost")
+
 // roundTrip sends the request and waits for the header of the answer. The result says
-// whether anything reached the server: once a byte of the request's header may have
+// whether anything reached the other end: once a byte of the request's header may have
 // been written, it is never ResultDialFailed or ResultDialTimeout.
-func (in *inbound) roundTrip(ctx context.Context, grant *dispatch.Grant) sendResult {
-	connect := connectAttempt{now: in.relay.Node.Clock.Now, timeout: &in.relay.ConnectTimeout}
-	response, err := connect.roundTrip(in.relay.Transport, in.outbound(ctx, grant))
+func (in *inbound) roundTrip(ctx context.Context, transport http.RoundTripper, timeout *ConnectTimeout, request *http.Request) sendResult {
+	connect := connectAttempt{now: in.relay.Node.Clock.Now, timeout: timeout}
+	response, err := connect.roundTrip(transport, request)
 	sent := sendResult{response: response}
 	sent.ConnectTime = time.Duration(connect.dialTook.Load())
 	if err != nil {
@@ -136,6 +143,8 @@
 		sent.Result, sent.Cause = routing.ResultDialTimeout, fmt.Sprintf("no connection within %v", connect.limit)
 	case !headerWritten && in.baseContext.Err() == nil && ctx.Err() == nil:
 		sent.Result = routing.ResultDialFailed
+	case !headerWritten && in.isAbandoned(ctx):
+		sent.Result, sent.Cause = routing.ResultDialTimeout, errAbandoned.Error()
 	case !headerWritten:
 		sent.Result = routing.ResultUnused
 	default:
@@ -151,6 +160,8 @@
 		return routing.ResultTimeout
 	case in.baseContext.Err() != nil:
 		return routing.ResultCancelled
+	case in.isAbandoned(ctx):
+		return routing.ResultBroken
 	case ctx.Err() != nil:
 		return routing.ResultTimeout
 	default:
@@ -158,6 +169,11 @@
 	}
 }
 
+// isAbandoned reports whether the send was given up while the caller still waits.
+func (in *inbound) isAbandoned(ctx context.Context) bool {
+	return in.baseContext.Err() == nil && errors.Is(context.Cause(ctx), errAbandoned)
+}
+
 const bufferedAnswerBytes = 256 << 10 // of an answer, read before any of it is passed to the caller
 
 var errWrongRequest = errors.New("the answer belongs to another request")
@@ -194,12 +210,13 @@
 	io.Closer
 }
 
-// outbound returns the request as it is sent to the server.
-func (in *inbound) outbound(ctx context.Context, grant *dispatch.Grant) *http.Request {
+// outbound returns the request as it is sent to a server, or to another VM; id names the
+// receiver.
+func (in *inbound) outbound(ctx context.Context, address, id string) *http.Request {
 	incoming := in.request
 	target := &url.URL{
 		Scheme:   "http",
-		Host:     grant.Address,
+		Host:     address,
 		Path:     incoming.URL.Path,
 		RawPath:  incoming.URL.RawPath,
 		RawQuery: incoming.URL.RawQuery,
@@ -219,9 +236,9 @@
 	in.relay.Dialect.setSendHeaders(request.Header, SendInfo{
 		RequestID: in.id,
 		Remaining: in.deadline.Sub(in.relay.Node.Clock.Now()),
-		ServerID:  grant.Server,
+		ServerID:  id,
 	})
-	if host, _, err := net.SplitHostPort(incoming.RemoteAddr); err == nil && in.relay.Dialect.ForwardClientIP {
+	if host, _, err := net.SplitHostPort(incoming.RemoteAddr); err == nil && in.relay.Dialect.ForwardClientIP && in.detour == nil {
 		request.Header.Add("X-Forwarded-For", host)
 	}
 	if _, given := incoming.Header["User-Agent"]; !given {
@@ -242,6 +259,7 @@
 	header := in.writer.Header()
 	copyEndToEndHeaders(header, response.Header)
 	header.Set(in.relay.Dialect.answerIDHeader(), in.id)
+	in.markAnswer(problem.DetourAnswerServer)
 	in.status = response.StatusCode
 	in.writer.WriteHeader(response.StatusCode)
 	record := &bodyRecorder{limit: ledger.MaxOutcomeBytes, enabled: in.rule.Once}
@@ -270,8 +288,8 @@
 // settle records the outcome of a `once` operation in the log; length and err are what
 // copyBody returned.
 func (in *inbound) settle(response *http.Response, record *bodyRecorder, length int64, err error) {
-	if !in.rule.Once {
-		return
+	if !in.rule.Once || in.server == "" {
+		return // the VM that sent it to a server records the outcome
 	}
 	outcome := ledger.Outcome{
 		Status:      response.StatusCode,
--- a/internal/demo/cut_test.go
+++ b/internal/demo/cut_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -18,7 +21,7 @@
 
 // Times of a run with cut links.
 const (
-	cutWarmUp    = 2 * time.Second
+	cutWarmUp    = 4 * time.Second // so that the retry budgets have filled
 	cutContact   = 3 * time.Second // after the cut began, until callers must be served there as elsewhere
 	cutLength    = 7 * time.Second
 	cutLoad      = 120 // requests a second, over all VMs
@@ -30,7 +33,8 @@
 	vm      int
 	sentAt  time.Duration // since the cut began
 	took    time.Duration
-	status  int // 0 if the connection failed
+	status  int    // 0 if the connection failed
+	reason  string // of a refusal
 	service string
 	key     string
 }
@@ -132,9 +136,13 @@
 	try.sentAt = time.Duration(began.UnixNano())
 	response, err := client.Do(request)
 	if err == nil {
-		if _, err = io.Copy(io.Discard, response.Body); err == nil {
+		var text []byte
+		if text, err = io.ReadAll(response.Body); err == nil {
 			try.status = response.StatusCode
 		}
+		if try.status != http.StatusOK {
+			try.reason = strings.TrimSpace(string(text))
+		}
 		response.Body.Close()
 	}
 	try.took = time.Since(began)
@@ -196,11 +204,34 @@
 			if later < 1-lost {
 				t.Errorf("%.3f of the first tries were served a second after the cut had ended", later)
 			}
+			logFailures(t, tries, test.vms)
 			checkRunsOnce(t, s.Demo, tries)
 		})
 	}
 }
 
+// logFailures logs how many first tries failed in each half second, and how.
+func logFailures(t *testing.T, tries []firstTry, vms int) {
+	t.Helper()
+	counts := make(map[string]int)
+	for _, try := range tries {
+		if try.status == http.StatusOK || try.vm >= vms || try.sentAt < 0 {
+			continue
+		}
+		var refusal struct {
+			Reason string `json:"reason"`
+			Run    string `json:"run"`
+		}
+		if err := json.Unmarshal([]byte(try.reason), &refusal); err != nil {
+			refusal.Reason = "no problem document"
+		}
+		counts[fmt.Sprintf("%5v %-8s %d %s, run %s", try.sentAt.Truncate(time.Second/2), try.service, try.status, refusal.Reason, refusal.Run)]++
+	}
+	for _, line := range slices.Sorted(maps.Keys(counts)) {
+		t.Logf("%s: %d", line, counts[line])
+	}
+}
+
 // checkRunsOnce checks that each request with a key ran once at most, and once if it was
 // answered with success.
 func checkRunsOnce(t *testing.T, d *Demo, tries []firstTry) {
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -25,6 +25,8 @@
 	Domain  string
 	Shifted bool // the server is in another failure domain
 
+	OpenOnly bool // send on an open connection only: no new one can be opened
+
 	Limit routing.Limit // of the server, as the owner knows it
 }
 
@@ -44,6 +46,7 @@
 	ReasonUnknownService   Reason = "unknown-service"
 	ReasonStarting         Reason = "starting"
 	ReasonOwnerUnreachable Reason = "owner-unreachable"
+	ReasonNoWay            Reason = "no-way" // to the servers, from a VM that was to serve the request for another
 )
 
 // Denial refuses a slot; the request was not run.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,6 +30,7 @@
 	Node     *node.Node
 	guard    *callerhttp.Guard
 	http     *http.Server
+	peers    *http.Server // of requests that other VMs pass on
 	relay    *callerhttp.Relay
 	listener net.Listener
 }
@@ -42,6 +43,7 @@
 		ConnState:      s.guard.TrackState,
 		MaxHeaderBytes: maxHeaderBytes,
 	}
+	s.peers = s.relay.PeerServer()
 	return s
 }
 
@@ -82,6 +84,11 @@
 
 // Serve answers requests until Stop, and then returns nil.
 func (s *Server) Serve() error {
+	go func() {
+		if err := s.peers.Serve(s.Node.RequestListener()); !errors.Is(err, http.ErrServerClosed) {
+			s.Node.LogError(reducer.CodeListenerFailed, err)
+		}
+	}()
 	err := s.http.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -101,11 +108,13 @@
 
 // Stop waits for running requests until the context ends and then stops the VM.
 func (s *Server) Stop(ctx context.Context) {
-	if err := s.http.Shutdown(ctx); err != nil {
-		s.Node.LogError(reducer.CodeRequestsCutOff, err)
+	for _, server := range []*http.Server{s.http, s.peers} {
+		if err := server.Shutdown(ctx); err != nil {
+			s.Node.LogError(reducer.CodeRequestsCutOff, err)
+		}
 	}
 	s.closeHTTP()
-	s.relay.Transport.CloseIdleConnections()
+	s.relay.CloseIdleConnections()
 	s.Node.Stop()
 }
 
@@ -116,7 +125,9 @@
 }
 
 func (s *Server) closeHTTP() {
-	if err := s.http.Close(); err != nil {
-		s.Node.LogError(reducer.CodeListenerFailed, err)
+	for _, server := range []*http.Server{s.http, s.peers} {
+		if err := server.Close(); err != nil {
+			s.Node.LogError(reducer.CodeListenerFailed, err)
+		}
 	}
 }
--- a/internal/member/domain.go
+++ b/internal/member/domain.go
@@ -101,7 +101,7 @@
 		own.VMs++
 		own.Document = max(own.Document, vm.Document)
 		if !vm.Stopping && len(own.Entries) < maxEntryRefs {
-			own.Entries = append(own.Entries, EntryRef{ID: vm.ID, Peer: vm.Peer, Entry: vm.Entry, Ready: vm.Document > 0, Control: vm.Control})
+			own.Entries = append(own.Entries, EntryRef{ID: vm.ID, Peer: vm.Peer, Entry: vm.Entry, Ready: vm.Document > 0, Control: vm.Control, Cut: vm.Cut})
 		}
 		own.Services = append(own.Services, vm.Services...)
 	}
@@ -130,6 +130,9 @@
 	digest := xxhash.New()
 	for _, entry := range entries {
 		fmt.Fprintln(digest, entry.ID, entry.Peer, entry.Entry, entry.Ready)
+		if len(entry.Cut) > 0 {
+			fmt.Fprintln(digest, entry.Cut)
+		}
 	}
 	return digest.Sum64()
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -28,13 +28,20 @@
 	Document    uint64 // log index of its steering document, 0 for none
 	Parts       bool   // it sends documents in parts; VMs of earlier releases do not
 	Services    []dispatch.Summary
+
+	Cut []string // failure domains whose servers it cannot connect to
 }
 
 // status says whether a VM takes callers. A change is sent to all VMs of its
 // domain at once, because their answers to look-ups depend on it.
-type status struct{ ready, stopping bool }
+type status struct {
+	ready, stopping bool
+	cut             int // failure domains
+}
 
-func (v VM) status() status { return status{ready: v.Document > 0, stopping: v.Stopping} }
+func (v VM) status() status {
+	return status{ready: v.Document > 0, stopping: v.Stopping, cut: len(v.Cut)}
+}
 
 func (v VM) newer(other VM) bool {
 	if v.Incarnation != other.Incarnation {
@@ -64,6 +71,8 @@
 	Ready bool   // it has a steering document
 
 	Control bool // it holds a control replica
+
+	Cut []string // as in VM
 }
 
 // Heartbeat is the newest known heartbeat of a VM.
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -22,16 +22,26 @@
 	answers chan any
 }
 
-// BeginExchange passes a caller's request to the reducer and returns the first step.
-// assignedElsewhere reports that the caller's address is assigned to another failure
-// domain.
-func (n *Node) BeginExchange(ctx context.Context, request *relay.Request, assignedElsewhere bool) (*Exchange, relay.Step, error) {
+// BeginExchange passes a caller's request to the reducer and returns the first step. It sets
+// the call of the event.
+func (n *Node) BeginExchange(ctx context.Context, began reducer.RequestBegan) (*Exchange, relay.Step, error) {
 	x := &Exchange{node: n}
 	x.call, x.answers = n.calls.open()
-	step, err := x.applyAndAwait(ctx, reducer.RequestBegan{Call: x.call, Request: request, AssignedElsewhere: assignedElsewhere})
+	began.Call = x.call
+	step, err := x.applyAndAwait(ctx, began)
 	return x, step, err
 }
 
+// OnAbandon sets what gives up the send that is under way; nil for none.
+func (x *Exchange) OnAbandon(abandon func()) { x.node.calls.setAbandon(x.call, abandon) }
+
+// ReportDetour reports the header of the answer of the VM that the request was passed on to,
+// or that this failed.
+func (x *Exchange) ReportDetour(ctx context.Context, result reducer.RequestDetoured) (relay.Step, error) {
+	result.Call = x.call
+	return x.applyAndAwait(ctx, result)
+}
+
 func (x *Exchange) applyAndAwait(ctx context.Context, event reducer.Event) (relay.Step, error) {
 	x.node.Apply(event)
 	return awaitAnswer[relay.Step](ctx, x.node, x.answers)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/heatherwood/heatherwood/internal/reach"
 	"github.com/heatherwood/heatherwood/internal/reducer"
 )
 
@@ -19,6 +20,8 @@
 	SilentLinks   *metrics.Counter   // connections to peers that were replaced because they were silent
 	SilentSeconds *metrics.Histogram // without progress on these, until they were found silent
 
+	DetourSeconds *metrics.Histogram // from passing a request on to another VM to the header of its answer
+
 	DocumentBytesSent     *metrics.Counter // of document text, to other VMs
 	DocumentBytesReceived *metrics.Counter // of document text, of all copies of it
 
@@ -36,6 +39,8 @@
 		SilentLinks:   set.NewCounter("heatherwood_silent_links_total"),
 		SilentSeconds: set.NewHistogram("heatherwood_silent_link_seconds"),
 
+		DetourSeconds: set.NewHistogram("heatherwood_detour_seconds"),
+
 		DocumentBytesSent:     set.NewCounter("heatherwood_document_bytes_sent_total"),
 		DocumentBytesReceived: set.NewCounter("heatherwood_document_bytes_received_total"),
 
@@ -60,6 +65,19 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_quiet_connections_total{reason=%q}`, reason)).Inc()
 }
 
+// CountProbe counts a connection to a backend server that was opened to learn whether this VM
+// reaches it.
+func (m *Metrics) CountProbe(failure reach.Failure) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_server_probes_total{failure=%q}`, string(failure))).Inc()
+}
+
+// CountDetour counts a request that was passed on to another VM, by its result and the time
+// until the header of the answer.
+func (m *Metrics) CountDetour(result string, took time.Duration) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_detours_total{result=%q}`, result)).Inc()
+	m.DetourSeconds.Update(took.Seconds())
+}
+
 // CountSent counts a message to another VM by its kind, and the bytes of document text
 // in it.
 func (m *Metrics) CountSent(message reducer.Message) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/heatherwood/heatherwood/internal/disk"
 	"github.com/heatherwood/heatherwood/internal/peerrpc"
 	"github.com/heatherwood/heatherwood/internal/quorum"
+	"github.com/heatherwood/heatherwood/internal/reach"
 	"github.com/heatherwood/heatherwood/internal/reducer"
 	"github.com/heatherwood/heatherwood/internal/settings"
 )
@@ -34,6 +35,10 @@
 	// Start.
 	DialServer func(ctx context.Context, address string) (net.Conn, error)
 
+	// ProbeServer opens a connection to a backend server, by host:port, closes it, and
+	// returns how that failed, or "". It is set before Start.
+	ProbeServer func(address string) reach.Failure
+
 	mutex         sync.Mutex // guards state and keeps its effects in order
 	state         *reducer.State
 	view          atomic.Pointer[reducer.View]
@@ -76,7 +81,7 @@
 	n.DialServer = func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp", address)
 	}
-	n.calls.answers = make(map[uint64]chan any)
+	n.calls.answers, n.calls.abandons = make(map[uint64]chan any), make(map[uint64]func())
 	durable, err := n.openLog()
 	if err != nil {
 		return nil, err
@@ -228,6 +233,10 @@
 	}
 }
 
+// RequestListener returns the listener of connections on which other VMs pass callers'
+// requests on to this one.
+func (n *Node) RequestListener() net.Listener { return n.server.RequestListener(n.Settings.Peer) }
+
 // Stop ends the VM at once, without waiting for running requests. Audit records that
 // are still queued are written first if the VM has a data folder.
 func (n *Node) Stop() {
@@ -277,6 +286,10 @@
 		n.trail.add(e.Entry)
 	case reducer.SaveRoster:
 		n.rosterFile.setPending(e)
+	case reducer.ProbeServer:
+		n.probe(e.Probe)
+	case reducer.AbandonSend:
+		n.calls.abandon(e.Call)
 	case reducer.Log:
 		n.logEvent(e)
 	case reducer.Decision:
@@ -284,6 +297,18 @@
 	}
 }
 
+// probe connects to a server in the background and reports the result.
+func (n *Node) probe(p reach.Probe) {
+	if n.ProbeServer == nil {
+		return
+	}
+	n.startGoroutine(func() {
+		failure := n.ProbeServer(p.Address)
+		n.Metrics.CountProbe(failure)
+		n.Apply(reducer.ServerProbed{Probe: p, Failure: failure})
+	})
+}
+
 func (n *Node) logEvent(e reducer.Log) {
 	info := e.Code.Info()
 	level, err := zerolog.ParseLevel(info.Level)
@@ -341,6 +366,27 @@
 	mutex   sync.Mutex
 	lastID  uint64 // of the call opened last
 	answers map[uint64]chan any
+
+	abandons map[uint64]func() // what gives up the send that is under way
+}
+
+func (c *pendingCalls) setAbandon(id uint64, abandon func()) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if abandon == nil {
+		delete(c.abandons, id)
+		return
+	}
+	c.abandons[id] = abandon
+}
+
+func (c *pendingCalls) abandon(id uint64) {
+	c.mutex.Lock()
+	abandon := c.abandons[id]
+	c.mutex.Unlock()
+	if abandon != nil {
+		abandon()
+	}
 }
 
 func (c *pendingCalls) open() (uint64, chan any) {
@@ -356,6 +402,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	delete(c.answers, id)
+	delete(c.abandons, id)
 }
 
 func (c *pendingCalls) deliver(id uint64, value any) {
--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -268,7 +268,7 @@
 		}
 		return nil, err
 	}
-	if err := handshake(conn, p.network.Key, roleClient, roleServer); err != nil {
+	if _, err := handshake(conn, p.network.Key, roleClient, roleServer); err != nil {
 		conn.Close()
 		return nil, err
 	}
--- a/internal/peerrpc/handshake.go
+++ b/internal/peerrpc/handshake.go
@@ -41,52 +41,48 @@
 	return mac.Sum(nil)
 }
 
-// handshake runs one end of the handshake. Both ends send a hello, then the proof for
-// their role. Each proof covers both hellos, so it can't be replayed.
-func handshake(conn net.Conn, key []byte, ownRole, otherRole string) error {
+// handshake runs one end of the handshake and returns the role of the other end, one of the
+// given ones. Both ends send a hello, then the proof for their role. Each proof covers both
+// hellos, so it can't be replayed.
+func handshake(conn net.Conn, key []byte, ownRole string, otherRoles ...string) (string, error) {
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return fmt.Errorf("set handshake deadline: %w", err)
+		return "", fmt.Errorf("set handshake deadline: %w", err)
 	}
 	ownHello, err := newHello()
 	if err != nil {
-		return fmt.Errorf("create hello: %w", err)
+		return "", fmt.Errorf("create hello: %w", err)
 	}
 	if _, err := conn.Write(ownHello[:]); err != nil {
-		return fmt.Errorf("send hello: %w", err)
+		return "", fmt.Errorf("send hello: %w", err)
 	}
 	var otherHello hello
 	if _, err := io.ReadFull(conn, otherHello[:]); err != nil {
-		return fmt.Errorf("read hello: %w", err)
+		return "", fmt.Errorf("read hello: %w", err)
 	}
 	if otherHello[0] != protocolVersion {
-		return errVersion
+		return "", errVersion
 	}
 	client, server := ownHello, otherHello
 	if ownRole == roleServer {
 		client, server = otherHello, ownHello
 	}
-	if err := exchangeProofs(conn, computeProof(key, ownRole, client, server), computeProof(key, otherRole, client, server)); err != nil {
-		return err
+	if _, err := conn.Write(computeProof(key, ownRole, client, server)); err != nil {
+		return "", fmt.Errorf("send proof: %w", err)
 	}
-	return conn.SetDeadline(time.Time{})
-}
-
-// exchangeProofs sends the own proof and checks the proof of the other end.
-func exchangeProofs(conn net.Conn, ownProof, wantProof []byte) error {
-	if _, err := conn.Write(ownProof); err != nil {
-		return fmt.Errorf("send proof: %w", err)
-	}
-	gotProof := make([]byte, len(wantProof))
-	if _, err := io.ReadFull(conn, gotProof); err != nil {
-		return fmt.Errorf("read proof: %w", err)
+	proof := make([]byte, sha256.Size)
+	if _, err := io.ReadFull(conn, proof); err != nil {
+		return "", fmt.Errorf("read proof: %w", err)
 	}
-	if !hmac.Equal(gotProof, wantProof) {
-		return ErrWrongKey
+	for _, role := range otherRoles {
+		if hmac.Equal(proof, computeProof(key, role, client, server)) {
+			return role, conn.SetDeadline(time.Time{})
+		}
 	}
-	return nil
+	return "", ErrWrongKey
 }
 
 const (
-	roleClient = "client"
-	roleServer = "server"
+	roleClient    = "client"
+	roleForwarder = "forwarder" // a client that passes callers' requests on, by HTTP
+	roleServer    = "server"
 )
--- a/internal/peerrpc/progress_test.go
+++ b/internal/peerrpc/progress_test.go
@@ -130,7 +130,7 @@
 			}
 			go func() {
 				defer conn.Close()
-				if err := handshake(conn, []byte("key"), roleServer, roleClient); err != nil {
+				if _, err := handshake(conn, []byte("key"), roleServer, roleClient); err != nil {
 					return
 				}
 				if reads {
--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -24,6 +24,7 @@
 	conns    map[net.Conn]struct{} // open connections
 	closed   bool
 	streams  map[uint64]*stream
+	requests *requestListener
 }
 
 // stream is what is known of the batches of one sender.
@@ -105,18 +106,25 @@
 }
 
 func (s *Server) serveConn(server *rpc.Server, conn net.Conn) {
-	defer conn.Close()
 	if !s.track(conn, true) {
+		conn.Close()
+		return
+	}
+	role, err := handshake(conn, s.Key, roleServer, roleClient, roleForwarder)
+	if err == nil && role == roleForwarder && s.requestListener().offer(&requestConn{Conn: conn, server: s}) {
 		return
 	}
+	defer conn.Close()
 	defer s.track(conn, false)
-	if err := handshake(conn, s.Key, roleServer, roleClient); err != nil {
+	if err != nil {
 		if s.OnHandshakeFailed != nil {
 			s.OnHandshakeFailed(conn.RemoteAddr().String(), err)
 		}
 		return
 	}
-	server.ServeCodec(newServerCodec(conn, s))
+	if role == roleClient {
+		server.ServeCodec(newServerCodec(conn, s))
+	}
 }
 
 const maxPeerConns = 4096
@@ -148,6 +156,9 @@
 	for conn := range s.conns {
 		conn.Close()
 	}
+	if s.requests != nil {
+		s.requests.Close()
+	}
 }
 
 const (
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -34,6 +34,7 @@
 	Exclude   []string
 	Allowed   func(region string) bool
 	Fallback  uint64 // hash that orders the servers of a request without an object
+	OwnWay    bool   // no other VM may be asked to send it
 }
 
 // Choice is the chosen server, or a refusal with the time after which a slot
@@ -148,6 +149,7 @@
 	probeBudget float64              // requests that may go to servers on probation
 	classes     map[string]*runTimes // usual run times, by class of requests
 	oneWays     map[string]float64   // seconds one way, by failure domain
+	cut         []string             // failure domains that this VM cannot connect to, while others can
 }
 
 // NewPool returns a pool without servers for the entry at own.
@@ -179,6 +181,7 @@
 		}
 		s.ID, s.Address, s.Start, s.Slots = si.ID, si.Address, si.Start, max(1, si.Slots)
 		s.ColdUntil, s.Closed, s.Site = si.ColdUntil, si.Closed, si.Site
+		s.cut = slices.Contains(p.cut, si.Domain)
 		s.setLimit(si.Limit)
 		s.inOwnRegion = si.Region == p.Own.Region
 		servers = append(servers, s)
@@ -238,7 +241,7 @@
 	case result.best.server == nil || p.tooLate(result.best, req):
 		return Choice{Refused: ServersBusy, RetryAfter: p.retryAfter(result.soonest, usual, req), Candidates: result.candidates, Limited: result.limited}
 	}
-	if result.best.server.Probing() {
+	if result.best.server.Probing() && !result.best.server.cut {
 		p.probeBudget = max(0, p.probeBudget-1)
 	}
 	return Choice{Server: result.best.server, Expected: seconds(result.best.expected), Warm: result.best.warm, Candidates: result.candidates}
@@ -298,7 +301,7 @@
 		if stay := s.StayAway(now); stay > 0 && s.eligible(req) {
 			result.wait(stay)
 		}
-		if !s.usable(req, now) || s.unresponsive(usual, req, now) || s.Probing() && p.probeBudget < 1 && !p.allProbing(now) {
+		if !s.usable(req, now) || s.unresponsive(usual, req, now) || s.Probing() && !s.cut && p.probeBudget < 1 && !p.allProbing(now) {
 			continue
 		}
 		mayUse := s.mayUseQuota(now)
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -22,6 +22,7 @@
 	Limit    routing.Limit // of the requests of all VMs
 	BadLimit string        // text in its last answer to this VM that is no limit
 
+	cut               bool    // this VM cannot connect to its failure domain, while others can
 	limitWeight       float64 // in the orders of objects, while it names a limit; otherwise 0
 	quota             quota
 	idHash            uint64
@@ -57,10 +58,14 @@
 
 // eligible reports whether the server may run the request at all, now or later.
 func (s *Server) eligible(req Request) bool {
-	return !s.Closed && !s.SaidLeaving() && req.allows(s.Region) && !slices.Contains(req.Exclude, s.ID)
+	return !s.Closed && !(s.cut && req.OwnWay) && !s.SaidLeaving() && req.allows(s.Region) && !slices.Contains(req.Exclude, s.ID)
 }
 
 func (s *Server) usable(req Request, now time.Time) bool {
+	if s.cut {
+		// Another VM sends to it and paces itself; what failed here says nothing of it.
+		return s.eligible(req)
+	}
 	return s.eligible(req) &&
 		s.StayAway(now) == 0 &&
 		!s.Ejected(now) &&
@@ -73,7 +78,7 @@
 // failed without closing its connections.
 func (s *Server) unresponsive(usual runTimes, req Request, now time.Time) bool {
 	limit := seconds(maxSilentRuns*usual.cold) + req.Target/2
-	return s.running > 0 && now.Sub(s.silentSince) > max(limit, minSilence)
+	return !s.cut && s.running > 0 && now.Sub(s.silentSince) > max(limit, minSilence)
 }
 
 // ranObject reports whether the server ran the object recently.
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -18,6 +18,18 @@
 	HeaderObject         = "Heatherwood-Object"
 	HeaderLeaving        = "Heatherwood-Leaving" // of a server's answer: it will stop
 	HeaderLimit          = "Heatherwood-Limit"   // of a server's answer: requests a second that it takes from all VMs together
+
+	// Between VMs only, of a request that one VM passes on to another, and of its answer.
+	HeaderDetourFrom     = "Heatherwood-Detour-From"     // VM that passes the request on
+	HeaderDetourRuns     = "Heatherwood-Detour-Runs"     // sends by that VM that may have run
+	HeaderDetourDocument = "Heatherwood-Detour-Document" // log index of its document
+	HeaderDetourAnswer   = "Heatherwood-Detour-Answer"   // whose answer it is: see DetourAnswer
+)
+
+// Values of HeaderDetourAnswer.
+const (
+	DetourAnswerServer = "server" // of a server, or the stored answer of one
+	DetourAnswerVM     = "vm"     // a problem document of the VM that took the request over
 )
 
 // Problem is a problem document, the body of a refusal.
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -52,6 +52,7 @@
 	CodeMessagesDropped       Code = 1045
 	CodeLinkReplaced          Code = 1046
 	CodeWayChanged            Code = 1047
+	CodeDetour                Code = 1048
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -109,7 +110,8 @@
 	{CodeDocumentNotSent, "error", "document could not be encoded for another VM"},
 	{CodeMessagesDropped, "warn", "messages to another VM were dropped: too much is waiting for it"},
 	{CodeLinkReplaced, "info", "silent connection to another VM was replaced by a second one that answers"},
-	{CodeWayChanged, "info", "connections from this VM to the backend servers of a failure domain fail, or work again"},
+	{CodeWayChanged, "info", "way of this VM to the backend servers of a failure domain changed"},
+	{CodeDetour, "info", "request passed on to another VM, or taken over for one, for want of a way to the servers"},
 }
 
 // Info returns the catalogue entry of a code.
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -7,6 +7,7 @@
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/plan"
 	"github.com/heatherwood/heatherwood/internal/quorum"
+	"github.com/heatherwood/heatherwood/internal/reach"
 	"github.com/heatherwood/heatherwood/internal/roster"
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
@@ -57,6 +58,13 @@
 	Peers   []string // host:port of the other VMs of the failure domain
 }
 
+// ProbeServer opens a connection to a server, closes it, and reports ServerProbed.
+type ProbeServer struct{ Probe reach.Probe }
+
+// AbandonSend gives up the send of a request to a server; the failed send is reported as
+// RequestSent.
+type AbandonSend struct{ Call uint64 }
+
 // Decision writes one log line about a decision: its outcome, and the inputs
 // with their age or version.
 type Decision struct {
@@ -75,6 +83,8 @@
 
 func (SaveRoster) reducerEffect()   {}
 func (Decision) reducerEffect()     {}
+func (ProbeServer) reducerEffect()  {}
+func (AbandonSend) reducerEffect()  {}
 func (Transmit) reducerEffect()     {}
 func (SaveLog) reducerEffect()      {}
 func (Answer) reducerEffect()       {}
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -11,6 +11,7 @@
 	"github.com/heatherwood/heatherwood/internal/plan"
 	"github.com/heatherwood/heatherwood/internal/quarantine"
 	"github.com/heatherwood/heatherwood/internal/quorum"
+	"github.com/heatherwood/heatherwood/internal/reach"
 	"github.com/heatherwood/heatherwood/internal/relay"
 	"github.com/heatherwood/heatherwood/internal/roster"
 	"github.com/heatherwood/heatherwood/internal/routing"
@@ -90,7 +91,8 @@
 type RequestBegan struct {
 	Call              uint64
 	Request           *relay.Request
-	AssignedElsewhere bool // the plan sends the client's block to another failure domain
+	AssignedElsewhere bool   // the plan sends the client's block to another failure domain
+	From              string // VM that passed the request on; empty if the caller sent it
 }
 
 // RequestClaimed reports the result of a claim; answered by relay.Step.
@@ -125,6 +127,21 @@
 	routing.Notice               // of the server about itself
 }
 
+// RequestDetoured reports the header of the answer of a VM that a request was passed on to,
+// or that this failed; answered by relay.Step.
+type RequestDetoured struct {
+	Call uint64
+	relay.DetourResult
+	Latency time.Duration
+	Cause   string // of a failure, for the log
+}
+
+// ServerProbed reports the result of ProbeServer; Failure is empty if a connection came.
+type ServerProbed struct {
+	Probe   reach.Probe
+	Failure reach.Failure
+}
+
 // RequestEnded reports that package node has finished a request; after a
 // Stream step Result tells how the body ended.
 type RequestEnded struct {
@@ -177,6 +194,8 @@
 func (RequestSlotAnswered) reducerEvent()   {}
 func (RequestSent) reducerEvent()           {}
 func (RequestEnded) reducerEvent()          {}
+func (RequestDetoured) reducerEvent()       {}
+func (ServerProbed) reducerEvent()          {}
 func (PeerUnreachable) reducerEvent()       {}
 func (LiftQuarantine) reducerEvent()        {}
 func (Leave) reducerEvent()                 {}
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -6,6 +6,7 @@
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/placing"
 	"github.com/heatherwood/heatherwood/internal/quarantine"
+	"github.com/heatherwood/heatherwood/internal/reach"
 	"github.com/heatherwood/heatherwood/internal/relay"
 	"github.com/heatherwood/heatherwood/internal/routing"
 	"github.com/heatherwood/heatherwood/pkg/document"
@@ -63,21 +64,27 @@
 
 // placeRequest chooses a server for a request, or denies it one.
 func (s *State) placeRequest(call uint64, r *relay.Request, slotRequest dispatch.SlotRequest) {
-	answer := s.chooseServer(r, slotRequest)
+	answer, through := s.chooseServer(r, slotRequest, r.TakenOver)
+	if through.VM != "" {
+		s.passOn(call, r, relay.Step{}, through, "no way to the chosen server")
+		return
+	}
 	s.runStep(call, r, r.HandleSlotAnswer(answer, nil, s.now))
 }
 
-func (s *State) chooseServer(r *relay.Request, slotRequest dispatch.SlotRequest) dispatch.Answer {
+// chooseServer chooses a server for a request, or another VM to pass it on to if this one
+// has no way to that server. With ownWay, only servers that this VM reaches are chosen.
+func (s *State) chooseServer(r *relay.Request, slotRequest dispatch.SlotRequest, ownWay bool) (dispatch.Answer, helper) {
 	verdict := s.quarantine.Check(slotRequest.Fingerprint, s.now)
 	switch verdict {
 	case quarantine.Barred:
-		return s.denyRequest(r, slotRequest, dispatch.ReasonQuarantined, placing.Choice{RetryAfter: quarantinedRetry})
+		return s.denyRequest(r, slotRequest, dispatch.ReasonQuarantined, placing.Choice{RetryAfter: quarantinedRetry}), helper{}
 	case quarantine.Wait:
-		return s.denyRequest(r, slotRequest, dispatch.ReasonSuspected, placing.Choice{RetryAfter: suspectedRetry})
+		return s.denyRequest(r, slotRequest, dispatch.ReasonSuspected, placing.Choice{RetryAfter: suspectedRetry}), helper{}
 	}
 	pool := s.placingPools[r.Service]
 	if pool == nil {
-		return s.denyRequest(r, slotRequest, dispatch.ReasonNoServers, placing.Choice{RetryAfter: suspectedRetry})
+		return s.denyRequest(r, slotRequest, dispatch.ReasonNoServers, placing.Choice{RetryAfter: suspectedRetry}), helper{}
 	}
 	choice := pool.Choose(placing.Request{
 		Class:     r.Route.Name,
@@ -88,13 +95,23 @@
 		Exclude:   slotRequest.Exclude,
 		Allowed:   regionFilter(r.Route),
 		Fallback:  slotRequest.Fingerprint ^ uint64(len(s.requests)),
+		OwnWay:    ownWay,
 	}, s.now)
+	if h := s.helperFor(r, choice); h.VM != "" {
+		return dispatch.Answer{}, h
+	}
+	if choice.Server != nil && choice.Server.Cut() && !s.usesOpenConnections(r, choice.Server) {
+		return s.chooseServer(r, slotRequest, true)
+	}
 	if choice.Server == nil {
 		reason := dispatch.ReasonQueueFull
 		if choice.Refused == placing.NoServers {
 			reason = dispatch.ReasonNoServers
 		}
-		return s.denyRequest(r, slotRequest, reason, choice)
+		if r.TakenOver && s.ways.InDoubt(s.now) {
+			reason = dispatch.ReasonNoWay
+		}
+		return s.denyRequest(r, slotRequest, reason, choice), helper{}
 	}
 	s.lastTicket++
 	if verdict == quarantine.Trial {
@@ -121,7 +138,31 @@
 		Address: choice.Server.Address,
 		Domain:  choice.Server.Domain,
 		Shifted: choice.Server.Domain != s.Settings.Domain,
-	}}
+
+		OpenOnly: choice.Server.Cut(),
+	}}, helper{}
+}
+
+// helperFor returns the VM that a request is passed on to because this one has no way to the
+// chosen server, or none to any; an empty one if there is no such need, or no such VM.
+func (s *State) helperFor(r *relay.Request, choice placing.Choice) helper {
+	domain := ""
+	switch {
+	case choice.Server == nil && (choice.Refused != placing.NoServers || !s.ways.InDoubt(s.now)):
+		return helper{}
+	case choice.Server != nil && (!choice.Server.Cut() || s.usesOpenConnections(r, choice.Server)):
+		return helper{}
+	case choice.Server != nil:
+		domain = choice.Server.Domain
+	}
+	h, _ := s.chooseHelper(r, domain)
+	return h
+}
+
+// usesOpenConnections reports whether a request is sent to a server to which no new
+// connection can be opened: the first time, in case an open one is idle.
+func (s *State) usesOpenConnections(r *relay.Request, server *placing.Server) bool {
+	return s.ways.Way(server.Domain) == reach.Kept && !r.AnyUnconnected()
 }
 
 // regionFilter returns the check of a route's allowed regions; nil, for a route
@@ -175,7 +216,7 @@
 	}
 	s.noteLimit(r, run, e)
 	phase := quarantine.Clear
-	if e.ServerDied {
+	if e.ServerDied && s.ways.Way(run.server.Domain) == reach.Open {
 		phase = s.markSuspected(r, run.server.ID)
 	}
 	step := r.HandleSendResult(e.Result, phase, s.now, s.retryBudget(r))
@@ -190,7 +231,7 @@
 		}})
 	}
 	if !step.Stream {
-		s.endRun(r, e.Result, e.Latency)
+		s.endRun(r, s.blameless(run.server.Domain, e.Result), e.Latency)
 	}
 	s.runStep(e.Call, r, step)
 }
@@ -208,8 +249,10 @@
 
 func nextAction(step relay.Step) string {
 	switch {
-	case step.SlotRequest != nil:
+	case step.SlotRequest != nil, step.Claim != nil:
 		return "another-server"
+	case step.Detour != nil:
+		return "another-vm"
 	case step.Stream:
 		return "pass-on"
 	default:
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/allowance"
+	"github.com/heatherwood/heatherwood/internal/detour"
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/member"
@@ -89,6 +90,9 @@
 	replicaSet    replicaset.State
 	allocator     allowance.Allocator // of servers that name a limit
 	ways          reach.Tracker       // to backend servers
+	detours       detour.Chooser
+	detourRuns    map[uint64]string // VM that serves a request for this one, by call
+	takenOver     map[uint64]bool   // requests that this VM serves for others, by call
 
 	suspicionsSent    int                  // quarantine updates sent since the last tick
 	learnedDomains    map[string]bool      // failure domains whose servers this VM has known as a control VM does
@@ -184,6 +188,8 @@
 		placingPools:     make(map[string]*placing.Pool),
 		routeSplits:      make(map[string]*placing.Split),
 		placedRuns:       make(map[uint64]placedRun),
+		detourRuns:       make(map[uint64]string),
+		takenOver:        make(map[uint64]bool),
 		learnedDomains:   make(map[string]bool),
 		rosterAskedAt:    make(map[string]time.Time),
 		recent:           plan.RecentTables{TTL: LookupTTL},
@@ -236,6 +242,8 @@
 		s.handleServerRecord(e)
 	case SlotRequested:
 		s.handleSlotRequest(e)
+	case ServerProbed:
+		s.ways.Probed(e.Probe, e.Failure, now)
 	case PeerUnreachable:
 		s.members.MarkUnreachable(e.Peer)
 	case LiftQuarantine:
@@ -325,6 +333,7 @@
 	}
 	s.roster.ResetTimeouts(s.now)
 	s.allocator.Reset()
+	s.ways.Restart(s.now)
 }
 
 func (s *State) receive(m Message) {
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -9,6 +9,7 @@
 
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/quarantine"
+	"github.com/heatherwood/heatherwood/internal/reach"
 	"github.com/heatherwood/heatherwood/internal/relay"
 	"github.com/heatherwood/heatherwood/internal/routing"
 	"github.com/heatherwood/heatherwood/pkg/document"
@@ -32,6 +33,8 @@
 		}
 	case RequestSent:
 		s.handleSent(e)
+	case RequestDetoured:
+		s.handleDetoured(e)
 	case RequestEnded:
 		s.endRequest(e)
 	}
@@ -39,12 +42,18 @@
 
 func (s *State) beginRequest(e RequestBegan) {
 	r := e.Request
+	if r.TakenOver {
+		if problem := s.takeOver(e); problem != nil {
+			s.emit(Answer{Call: e.Call, Value: relay.Step{Refuse: problem}})
+			return
+		}
+	}
 	if r.Route != nil {
 		s.beginRouted(e)
 		return
 	}
 	limiter := s.arrivalLimiters[r.Service]
-	if limiter != nil {
+	if limiter != nil && !r.TakenOver {
 		if stats, over := limiter.Tick(s.now); over && stats.Shifted > 0 {
 			s.recordShift("arrival", r.Service, stats)
 		}
@@ -80,6 +89,12 @@
 // runStep passes the next step of a request to package node. A request for a
 // slot that this VM grants, as an entry or as the owner, is handled here instead.
 func (s *State) runStep(call uint64, r *relay.Request, step relay.Step) {
+	if (step.Claim != nil || step.SlotRequest != nil) && s.needsDetour(r) {
+		if h, found := s.chooseHelper(r, ""); found {
+			s.passOn(call, r, step, h, "no connection to servers")
+			return
+		}
+	}
 	if step.SlotRequest != nil && r.PlacedLocally {
 		s.placeRequest(call, r, *step.SlotRequest)
 		return
@@ -95,11 +110,32 @@
 		step.SlotRequest.ID = call
 	}
 	if step.Send != nil {
+		if !r.PlacedLocally && s.passOnGranted(call, r, step) {
+			return
+		}
+		s.beginFlight(call, r, step.Send)
 		s.recordSend(r, "sending")
 	}
 	s.emit(Answer{Call: call, Value: step})
 }
 
+// passOnGranted returns the grant of a slot and passes the request on to another VM, if this
+// one cannot reach the server.
+func (s *State) passOnGranted(call uint64, r *relay.Request, step relay.Step) bool {
+	way := s.ways.Way(step.Send.Domain)
+	step.Send.OpenOnly = way == reach.Kept
+	if way != reach.Lost {
+		return false
+	}
+	h, found := s.chooseHelper(r, step.Send.Domain)
+	if !found {
+		return false
+	}
+	s.finishGrant(r, routing.ResultUnused, 0)
+	s.passOn(call, r, relay.Step{}, h, "no way to "+step.Send.Domain)
+	return true
+}
+
 // recordSend records that a `once` operation was sent to a server or ended
 // there.
 func (s *State) recordSend(r *relay.Request, outcome string) {
@@ -159,7 +195,7 @@
 	answered := e.Result == routing.ResultOK || e.Result == routing.ResultError
 	phase := quarantine.Clear
 	if !answered {
-		phase = s.finishGrant(r, e.Result, e.Latency)
+		phase = s.finishGrant(r, s.blameless(r.Grant.Domain, e.Result), e.Latency)
 	}
 	step := r.HandleSendResult(e.Result, phase, s.now, s.retryBudget(r))
 	if answered && !step.Stream {
@@ -256,6 +292,9 @@
 		return
 	}
 	delete(s.requests, e.Call)
+	delete(s.takenOver, e.Call)
+	s.ways.End(e.Call)
+	s.endDetour(e.Call, false)
 	if r.PlacedLocally {
 		s.endPlaced(r, e)
 		return
--- a/internal/reducer/ways.go
+++ b/internal/reducer/ways.go
@@ -1,13 +1,26 @@
 package reducer
 
 import (
+	"slices"
+
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/reach"
+	"github.com/heatherwood/heatherwood/internal/relay"
 	"github.com/heatherwood/heatherwood/internal/routing"
 )
 
-// noteWay takes what a send says about the way to its server.
+// beginFlight notes that a request is sent to a server.
+func (s *State) beginFlight(call uint64, r *relay.Request, grant *dispatch.Grant) {
+	expected := r.Deadline.Sub(s.now) / 2
+	if run, found := s.placedRuns[grant.Ticket]; found && r.PlacedLocally {
+		expected = run.expected
+	}
+	s.ways.Begin(call, reach.Flight{Domain: grant.Domain, Address: grant.Address, SentAt: s.now, Expected: expected})
+}
+
+// noteWay takes what the end of a send says about the way to its server.
 func (s *State) noteWay(grant *dispatch.Grant, e RequestSent) {
+	s.ways.End(e.Call)
 	if e.ConnectTime > 0 {
 		s.ways.Connected(grant.Domain, grant.Address, s.now)
 	}
@@ -15,7 +28,9 @@
 	case routing.ResultOK, routing.ResultError, routing.ResultShed:
 		s.ways.Answered(grant.Domain, s.now)
 	case routing.ResultDialFailed:
-		s.ways.Failed(grant.Domain, grant.Address, reach.Refused, s.now)
+		if !grant.OpenOnly {
+			s.ways.Failed(grant.Domain, grant.Address, reach.Refused, s.now)
+		}
 	case routing.ResultDialTimeout:
 		s.ways.Failed(grant.Domain, grant.Address, reach.Late, s.now)
 	case routing.ResultBroken:
@@ -23,19 +38,88 @@
 	}
 }
 
-// tickWays logs where connections to backend servers began to fail, and where they work
-// again.
+// blameless returns the result of a send as it counts for its server: nothing counts that
+// the way to it explains.
+func (s *State) blameless(domain string, result routing.Result) routing.Result {
+	if s.ways.Way(domain) == reach.Open {
+		return result
+	}
+	switch result {
+	case routing.ResultDialFailed, routing.ResultDialTimeout:
+		return routing.ResultUnused
+	case routing.ResultBroken, routing.ResultTimeout:
+		return routing.ResultCancelled
+	default:
+		return result
+	}
+}
+
+// tickWays probes servers where the way to them is in doubt or cut, and acts on changes.
 func (s *State) tickWays() {
-	for _, c := range s.ways.Tick(s.now) {
-		outcome := "reached"
-		if c.Failing {
-			outcome = "failing"
+	probes, changes := s.ways.Tick(s.now, s.serversIn)
+	for _, p := range probes {
+		s.emit(ProbeServer{Probe: p})
+	}
+	for _, c := range changes {
+		s.logWay(c)
+		if c.To == reach.Lost {
+			s.abandonSends(c.Domain)
+		}
+	}
+	cut := s.ways.Cut()
+	s.members.Self.Cut = cut
+	if len(cut) > 0 || len(changes) > 0 {
+		s.setCutOfPools(cut)
+	}
+}
+
+// setCutOfPools tells the pools which failure domains can be reached through other VMs only.
+// One that no other VM reaches either is down.
+func (s *State) setCutOfPools(cut []string) {
+	helpers := s.helpers()
+	reachable := slices.DeleteFunc(slices.Clone(cut), func(domain string) bool {
+		return !slices.ContainsFunc(helpers, func(h helper) bool { return !slices.Contains(h.Cut, domain) })
+	})
+	for _, pool := range s.placingPools {
+		pool.SetCut(reachable)
+	}
+}
+
+// abandonSends gives up the sends to a failure domain whose requests may be sent again.
+func (s *State) abandonSends(domain string) {
+	for _, call := range s.ways.FlightsTo(domain) {
+		if r := s.requests[call]; r != nil && r.MayRepeat() {
+			s.emit(AbandonSend{Call: call})
 		}
-		s.emit(Decision{Code: CodeWayChanged, Outcome: outcome, Fields: []Field{
-			{"domain", c.Domain},
-			{"servers", int64(c.Servers)},
-			{"why", string(c.Why)},
-			{"silent", c.Silent},
-		}})
 	}
 }
+
+// serversIn returns the addresses of the known servers of a failure domain.
+func (s *State) serversIn(domain string) []string {
+	var addresses []string
+	for _, entry := range s.roster.Entries {
+		if entry.Domain == domain && !entry.Gone && !entry.Silent && !entry.Leaving {
+			addresses = append(addresses, entry.Address)
+		}
+	}
+	for _, pool := range s.pools {
+		for _, server := range pool.Routing.Servers {
+			if server.Domain == domain && server.State == routing.StateServing && s.now.Before(server.Expires) {
+				addresses = append(addresses, server.Address)
+			}
+		}
+	}
+	return addresses
+}
+
+func (s *State) logWay(c reach.Change) {
+	s.emit(Decision{Code: CodeWayChanged, Outcome: c.To.String(), Fields: []Field{
+		{"domain", c.Domain},
+		{"was", c.From.String()},
+		{"lasted", c.Lasted},
+		{"servers", int64(c.Servers)},
+		{"why", string(c.Why)},
+		{"silent", c.Silent},
+		{"flights", int64(len(s.ways.FlightsTo(c.Domain)))},
+	}})
+}
--- /dev/null
+++ b/internal/relay/detour_test.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/heatherwood/heatherwood/internal/detour"
+	"github.com/heatherwood/heatherwood/internal/ledger"
+	"github.com/heatherwood/heatherwood/internal/routing"
+)
+
+// A request that was passed on and may have run is never sent again unless it may run twice,
+// and never refused as not run.
+func TestDetourResults(t *testing.T) {
+	refusal := func(status int, reason string, run RunState) *Problem {
+		return &Problem{Status: status, Reason: reason, Run: run, RetryAfter: time.Second}
+	}
+	tests := map[string]struct {
+		result DetourResult
+		once   bool
+		next   string // claim, slot, stream, or the status of the refusal
+		run    RunState
+	}{
+		"answer of a server":            {result: DetourResult{Result: routing.ResultOK}, next: "stream"},
+		"error of a server":             {result: DetourResult{Result: routing.ResultError}, next: "stream"},
+		"not reached":                   {result: DetourResult{Result: routing.ResultDialFailed}, next: "slot"},
+		"not reached, once":             {result: DetourResult{Result: routing.ResultDialTimeout}, once: true, next: "claim"},
+		"hop breaks":                    {result: DetourResult{Result: routing.ResultBroken}, next: "slot"},
+		"hop breaks, once":              {result: DetourResult{Result: routing.ResultBroken}, once: true, next: "502", run: RunUnknown},
+		"deadline, once":                {result: DetourResult{Result: routing.ResultTimeout}, once: true, next: "504", run: RunUnknown},
+		"no way there either":           {result: DetourResult{Result: routing.ResultShed, Refusal: refusal(503, ReasonNoWay, RunNo)}, next: "slot"},
+		"no way there after a run":      {result: DetourResult{Result: routing.ResultShed, Refusal: refusal(502, ReasonNoWay, RunUnknown)}, next: "502", run: RunUnknown},
+		"full of other VMs' requests":   {result: DetourResult{Result: routing.ResultShed, Refusal: refusal(503, ReasonDetoursFull, RunNo)}, once: true, next: "claim"},
+		"servers are busy":              {result: DetourResult{Result: routing.ResultShed, Refusal: refusal(503, "queue-full", RunNo)}, next: "503", run: RunNo},
+		"outcome of the key is unknown": {result: DetourResult{Result: routing.ResultShed, Refusal: refusal(409, "outcome-unknown", RunUnknown)}, once: true, next: "409", run: RunUnknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRequest(test.once)
+			budget := &RetryBudget{}
+			first := r.Start(start, budget)
+			if step := r.PassOn(detour.Helper{VM: "other"}, first); step.Detour == nil || step.Detour.VM != "other" {
+				t.Fatalf("step %+v, want a detour", step)
+			}
+			step := r.HandleDetourResult(test.result, start.Add(time.Millisecond), budget)
+			got := ""
+			switch {
+			case step.Claim != nil:
+				got = "claim"
+			case step.SlotRequest != nil:
+				got = "slot"
+			case step.Stream:
+				got = "stream"
+			case step.Refuse != nil:
+				got = fmt.Sprint(step.Refuse.Status)
+				if step.Refuse.Run != test.run {
+					t.Errorf("refused with run %q, want %q", step.Refuse.Run, test.run)
+				}
+			}
+			if got != test.next {
+				t.Errorf("next is %q (%+v), want %q", got, step, test.next)
+			}
+		})
+	}
+}
+
+// Two VMs that both believe the other one reaches the servers would pass a request to and fro.
+func TestRequestIsPassedOnOnce(t *testing.T) {
+	r := newRequest(false)
+	r.TakenOver = true
+	if r.MayDetour() {
+		t.Error("a request that was taken over may be passed on again")
+	}
+	r = newRequest(false)
+	for i := range maxHelpers {
+		if !r.MayDetour() {
+			t.Fatalf("only %d VMs may be asked", i)
+		}
+		r.PassOn(detour.Helper{VM: fmt.Sprint("vm-", i)}, Step{})
+	}
+	if r.MayDetour() {
+		t.Errorf("more than %d VMs may be asked", maxHelpers)
+	}
+}
+
+// The VM that passed a request on continues with the same claim, so the one that cannot serve
+// it must not release that.
+func TestTakenOverRequestWithoutWayKeepsItsClaim(t *testing.T) {
+	r := newRequest(true)
+	r.TakenOver = true
+	r.Start(start, &RetryBudget{})
+	step := r.HandleClaimResult(&ledger.ClaimResult{Code: ledger.ClaimGranted}, nil, start)
+	for range maxTries {
+		if step.SlotRequest == nil {
+			t.Fatalf("step %+v, want a slot request", step)
+		}
+		r.HandleSlotAnswer(grantAnswer(), nil, start)
+		step = r.HandleSendResult(routing.ResultDialFailed, 0, start, &RetryBudget{})
+	}
+	if step.Refuse == nil || step.Refuse.Reason != ReasonNoWay || step.Refuse.Status != http.StatusServiceUnavailable || step.Release != nil {
+		t.Errorf("step %+v, problem %+v; want %s without a release", step, step.Refuse, ReasonNoWay)
+	}
+}
+
+// Retries of a request count against the sends of the VM that passed it on, and its first try
+// is counted there.
+func TestTakenOverRequestContinuesTheCounts(t *testing.T) {
+	budget := &RetryBudget{Ratio: 1}
+	r := newRequest(false)
+	r.TakenOver, r.EarlierRuns = true, maxTries-1
+	r.Start(start, budget)
+	if budget.TakeRetry() {
+		t.Error("a request that was taken over counts as a first try here too")
+	}
+	budget.CountFirstTry()
+	r.HandleSlotAnswer(grantAnswer(), nil, start)
+	if step := r.HandleSendResult(routing.ResultBroken, 1, start, budget); step.Refuse == nil {
+		t.Errorf("step %+v after as many runs as a request may have, want a refusal", step)
+	}
+}
+
+// A body that is not in memory was not read while no connection came.
+func TestLargeBodyIsSentElsewhereWhenNoConnectionCame(t *testing.T) {
+	r := newRequest(false)
+	r.Replayable = false
+	r.Start(start, &RetryBudget{})
+	r.HandleSlotAnswer(grantAnswer(), nil, start)
+	if step := r.HandleSendResult(routing.ResultDialTimeout, 0, start, &RetryBudget{}); step.SlotRequest == nil {
+		t.Errorf("step %+v, want another slot request", step)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -40,6 +40,8 @@
 	Object        string          // a server that ran requests for the same object lately runs them faster
 	TargetTime    time.Time       // after it, an answer has lost most of its value
 	PlacedLocally bool            // this VM chooses the server, without asking a slot owner
+	TakenOver     bool            // another VM, which reaches no server, passed the request on
+	EarlierRuns   int             // sends of that VM that may have run
 
 	Grant          *dispatch.Grant // of the current send
 	claimStartedAt time.Time       // when the claim was first proposed; zero while another request holds the key
@@ -48,6 +50,8 @@
 	sends          int
 	runs           int      // sends that may have run
 	excluded       []string // servers that a retry must not use
+	noConnection   int      // sends for which no connection came
+	triedHelpers   []string // VMs that were asked to serve the request
 	mayHaveRun     bool     // this request, or an earlier one with its key
 }
 
@@ -58,6 +62,7 @@
 	Wait        time.Duration         // wait, then call ResumeAfterWait
 	SlotRequest *dispatch.SlotRequest // send it to the owner of the service, then call HandleSlotAnswer
 	Send        *dispatch.Grant       // send the request to the server, then call HandleSendResult
+	Detour      *Detour               // pass the request on to another VM, then call HandleDetourResult
 	Stream      bool                  // pass the server's answer on to the caller
 	Replay      *ledger.Outcome       // answer the caller with the stored outcome
 	Refuse      *Problem              // answer the caller with this
@@ -86,7 +91,10 @@
 
 // Start returns the first step of the request.
 func (r *Request) Start(now time.Time, budget *RetryBudget) Step {
-	budget.CountFirstTry()
+	if !r.TakenOver {
+		budget.CountFirstTry()
+	}
+	r.runs = r.EarlierRuns
 	if !now.Before(r.Deadline) {
 		return r.refuse(http.StatusGatewayTimeout, "deadline", "the deadline had passed on arrival", 0)
 	}
@@ -207,6 +215,9 @@
 		status = http.StatusForbidden
 	}
 	reason := answer.Denial.Reason
+	if reason == dispatch.ReasonNoWay {
+		return r.refuseForWay()
+	}
 	return r.endNotRun(status, string(reason), denialDetail(reason), answer.Denial.RetryAfter)
 }
 
@@ -252,9 +263,8 @@
 	case routing.ResultShed:
 		return r.retryElsewhere(server, now, budget)
 	case routing.ResultDialFailed, routing.ResultDialTimeout:
-		// Nothing reached a server, so a retry adds no load to the service and
-		// needs no budget.
-		return r.retryElsewhere(server, now, nil)
+		r.noConnection++
+		return r.retryUnsent(server, now)
 	case routing.ResultBroken:
 		r.mayHaveRun = true
 		r.runs++
@@ -319,9 +329,32 @@
 		r.excluded = append(r.excluded, server)
 		return r.requestSlot(now)
 	}
+	return r.endUnserved()
+}
+
+// retryUnsent retries on another server after a connection that did not come. Nothing
+// reached a server, so the retry adds no load to the service and needs no budget, and the
+// body was not read.
+func (r *Request) retryUnsent(server string, now time.Time) Step {
+	maxSends := maxTries
+	if r.Route != nil {
+		maxSends = r.Route.Tries + extraSends
+	}
+	if r.sends < maxSends && now.Before(r.Deadline) {
+		r.excluded = append(r.excluded, server)
+		return r.requestSlot(now)
+	}
+	return r.endUnserved()
+}
+
+// endUnserved refuses a request that no server took.
+func (r *Request) endUnserved() Step {
 	if r.mayHaveRun {
 		return r.endUnknown(http.StatusBadGateway, "connection-lost", "the backend server's connection broke before the whole answer")
 	}
+	if r.TakenOver && r.noConnection > 0 {
+		return r.refuseForWay()
+	}
 	return r.endNotRun(http.StatusServiceUnavailable, "shed", "the backend servers refused the request unrun", time.Second)
 }
 
--- a/internal/routing/ejection.go
+++ b/internal/routing/ejection.go
@@ -44,3 +44,6 @@
 
 // ResetFailures clears all failures and ejections after a good answer.
 func (e *Ejection) ResetFailures() { e.failures, e.ejections, e.probing = 0, 0, false }
+
+// Clear ends the ejection and the probation, and forgets all failures.
+func (e *Ejection) Clear() { *e = Ejection{} }
