Name entries without a way to servers last, and show ways in the status

A VM whose way to the servers is cut serves its callers through others, which costs a hop; look-ups went on to name it like any other.

Look-ups leave it out while its failure domain has at least two other entries and no fewer than such VMs, so that the others are not crowded; once its way is open again, which its heartbeat tells at once, it is named as before.

--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -1,6 +1,7 @@
 package detour
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -109,3 +110,6 @@
 		delete(c.avoidedUntil, vm)
 	}
 }
+
+// Running returns the number of requests that each helper serves now.
+func (c *Chooser) Running() map[string]int { return maps.Clone(c.running) }
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -146,6 +146,20 @@
 	return names
 }
 
+// Ways returns the way to each failure domain that was used, as a change from itself; Lasted is
+// -1 where it never changed.
+func (t *Tracker) Ways(now time.Time) []Change {
+	ways := make([]Change, 0, len(t.domains))
+	for _, d := range t.domains {
+		c := d.change(d.way, now)
+		if d.since.IsZero() {
+			c.Lasted = -1
+		}
+		ways = append(ways, c)
+	}
+	return ways
+}
+
 // AllLost reports whether no server that this VM used can be reached on any connection.
 func (t *Tracker) AllLost() bool {
 	return len(t.domains) > 0 && !slices.ContainsFunc(t.domains, func(d *domain) bool { return d.way != Lost })
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -198,6 +198,18 @@
 	Barred    []QuarantineStatus `json:"barred"`
 	Limits    []LimitStatus      `json:"limits"`
 	LogLength uint64             `json:"logLength"`
+
+	Ways    []WayStatus    `json:"ways"`    // to the servers of each failure domain that this VM used
+	Helpers map[string]int `json:"helpers"` // requests that other VMs serve for this one now, by VM
+	Helped  int            `json:"helped"`  // requests that this VM serves for others now
+}
+
+// WayStatus is the way to the servers of a failure domain.
+type WayStatus struct {
+	Domain string        `json:"domain"`
+	Way    string        `json:"way"` // open, doubt, kept or lost
+	For    time.Duration `json:"for"` // how long it has been so; -1 if always
+	Why    string        `json:"why"` // how the last connection failed; empty if none counts
 }
 
 // LimitStatus is the limit of a server that entries choose themselves, and the part of it
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -20,6 +20,10 @@
 	status.Versions = s.Versions()
 	s.controlStatus(&status)
 	s.fleetStatus(&status)
+	for _, c := range s.ways.Ways(s.now) {
+		status.Ways = append(status.Ways, WayStatus{Domain: c.Domain, Way: c.To.String(), For: c.Lasted, Why: string(c.Why)})
+	}
+	status.Helpers, status.Helped = s.detours.Running(), len(s.takenOver)
 	return status
 }
 
--- a/internal/reducer/view.go
+++ b/internal/reducer/view.go
@@ -42,6 +42,7 @@
 	views := make([]ViewDomain, 0, len(s.document.Places.Domains))
 	for _, named := range s.document.Places.Domains {
 		view := ViewDomain{Name: named.Name, Region: named.Region}
+		var ready []readyEntry
 		for _, domain := range domains {
 			if domain.Name != named.Name {
 				continue
@@ -52,9 +53,10 @@
 					view.Starting = append(view.Starting, entry.Entry)
 				}
 				if entry.Entry != "" && entry.Ready && !s.document.Stops.Stopped(document.StopVM, entry.ID, s.now, LookupTTL) {
-					view.Entries = append(view.Entries, entry.Entry)
+					ready = append(ready, readyEntry{entry.Entry, s.mostlyCut(entry.Cut)})
 				}
 			}
+			view.Entries = entriesToTell(ready)
 		}
 		if named.Name == s.Settings.Domain {
 			view.Alive = true
@@ -65,16 +67,48 @@
 	return views
 }
 
-// ownEntries returns the entries of the own failure domain that take callers,
+// ownEntries returns the entries of the own failure domain that callers are told,
 // and those that have no document yet.
 func (s *State) ownEntries() (entries, starting []string) {
+	var ready []readyEntry
 	for _, vm := range s.members.Alive() {
 		if vm.Entry != "" && vm.Document == 0 && !vm.Stopping {
 			starting = append(starting, vm.Entry)
 		}
 		if vm.Entry != "" && vm.Document > 0 && !vm.Stopping && !s.document.Stops.Stopped(document.StopVM, vm.ID, s.now, LookupTTL) {
-			entries = append(entries, vm.Entry)
+			ready = append(ready, readyEntry{vm.Entry, s.mostlyCut(vm.Cut)})
 		}
 	}
-	return entries, starting
+	return entriesToTell(ready), starting
+}
+
+// readyEntry is an entry that takes callers.
+type readyEntry struct {
+	address string
+	cut     bool // it reaches most servers through other VMs only
+}
+
+const minToldEntries = 2 // of a failure domain, so that a caller has a second one to try
+
+// mostlyCut reports whether a VM cannot connect to the servers of half of the failure domains
+// or more.
+func (s *State) mostlyCut(cut []string) bool {
+	return len(cut) > 0 && 2*len(cut) >= len(s.document.Places.Domains)
+}
+
+// entriesToTell returns the entries of a failure domain that callers are told: those that are
+// cut only while they are more than the others, who would have to take on their callers.
+func entriesToTell(ready []readyEntry) []string {
+	var sound, cut []string
+	for _, e := range ready {
+		if e.cut {
+			cut = append(cut, e.address)
+		} else {
+			sound = append(sound, e.address)
+		}
+	}
+	if len(sound) >= minToldEntries && len(sound) >= len(cut) {
+		return sound
+	}
+	return append(sound, cut...)
 }
