--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Helper is a VM that may serve a request for another.
@@ -15,8 +17,9 @@
 	Cut    []string // failure domains whose servers it cannot connect to
 }
 
-// Site is the place of the VM that needs help.
+// Site is the VM that needs help, and its place.
 type Site struct {
+	VM     string
 	Domain string
 	Region string
 }
@@ -45,10 +48,11 @@
 	avoidedUntil map[string]time.Time // by VM
 }
 
-// Choose returns the helper of least cost: near, and with few requests of this VM.
+// Choose returns the helper of least cost: near, and with few requests of this VM. Of equal
+// ones, each VM prefers others, so that many that need help do not crowd a few.
 func (c *Chooser) Choose(own Site, helpers []Helper, need Need, now time.Time) (Helper, bool) {
 	var best Helper
-	bestCost, found := 0, false
+	bestCost, bestHash, found := 0, uint64(0), false
 	for _, h := range helpers {
 		if !need.fits(h) || now.Before(c.avoidedUntil[h.VM]) {
 			continue
@@ -57,8 +61,9 @@
 		if need.triedDomain(helpers, h.Domain) {
 			cost += triedDomainRequests
 		}
-		if !found || cost < bestCost {
-			best, bestCost, found = h, cost, true
+		hash := xxhash.Sum64String(own.VM + "\x00" + h.VM)
+		if !found || cost < bestCost || cost == bestCost && hash > bestHash {
+			best, bestCost, bestHash, found = h, cost, hash, true
 		}
 	}
 	return best, found
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -1,6 +1,7 @@
 package detour
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -64,3 +65,30 @@
 		t.Errorf("chose %q, want the neighbour again", got.VM)
 	}
 }
+
+// Many VMs that lose their ways together, with a few requests each, must not all choose the
+// same few helpers.
+func TestManyVMsSpreadOverTheirHelpers(t *testing.T) {
+	var helpers []Helper
+	for i := range 28 {
+		helpers = append(helpers, Helper{VM: fmt.Sprint("helper-", i), Domain: "a-2", Region: "a"})
+	}
+	load := make(map[string]int)
+	const vms, requests = 14, 4
+	for i := range vms {
+		var c Chooser
+		for range requests {
+			h, _ := c.Choose(Site{VM: fmt.Sprint("vm-", i), Domain: "a-1", Region: "a"}, helpers, Need{}, now)
+			c.Begin(h.VM)
+			load[h.VM]++
+		}
+	}
+	highest := 0
+	for _, n := range load {
+		highest = max(highest, n)
+	}
+	const most = 4 * vms * requests / 28
+	if highest > most {
+		t.Errorf("one of %d helpers serves %d of %d requests, want %d at most", len(helpers), highest, vms*requests, most)
+	}
+}
--- a/internal/peerrpc/timeouts.go
+++ b/internal/peerrpc/timeouts.go
@@ -12,7 +12,7 @@
 // Linux the user time-out also decides when keep-alive probes give up, whatever their count.
 const (
 	forwardConnectTimeout = time.Second
-	forwardUserTimeout    = 2 * time.Second // for bytes that are not acknowledged
+	forwardUserTimeout    = 3 * time.Second // for bytes that are not acknowledged
 	forwardKeepAliveIdle  = time.Second
 	forwardKeepAliveEvery = time.Second
 )
--- a/internal/reducer/detour.go
+++ b/internal/reducer/detour.go
@@ -53,7 +53,7 @@
 	} else if service := s.document.Services.ByName(r.Service); service != nil {
 		need.Allowed = service.AllowedIn
 	}
-	return s.detours.Choose(detour.Site{Domain: s.Settings.Domain, Region: s.Settings.Region}, s.helpers(), need, s.now)
+	return s.detours.Choose(detour.Site{VM: s.Settings.VM, Domain: s.Settings.Domain, Region: s.Settings.Region}, s.helpers(), need, s.now)
 }
 
 // needsDetour reports whether the next step of a request, a claim or a request for a slot,
