Elect a leader on disks whose syncs take longer than the election timeout

The known red: TestRouteToServersOfAllDomains failed once beside 300 processes, when a probe of the disk took up to 6.6 s for a sync. Ruled out: load alone, 16 later runs passed.

Cause: a vote counts once it is synced, so an election takes two syncs in a row, but timers ran for 0.7 to 1.4 s whatever the disk did, and each candidate was overtaken by the next. Followers answered heartbeats only after all earlier saves, so that a leader that was elected stepped down.

Change: timers wait for votes to be synced, by measured syncs; while a slow election is under way pre-votes are refused with the time it may still take; heartbeats are answered at once with the synced index.

--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -26,7 +26,11 @@
 
 func (s *State) onPreVote(m Message, now time.Time) {
 	grant := m.Term > s.Hard.Term && s.mayVoteFor(m) && !s.leaderActive(now) && !s.diskFailed
-	reply := Message{Kind: MessagePreVoteReply, To: m.From, Reject: !grant}
+	reply := Message{Kind: MessagePreVoteReply, To: m.From}
+	if reply.Wait = s.slowElection(now); reply.Wait > 0 {
+		grant = false
+	}
+	reply.Reject = !grant
 	if grant {
 		reply.Term = m.Term
 		s.deferElection(m.From, now)
@@ -52,6 +56,7 @@
 }
 
 func (s *State) onPreVoteReply(m Message, now time.Time) {
+	s.holdElection(m.Wait, now)
 	if s.Role != RolePreCandidate {
 		return
 	}
@@ -83,6 +88,7 @@
 func (s *State) startElection(now time.Time) {
 	s.Hard = HardState{Term: s.Hard.Term + 1, Vote: s.Settings.ID}
 	s.become(RoleCandidate, "", now)
+	s.awaitVotes(now)
 	s.votes = make(map[ID]bool)
 	var requests []Message
 	for _, voter := range s.config.Voters {
@@ -108,7 +114,7 @@
 		return
 	}
 	s.Hard.Vote = m.From
-	s.resetElectionTimer(now)
+	s.awaitVotes(now)
 	s.save(nil, nil, reply)
 }
 
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -28,10 +28,12 @@
 	saveSequence uint64
 	savedIndex   uint64 // highest index synced on this replica
 	pendingSaves []pendingSave
+	syncTime     time.Duration // that saves took lately
 	diskFailed   bool
 
 	leaderMessageAt time.Time // when the last message of a leader arrived
 	electionDue     time.Time
+	heldUntil       time.Time // while an election that another replica knows of is under way
 	heartbeatDue    time.Time
 	votes           map[ID]bool // of the running pre-vote or election; false for a rejection
 	peers           map[ID]*progress
@@ -47,6 +49,8 @@
 	lastIndex uint64
 	lastTerm  uint64
 	hard      HardState
+	snapshot  bool      // it replaces the log
+	since     time.Time // first tick after it was emitted
 }
 
 // progress is what the leader knows of the log of another replica.
@@ -196,7 +200,7 @@
 		return
 	}
 	s.saveSequence++
-	pending := pendingSave{sequence: s.saveSequence, hard: s.Hard}
+	pending := pendingSave{sequence: s.saveSequence, hard: s.Hard, snapshot: snapshot != nil}
 	if len(entries) > 0 {
 		last := entries[len(entries)-1]
 		pending.lastIndex, pending.lastTerm = last.Index, last.Term
@@ -225,11 +229,13 @@
 			break
 		}
 		done++
+		s.recordSyncTime(pending, now)
 		if term, found := s.log.term(pending.lastIndex); found && term == pending.lastTerm {
 			s.savedIndex = max(s.savedIndex, pending.lastIndex)
 		}
 		ownVote := pending.hard == s.Hard && s.Hard.Vote == s.Settings.ID
 		if ownVote && s.Role == RoleCandidate {
+			s.awaitVotes(now)
 			s.countVote(s.Settings.ID, true, now)
 		}
 	}
@@ -288,10 +294,14 @@
 // Tick handles the passing of time: elections, heartbeats and the leader's check
 // that it still reaches a quorum.
 func (s *State) Tick(now time.Time) []Effect {
+	s.timeSaves(now)
 	if s.Role == RoleLeader {
 		s.tickLeader(now)
 		return s.takeEffects()
 	}
+	if !now.Before(s.electionDue) && s.savesVote() {
+		s.awaitVotes(now)
+	}
 	if !now.Before(s.electionDue) && s.config.IsVoter(s.Settings.ID) && !s.diskFailed {
 		s.startPreVote(now)
 	}
--- a/internal/quorum/replicate.go
+++ b/internal/quorum/replicate.go
@@ -149,7 +149,7 @@
 	if term, found := s.log.term(m.Index); !found || term != m.LogTerm {
 		reply.Reject = true
 		reply.Index = min(s.log.lastIndex(), max(m.Index, 1)-1)
-		s.replyWhenSaved(reply, nil)
+		s.send(reply)
 		return
 	}
 	added := s.log.merge(m.Entries)
@@ -158,7 +158,7 @@
 		s.savedIndex = min(s.savedIndex, added[0].Index-1)
 	}
 	reply.Index = m.Index + uint64(len(m.Entries))
-	s.replyWhenSaved(reply, added)
+	s.reply(reply, added)
 	s.commitTo(min(m.Commit, reply.Index))
 }
 
@@ -172,14 +172,21 @@
 	return m
 }
 
-// replyWhenSaved sends the reply after all earlier saves are synced, because it
-// acknowledges all entries up to its index.
-func (s *State) replyWhenSaved(reply Message, added []Entry) {
-	if len(added) == 0 && len(s.pendingSaves) == 0 {
+// reply sends the reply to an append once the added entries and all before them are synced,
+// because it acknowledges all entries up to its index. A heartbeat is answered at once, with
+// what is synced by then: a leader whose followers have slow disks would take them for lost.
+func (s *State) reply(reply Message, added []Entry) {
+	switch {
+	case len(added) > 0:
+		s.save(added, nil, reply)
+	case !slices.ContainsFunc(s.pendingSaves, func(p pendingSave) bool { return p.snapshot }):
+		if len(s.pendingSaves) > 0 {
+			reply.Index = min(reply.Index, s.savedIndex)
+		}
 		s.send(reply)
-		return
+	default:
+		s.save(nil, nil, reply)
 	}
-	s.save(added, nil, reply)
 }
 
 func (s *State) onAppendReply(m Message, now time.Time) {
--- a/internal/quorum/snapshot.go
+++ b/internal/quorum/snapshot.go
@@ -57,7 +57,7 @@
 	s.become(RoleFollower, m.From, now)
 	chunk := m.Piece
 	if chunk.Index <= s.Commit {
-		s.replyWhenSaved(Message{Kind: MessageAppendReply, To: m.From, Index: s.Commit}, nil)
+		s.reply(Message{Kind: MessageAppendReply, To: m.From, Index: s.Commit}, nil)
 		return
 	}
 	if chunk.Offset == 0 || chunk.Index != s.incomingChunk.Index || chunk.Term != s.incomingChunk.Term {
--- a/internal/quorum/types.go
+++ b/internal/quorum/types.go
@@ -84,6 +84,7 @@
 	Reject  bool
 	Round   uint64        // heartbeat round; the reply repeats it
 	Piece   SnapshotChunk // in a snapshot chunk and its reply
+	Wait    time.Duration // in a refused pre-vote: until the election under way should have ended
 }
 
 // SnapshotChunk is a part of a snapshot in transfer; in a reply, Offset is the
