Blame servers while the way to them is only in doubt

A doubt lasts until probes have answered, a third of a second at most, and often servers are ill, not the way: their failures then counted for nothing, and a request that crashes servers was not suspected in that time.

Only what fails while the way is cut counts for nothing now; an owner, who would eject a server for all VMs, is still told nothing while the way is in doubt.

--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -216,7 +216,8 @@
 	}
 	s.noteLimit(r, run, e)
 	phase := quarantine.Clear
-	if e.ServerDied && s.ways.Way(run.server.Domain) == reach.Open {
+	cut := s.ways.Way(run.server.Domain).IsCut()
+	if e.ServerDied && !cut {
 		phase = s.markSuspected(r, run.server.ID)
 	}
 	step := r.HandleSendResult(e.Result, phase, s.now, s.retryBudget(r))
@@ -230,8 +231,11 @@
 			{"next", nextAction(step)},
 		}})
 	}
-	if !step.Stream {
-		s.endRun(r, s.blameless(run.server.Domain, e.Result), e.Latency)
+	if result := e.Result; !step.Stream {
+		if cut {
+			result = blameless(result)
+		}
+		s.endRun(r, result, e.Latency)
 	}
 	s.runStep(e.Call, r, step)
 }
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -195,7 +195,11 @@
 	answered := e.Result == routing.ResultOK || e.Result == routing.ResultError
 	phase := quarantine.Clear
 	if !answered {
-		phase = s.finishGrant(r, s.blameless(r.Grant.Domain, e.Result), e.Latency)
+		result := e.Result
+		if s.ways.Way(r.Grant.Domain) != reach.Open {
+			result = blameless(result) // the owner would eject the server for all VMs
+		}
+		phase = s.finishGrant(r, result, e.Latency)
 	}
 	step := r.HandleSendResult(e.Result, phase, s.now, s.retryBudget(r))
 	if answered && !step.Stream {
--- a/internal/reducer/ways.go
+++ b/internal/reducer/ways.go
@@ -38,12 +38,9 @@
 	}
 }
 
-// blameless returns the result of a send as it counts for its server: nothing counts that
-// the way to it explains.
-func (s *State) blameless(domain string, result routing.Result) routing.Result {
-	if s.ways.Way(domain) == reach.Open {
-		return result
-	}
+// blameless returns the result of a send as it counts for its server where the way to it may
+// explain a failure: nothing counts then.
+func blameless(result routing.Result) routing.Result {
 	switch result {
 	case routing.ResultDialFailed, routing.ResultDialTimeout:
 		return routing.ResultUnused
