Send abandoned requests through another VM, not to a domain in doubt

Of the requests that were under way when connections began to hang, 8 in 100 of the repeatable ones of the first 3 s ended as unknown: their send was given up when the way to one failure domain was found lost, and sent again to the next domain, which was being probed and lost a third of a second later.

A request whose send was given up for its way is passed on to another VM now, and a VM with half of its ways in doubt takes none over.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -173,9 +173,17 @@
 	})
 }
 
-// Helpless reports whether this VM should serve nothing for others: it reaches no server, or
-// nothing that it sent is answered.
-func (t *Tracker) Helpless(now time.Time) bool { return t.AllLost() || t.silent(now) }
+// Helpless reports whether this VM should serve nothing for others: nothing that it sent is
+// answered, or the ways to half of the failure domains or more are not open.
+func (t *Tracker) Helpless(now time.Time) bool {
+	closed := 0
+	for _, d := range t.domains {
+		if d.way != Open {
+			closed++
+		}
+	}
+	return closed > 0 && 2*closed >= len(t.domains) || t.silent(now)
+}
 
 // Begin notes a request that is sent; call identifies it until End.
 func (t *Tracker) Begin(call uint64, f Flight) {
--- a/internal/reducer/ways.go
+++ b/internal/reducer/ways.go
@@ -86,6 +86,7 @@
 func (s *State) abandonSends(domain string) {
 	for _, call := range s.ways.FlightsTo(domain) {
 		if r := s.requests[call]; r != nil && r.MayRepeat() {
+			r.LoseWay()
 			s.emit(AbandonSend{Call: call})
 		}
 	}
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -33,8 +33,12 @@
 // Unconnected reports whether connections to several servers failed for this request.
 func (r *Request) Unconnected() bool { return r.noConnection >= minUnconnected }
 
-// AnyUnconnected reports whether a connection to a server failed for this request.
-func (r *Request) AnyUnconnected() bool { return r.noConnection > 0 }
+// AnyUnconnected reports whether a connection to a server failed for this request, or the way
+// to a server was lost after it was sent there.
+func (r *Request) AnyUnconnected() bool { return r.noConnection > 0 || r.wayLost }
+
+// LoseWay notes that the way to the server that the request was sent to is lost.
+func (r *Request) LoseWay() { r.wayLost = true }
 
 // MayRepeat reports whether the request may be sent again after it may have run.
 func (r *Request) MayRepeat() bool { return r.repeatable() && r.Replayable }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -51,6 +51,7 @@
 	runs           int      // sends that may have run
 	excluded       []string // servers that a retry must not use
 	noConnection   int      // sends for which no connection came
+	wayLost        bool     // a send was given up because its way was lost
 	triedHelpers   []string // VMs that were asked to serve the request
 	mayHaveRun     bool     // this request, or an earlier one with its key
 }
