--- a/internal/demo/bench_test.go
+++ b/internal/demo/bench_test.go
@@ -69,3 +69,23 @@
 	}
 	return true
 }
+
+// BenchmarkThroughAnotherVM compares requests on the direct way with those that another VM
+// serves for one without a way to the servers; each includes the 30 ms of the server.
+func BenchmarkThroughAnotherVM(b *testing.B) {
+	s := passedOnSite(b)
+	for name, vm := range map[string]int{"direct": 7, "passed-on": 0} {
+		b.Run(name, func(b *testing.B) {
+			var latencies []time.Duration
+			for range b.N {
+				sentAt := time.Now()
+				if got, err := send("GET", s.VMSettings[vm].Entry, "proofs", "/bench", "", ""); err != nil || got.status != 200 {
+					b.Fatalf("%+v, %v", got, err)
+				}
+				latencies = append(latencies, time.Since(sentAt))
+			}
+			slices.Sort(latencies)
+			b.ReportMetric(float64(latencies[len(latencies)/2].Microseconds()), "us-median")
+		})
+	}
+}
--- a/internal/demo/cut_test.go
+++ b/internal/demo/cut_test.go
@@ -42,10 +42,11 @@
 // cutSite is a site whose VMs reach backend servers through links that can be cut.
 type cutSite struct {
 	*Demo
-	links []*standin.Links
+	links    []*standin.Links
+	requests int // sent by sendUntil
 }
 
-func startCutSite(t *testing.T) *cutSite {
+func startCutSite(t testing.TB) *cutSite {
 	t.Helper()
 	s := &cutSite{}
 	byVM := make(map[string]*standin.Links)
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -37,7 +37,7 @@
 }
 
 // waitUntil polls the condition and fails the test if it stays false for too long.
-func waitUntil(t *testing.T, what string, condition func() bool) {
+func waitUntil(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(progressTimeout); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
 		if condition() {
@@ -89,7 +89,7 @@
 }
 
 // sendUntilRun sends a request again until an answer doesn't say that nothing ran.
-func sendUntilRun(t *testing.T, method, entry, service, path, key, body string) answer {
+func sendUntilRun(t testing.TB, method, entry, service, path, key, body string) answer {
 	t.Helper()
 	var last answer
 	waitUntil(t, fmt.Sprintf("%s %s answered by %s", method, path, service), func() bool {
--- a/internal/demo/detour_test.go
+++ b/internal/demo/detour_test.go
@@ -14,7 +14,7 @@
 )
 
 // passedOnSite is a site whose first VM reaches no server, and knows it.
-func passedOnSite(t *testing.T) *cutSite {
+func passedOnSite(t testing.TB) *cutSite {
 	t.Helper()
 	s := startCutSite(t)
 	for i := range 12 {
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -122,13 +122,16 @@
 // command is replicated, at most for resolveTimeout: after that the outcome of the
 // claim counts as unknown anyway.
 func (n *Node) ResolveClaim(command ledger.Command) {
-	n.startGoroutine(func() {
+	started := n.startGoroutine(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), resolveTimeout)
 		defer cancel()
 		if _, err := n.Propose(ctx, command); err != nil {
 			n.logEvent(reducer.Log{Code: reducer.CodeClaimUnresolved, Detail: err.Error()})
 		}
 	})
+	if !started {
+		n.logEvent(reducer.Log{Code: reducer.CodeClaimUnresolved, Detail: errStopping.Error()})
+	}
 }
 
 // Announce applies a backend server's announcement, or forwards it to the VM that
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,6 +56,8 @@
 	stopped       chan struct{}
 	stopOnce      sync.Once
 	goroutines    sync.WaitGroup
+	startMutex    sync.Mutex // guards stopping, and goroutines against starts after the wait for them
+	stopping      bool
 	failed        chan error
 }
 
@@ -201,12 +203,28 @@
 	return nil
 }
 
-func (n *Node) startGoroutine(run func()) {
+// startGoroutine runs a function in the background. It returns false once the VM stops, which
+// waits for all that were started.
+func (n *Node) startGoroutine(run func()) bool {
+	n.startMutex.Lock()
+	defer n.startMutex.Unlock()
+	if n.stopping {
+		return false
+	}
 	n.goroutines.Add(1)
 	go func() {
 		defer n.goroutines.Done()
 		run()
 	}()
+	return true
+}
+
+// stopGoroutines starts no more goroutines and waits for the others.
+func (n *Node) stopGoroutines() {
+	n.startMutex.Lock()
+	n.stopping = true
+	n.startMutex.Unlock()
+	n.goroutines.Wait()
 }
 
 func (n *Node) reportFailure(err error) {
@@ -245,7 +263,7 @@
 		close(n.stopped)
 		n.server.Close()
 		n.Network.Close()
-		n.goroutines.Wait()
+		n.stopGoroutines()
 		n.trail.close()
 		if n.logWriter != nil {
 			n.logWriter.close()
