Review case 1: disks lost in turn end the control plane

Cause: a control machine that comes back with an empty disk isn't a voter again within catch_up_s. The leader keeps the report of the old replica, adds that as a learner and removes it by turns; a new learner may not find the address of a leader that was itself replaced; and the old replica leaves the voters before its successor has joined. The next loss within the limits then takes the majority for good.

The other cases move down by one number: changed body 2, reopened zone 3, unknown leave 4, shared name 5.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of deploy/system.toml and review/build.sh.
 set -u
 cd "$(dirname "$0")/../.."
-exec target/review/harness shared-name target/heatherwood review/4/record.txt
+exec target/review/harness unknown-leave target/heatherwood review/4/record.txt
