Answer a control replica that the own log does not name

Cause: a replica looked up the address of another one by id in its own log, in the leader's list that gossip carries, and in the settings. A learner with an empty disk has no log; the leader that added it had itself lost its disk before, so its id stands in no settings; and one gossip message in eight carries the list.

Change: messages of the replicated log carry the address of their sender, and a replica remembers the last 14 of them.

--- a/internal/node/logwriter.go
+++ b/internal/node/logwriter.go
@@ -117,10 +117,10 @@
 // sendQuorum sends a replication message to the replica that it names.
 func (n *Node) sendQuorum(message quorum.Message) {
 	n.mutex.Lock()
-	peer := n.state.PeerOf(message.To)
+	sent := n.state.QuorumTransmit(message)
 	n.mutex.Unlock()
-	if peer != "" {
-		n.Network.Send(peer, reducer.Message{Quorum: &message})
+	if sent.Peer != "" {
+		n.Network.Send(sent.Peer, sent.Message)
 	}
 }
 
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -94,9 +94,30 @@
 	}
 }
 
-// PeerOf returns the peer address of a control replica, or "".
-func (s *State) PeerOf(id quorum.ID) string {
-	for _, replicas := range [][]quorum.Replica{s.quorum.Config().Replicas(), s.leader.Replicas, s.Settings.Replicas} {
+// QuorumTransmit returns the message to another control replica with the peer address
+// that it goes to, which is empty if the replica is not known.
+func (s *State) QuorumTransmit(m quorum.Message) Transmit {
+	return Transmit{Peer: s.peerOf(m.To), Message: Message{Quorum: &m, ReplyTo: s.Settings.Peer}}
+}
+
+// maxSenders limits the senders of messages of the replicated log that are remembered:
+// twice the replicas that a site has at most.
+const maxSenders = 14
+
+// rememberSender records the address of a replica that sent a message. A replica whose own
+// log ends before the entry that added the sender could not answer it otherwise.
+func (s *State) rememberSender(sender quorum.Replica) {
+	if sender.Address == "" {
+		return
+	}
+	s.senders = slices.DeleteFunc(s.senders, func(r quorum.Replica) bool { return r.ID == sender.ID })
+	s.senders = append(s.senders, sender)
+	s.senders = s.senders[max(0, len(s.senders)-maxSenders):]
+}
+
+// peerOf returns the peer address of a control replica, or "".
+func (s *State) peerOf(id quorum.ID) string {
+	for _, replicas := range [][]quorum.Replica{s.quorum.Config().Replicas(), s.senders, s.leader.Replicas, s.Settings.Replicas} {
 		for _, replica := range replicas {
 			if replica.ID == id {
 				return replica.Address
@@ -107,7 +128,8 @@
 }
 
 func (s *State) sendQuorum(m quorum.Message) {
-	s.transmit(s.PeerOf(m.To), Message{Quorum: &m})
+	sent := s.QuorumTransmit(m)
+	s.transmit(sent.Peer, sent.Message)
 }
 
 func (s *State) applyEntry(entry quorum.Entry) {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -110,6 +110,7 @@
 
 	pendingProposals map[uint64]pendingProposal // by log index
 	pendingReads     map[uint64]pendingRead     // by call
+	senders          []quorum.Replica           // of messages of the replicated log, the latest last
 	leader           Leader
 	gossipSends      int // gossip messages sent
 	leaderHeardAt    time.Time
@@ -340,6 +341,7 @@
 	switch {
 	case m.Quorum != nil:
 		if s.quorum != nil {
+			s.rememberSender(quorum.Replica{ID: m.Quorum.From, Address: m.ReplyTo})
 			s.applyQuorumEffects(s.quorum.Receive(*m.Quorum, s.now))
 		}
 	case m.Gossip != nil:
--- a/internal/reducer/session_test.go
+++ b/internal/reducer/session_test.go
@@ -281,7 +281,8 @@
 		}
 		vm.disk.ApplySave(save)
 		for _, message := range save.Then {
-			s.transmit(vm, vm.state.PeerOf(message.To), Message{Quorum: &message})
+			sent := vm.state.QuorumTransmit(message)
+			s.transmit(vm, sent.Peer, sent.Message)
 		}
 		s.apply(vm, LogSaved{Sequence: save.Sequence})
 	})
