Replace lost control replicas by address, and without a smaller majority

Cause: the leader kept join requests by replica id, though a VM holds one replica at a time.

Change: one request per address. A later start replaces an earlier one; a late copy of an earlier start is ignored while the later one reports, and no request counts against a member that replies after it. The successor is added before its predecessor is removed, and a voter is removed only where the majority stays as large or no learner can follow. Silent learners make room for VMs that wait. The leader checks every 100 ms instead of 300 ms, and urgent requests go to the seeds too. JoinRequest carries the incarnation; 0, as older versions send it, orders nothing.

Two lines of TestNextChange expected the old order (remove, then add) and a learner at the leader's own address; TestReplacementsKeepTheMajority and TestLateJoinRequestChangesNothing check the whole sequence in their place.

--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -303,6 +303,7 @@
 	s.log(CodeRoleChanged, e.Role.String(), int64(e.Term))
 	if e.Role == quorum.RoleLeader {
 		s.heartbeatDue = s.now
+		s.replicaSet.BeginTerm()
 		return
 	}
 	for _, index := range slices.Sorted(maps.Keys(s.pendingProposals)) {
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -347,6 +347,7 @@
 // where the VM is.
 type JoinRequest struct {
 	Replica quorum.Replica
+	Start   uint64 // incarnation of the VM; 0 from older versions
 	Domain  string // failure domain; empty from older versions
 	Region  string
 }
--- a/internal/reducer/join.go
+++ b/internal/reducer/join.go
@@ -19,25 +19,42 @@
 		return
 	}
 	s.joinDue = s.now.Add(replicaset.ReportInterval)
-	if s.joinIsUrgent() {
+	urgent := s.joinIsUrgent()
+	if urgent {
 		s.joinDue = s.now.Add(replicaset.UrgentInterval)
 	}
 	join := Message{Join: &JoinRequest{
 		Replica: quorum.Replica{ID: s.Settings.replica(), Address: s.Settings.Peer},
+		Start:   s.Settings.Incarnation,
 		Domain:  s.Settings.Domain,
 		Region:  s.Settings.Region,
 	}}
-	if s.leader.Peer != "" && s.leader.Peer != s.Settings.Peer {
-		s.transmit(s.leader.Peer, join)
-		return
+	leader := s.leaderPeer()
+	if leader != "" && leader != s.Settings.Peer {
+		s.transmit(leader, join)
+		if !urgent {
+			return
+		}
 	}
+	// The leader that this VM knows of may be gone; the others know its successor first.
 	for _, seed := range s.Settings.Seeds {
-		if seed != s.Settings.Peer {
+		if seed != s.Settings.Peer && seed != leader {
 			s.transmit(seed, join)
 		}
 	}
 }
 
+// leaderPeer returns the peer address of the leader, or "". The own replica knows of a new
+// leader before gossip does.
+func (s *State) leaderPeer() string {
+	if s.quorum != nil && s.quorum.Leader != "" {
+		if peer := s.peerOf(s.quorum.Leader); peer != "" {
+			return peer
+		}
+	}
+	return s.leader.Peer
+}
+
 func (s *State) location() replicaset.Location {
 	return replicaset.Location{Domain: s.Settings.Domain, Region: s.Settings.Region}
 }
@@ -65,12 +82,16 @@
 
 func (s *State) receiveJoin(m Message) {
 	if s.quorum != nil && s.quorum.Role == quorum.RoleLeader {
-		s.replicaSet.RecordJoin(m.Join.Replica, replicaset.Location{Domain: m.Join.Domain, Region: m.Join.Region}, s.now)
+		s.replicaSet.RecordJoin(replicaset.JoinRequest{
+			Replica:  m.Join.Replica,
+			Start:    m.Join.Start,
+			Location: replicaset.Location{Domain: m.Join.Domain, Region: m.Join.Region},
+		}, s.now)
 		return
 	}
-	if m.Hops < maxHops && s.leader.Peer != "" && s.leader.Peer != s.Settings.Peer {
+	if leader := s.leaderPeer(); m.Hops < maxHops && leader != "" && leader != s.Settings.Peer {
 		m.Hops++
-		s.transmit(s.leader.Peer, m)
+		s.transmit(leader, m)
 	}
 }
 
--- a/internal/replicaset/replicaset.go
+++ b/internal/replicaset/replicaset.go
@@ -16,18 +16,27 @@
 	maxJoinAge     = 5 * time.Second         // of a join request; one may be lost
 	voterTimeout   = 2500 * time.Millisecond // leaves 1.5 s to promote a successor and remove the voter: a failed voter is replaced within 4 s
 	learnerTimeout = 10 * time.Second        // of a learner without a reply
-	changeInterval = 300 * time.Millisecond  // shortest time between two changes: a few rounds of replication
+	changeInterval = 100 * time.Millisecond  // shortest time between two changes: a round of replication
+	replyTime      = 250 * time.Millisecond  // in which a member that is up answers a heartbeat of the leader
 	settleTime     = time.Second             // after the first join request, until all control VMs of a new site have sent theirs
 )
 
 // Intervals at which control VMs send join requests; those of members tell a new
 // leader where they are.
 const (
-	CheckInterval  = 300 * time.Millisecond // between two checks of the leader
+	CheckInterval  = 100 * time.Millisecond // between two checks of the leader
 	UrgentInterval = 500 * time.Millisecond // while the set is incomplete, or the VM's disk was replaced
 	ReportInterval = 2 * time.Second        // otherwise
 )
 
+// candidateAge is the age up to which a join request shows that its VM is there: reports
+// come at ReportInterval, and one may be delayed.
+const candidateAge = ReportInterval + UrgentInterval
+
+// lateJoinTime is how long the request of an earlier start counts as a late copy after
+// one of a later start. After it, the clock of the VM may have been set back between them.
+const lateJoinTime = ReportInterval + UrgentInterval
+
 // Location is the failure domain and region of a control VM; the zero value is
 // unknown.
 type Location struct {
@@ -39,8 +48,10 @@
 // of a member of where it is.
 type JoinRequest struct {
 	Replica    quorum.Replica
+	Start      uint64 // incarnation of the VM, which rises with each start; 0 from older versions
 	Location   Location
 	ReceivedAt time.Time // when the latest request arrived
+	FirstAt    time.Time // when the first one did since a member at the address last replied; zero for none
 }
 
 // Member is a replica of the current set as the leader sees it.
@@ -54,24 +65,38 @@
 
 // State holds the join requests and the time of the last change.
 type State struct {
-	JoinRequests []JoinRequest // sorted by replica id
+	JoinRequests []JoinRequest // by address, one of each
 
 	locations    map[string]Location // by peer address
 	firstJoinAt  time.Time
 	lastChangeAt time.Time
 }
 
-// RecordJoin records a join request and drops those that are too old.
-func (s *State) RecordJoin(replica quorum.Replica, location Location, now time.Time) {
-	at, found := slices.BinarySearchFunc(s.JoinRequests, replica.ID, func(r JoinRequest, id quorum.ID) int {
-		return cmp.Compare(r.Replica.ID, id)
+// BeginTerm drops the requests that an earlier term of this leader left: the times of replies
+// start anew with a term, so that they can't be compared.
+func (s *State) BeginTerm() { s.JoinRequests = nil }
+
+// RecordJoin records a join request and drops those that are too old. A VM holds one
+// replica at a time: its request replaces that of an earlier start at the same address. A
+// late copy from an earlier start is ignored as long as the later start sends its own.
+func (s *State) RecordJoin(request JoinRequest, now time.Time) {
+	request.FirstAt, request.ReceivedAt = now, now
+	s.JoinRequests = slices.DeleteFunc(s.JoinRequests, func(r JoinRequest) bool { return now.Sub(r.ReceivedAt) > maxJoinAge })
+	at, found := slices.BinarySearchFunc(s.JoinRequests, request.Replica.Address, func(r JoinRequest, address string) int {
+		return cmp.Compare(r.Replica.Address, address)
 	})
-	if !found {
-		s.JoinRequests = slices.Insert(s.JoinRequests, at, JoinRequest{})
+	switch {
+	case !found:
+		s.JoinRequests = slices.Insert(s.JoinRequests, at, request)
+	case request.Start < s.JoinRequests[at].Start && now.Sub(s.JoinRequests[at].ReceivedAt) < lateJoinTime:
+		return
+	default:
+		if held := s.JoinRequests[at]; held.Replica.ID == request.Replica.ID && !held.FirstAt.IsZero() {
+			request.FirstAt = held.FirstAt
+		}
+		s.JoinRequests[at] = request
 	}
-	s.JoinRequests[at] = JoinRequest{Replica: replica, Location: location, ReceivedAt: now}
-	s.JoinRequests = slices.DeleteFunc(s.JoinRequests, func(r JoinRequest) bool { return now.Sub(r.ReceivedAt) > maxJoinAge })
-	s.RecordLocation(replica.Address, location)
+	s.RecordLocation(request.Replica.Address, request.Location)
 	if s.firstJoinAt.IsZero() {
 		s.firstJoinAt = now
 	}
@@ -107,10 +132,10 @@
 }
 
 func (s *State) nextChange(members []Member, now time.Time) *quorum.Change {
-	if replaced := s.replacedMember(members, now); replaced != nil {
-		return &quorum.Change{Kind: quorum.ChangeRemove, Replica: *replaced}
-	}
 	set := s.divide(members, now)
+	if change := s.nextReplacement(set, now); change != nil {
+		return change
+	}
 	if len(set.voters) > TargetVoters {
 		if surplus := s.surplusVoter(set); surplus != nil {
 			return &quorum.Change{Kind: quorum.ChangeRemove, Replica: surplus.Replica}
@@ -120,12 +145,28 @@
 	if promoted := s.nextVoter(set); promoted != nil {
 		return &quorum.Change{Kind: quorum.ChangePromote, Replica: promoted.Replica}
 	}
+	outside := s.outside(set, now)
 	for _, m := range set.learners {
-		if now.Sub(m.LastReplyAt) > learnerTimeout {
+		silence := now.Sub(m.LastReplyAt)
+		if silence > learnerTimeout || silence > voterTimeout && len(outside) > 0 {
 			return &quorum.Change{Kind: quorum.ChangeRemove, Replica: m.Replica}
 		}
 	}
-	return s.nextLearnerChange(set, now)
+	return s.nextLearnerChange(set, outside, now)
+}
+
+// outside returns the VMs that ask to join. VMs are told apart by address: where a member
+// has the address, another replica either is in nextReplacement or is gone.
+func (s *State) outside(set replicas, now time.Time) []Member {
+	members := slices.Concat(set.voters, set.learners)
+	var outside []Member
+	for _, r := range s.JoinRequests {
+		isMember := func(m Member) bool { return m.Replica.Address == r.Replica.Address }
+		if now.Sub(r.ReceivedAt) < candidateAge && !slices.ContainsFunc(members, isMember) {
+			outside = append(outside, Member{Replica: r.Replica})
+		}
+	}
+	return outside
 }
 
 // replicas divides the members of the set by what they are used for.
@@ -133,16 +174,28 @@
 	voters, learners []Member
 	silent           []Member // voters that do not answer
 	ready            []Member // learners that can be promoted
+	replaced         []replacement
+}
+
+// replacement is a member whose VM holds another replica now, since its disk was lost; the
+// member itself can never vote again.
+type replacement struct {
+	member    Member
+	successor quorum.Replica
 }
 
 func (s *State) divide(members []Member, now time.Time) replicas {
 	var set replicas
 	for _, m := range members {
 		silence := now.Sub(m.LastReplyAt)
+		successor := s.successorOf(m, now)
+		if successor != nil {
+			set.replaced = append(set.replaced, replacement{m, *successor})
+		}
 		switch {
 		case m.Voter:
 			set.voters = append(set.voters, m)
-			if !m.Self && silence > voterTimeout {
+			if !m.Self && silence > voterTimeout || successor != nil {
 				set.silent = append(set.silent, m)
 			}
 		default:
@@ -218,14 +271,7 @@
 // nextLearnerChange adds a learner where the set has too few, or where a VM outside
 // the set would bring the voters farther apart than any learner, and removes one
 // where it has too many.
-func (s *State) nextLearnerChange(set replicas, now time.Time) *quorum.Change {
-	var outside []Member
-	for _, r := range s.JoinRequests {
-		isMember := func(m Member) bool { return m.Replica.ID == r.Replica.ID }
-		if now.Sub(r.ReceivedAt) < maxJoinAge && !slices.ContainsFunc(set.voters, isMember) && !slices.ContainsFunc(set.learners, isMember) {
-			outside = append(outside, Member{Replica: r.Replica})
-		}
-	}
+func (s *State) nextLearnerChange(set replicas, outside []Member, now time.Time) *quorum.Change {
 	vacancies := max(0, TargetVoters-len(set.voters)) + targetLearners - len(set.learners)
 	var added *Member
 	switch {
@@ -280,19 +326,51 @@
 	return chosen
 }
 
-// replacedMember returns a member whose address a VM with another replica id uses
-// in a recent join request: the member's disk is lost, so it can never vote again.
-func (s *State) replacedMember(members []Member, now time.Time) *quorum.Replica {
-	for _, r := range s.JoinRequests {
-		if now.Sub(r.ReceivedAt) > maxAge {
+// successorOf returns the replica that a VM holds instead of the member, or nil. A member
+// that has answered since the request came, or may still do so, was not replaced: the
+// request is a late copy from before the member was added.
+func (s *State) successorOf(m Member, now time.Time) *quorum.Replica {
+	if m.Self {
+		return nil
+	}
+	for i, r := range s.JoinRequests {
+		if r.Replica.Address != m.Replica.Address || r.Replica.ID == m.Replica.ID {
 			continue
 		}
-		for _, m := range members {
-			if m.Replica.Address == r.Replica.Address && m.Replica.ID != r.Replica.ID && !m.Self {
-				return &m.Replica
-			}
+		if !m.LastReplyAt.Before(r.FirstAt) {
+			s.JoinRequests[i].FirstAt = time.Time{}
+			return nil
+		}
+		if now.Sub(r.FirstAt) >= replyTime && now.Sub(r.ReceivedAt) <= maxAge {
+			return &r.Replica
+		}
+	}
+	return nil
+}
+
+// nextReplacement returns the next change that puts a successor in the place of a replaced
+// member, or nil. The successor is added first, so that it catches up meanwhile. A voter is
+// removed only from an odd number of voters, where the majority stays as large: entries
+// that the leader commits meanwhile survive as many lost disks as before, and the voters
+// that are left suffice even if the successor is lost before it has the vote. From an even
+// number, one is removed only where no learner is about to make it odd; there a silent
+// voter goes too, which would else count in the majority without a successor.
+func (s *State) nextReplacement(set replicas, now time.Time) *quorum.Change {
+	members := slices.Concat(set.voters, set.learners)
+	for _, r := range set.replaced {
+		if !slices.ContainsFunc(members, func(m Member) bool { return m.Replica.ID == r.successor.ID }) {
+			return &quorum.Change{Kind: quorum.ChangeAdd, Replica: r.successor}
 		}
 	}
+	promotable := slices.ContainsFunc(set.learners, func(m Member) bool { return now.Sub(m.LastReplyAt) <= voterTimeout })
+	for _, r := range set.replaced {
+		if !r.member.Voter || len(set.voters)%2 == 1 || !promotable {
+			return &quorum.Change{Kind: quorum.ChangeRemove, Replica: r.member.Replica}
+		}
+	}
+	if len(set.voters)%2 == 0 && len(set.silent) > 0 && !promotable {
+		return &quorum.Change{Kind: quorum.ChangeRemove, Replica: s.surplusVoter(set).Replica}
+	}
 	return nil
 }
 
