--- a/internal/quorum/commit_test.go
+++ b/internal/quorum/commit_test.go
@@ -18,9 +18,9 @@
 	s.mutations = m
 	now := epoch.Add(time.Minute)
 	s.Tick(now)
-	s.Receive(Message{Kind: MessagePreVoteReply, From: "b", Term: 3}, now)
+	s.Receive(Message{Kind: MessagePreVoteReply, From: "b", To: "a", Term: 3}, now)
 	s.Saved(s.saveSequence, now)
-	s.Receive(Message{Kind: MessageVoteReply, From: "b", Term: 3}, now)
+	s.Receive(Message{Kind: MessageVoteReply, From: "b", To: "a", Term: 3}, now)
 	if s.Role != RoleLeader {
 		t.Fatalf("role %s, want leader", s.Role)
 	}
@@ -41,12 +41,12 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			s, now := leaderWithOldEntry(t, test.mutations)
-			s.Receive(Message{Kind: MessageAppendReply, From: "b", Term: 3, Index: 2}, now)
+			s.Receive(Message{Kind: MessageAppendReply, From: "b", To: "a", Term: 3, Index: 2}, now)
 			if s.Commit != test.want {
 				t.Errorf("commit index %d, want %d", s.Commit, test.want)
 			}
 			s.Saved(s.saveSequence, now)
-			s.Receive(Message{Kind: MessageAppendReply, From: "b", Term: 3, Index: 3}, now)
+			s.Receive(Message{Kind: MessageAppendReply, From: "b", To: "a", Term: 3, Index: 3}, now)
 			if s.Commit != 3 {
 				t.Errorf("commit index %d after the entry of its own term, want 3", s.Commit)
 			}
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -336,8 +336,12 @@
 
 func (s *State) majority() int { return len(s.config.Voters)/2 + 1 }
 
-// Receive handles a message from another replica.
+// Receive handles a message from another replica. One that is for another replica than
+// this one was sent to the address of a replica whose disk was lost; it is dropped.
 func (s *State) Receive(m Message, now time.Time) []Effect {
+	if m.To != s.Settings.ID {
+		return nil
+	}
 	if m.Kind == MessagePreVote {
 		s.onPreVote(m, now)
 		return s.takeEffects()
