Confirm that a server leaves only if the VM knows which start is meant

Cause: a withdrawal names an id only. A control VM whose roster lacked the server answered 200 without a closure in the replicated log, and told nobody. A VM that has just started on an empty disk knows no server until gossip has brought the roster. The same happens with a disk that was kept: the saved roster may hold an earlier start of the id, and then only that start was closed.

Change: the VM answers 503, so that the server asks another one, if it has no record or only one that it saved before it started and has not compared with other VMs yet (HW1032, outcome "unknown"). The project's own interface answers 503 with a Retry-After in the same case, in place of 204.

Not taken: a closure of all starts up to now would compare clocks of two machines.

--- a/internal/backendhttp/backendhttp.go
+++ b/internal/backendhttp/backendhttp.go
@@ -84,6 +84,15 @@
 		})
 		return
 	}
+	if result.Unknown {
+		problem.Write(w, problem.Problem{
+			Status:     http.StatusServiceUnavailable,
+			Reason:     "unknown-server",
+			Detail:     "this VM does not know the server; withdraw it again, here or at another VM",
+			RetryAfter: routing.AnnouncementTTL / 4,
+		})
+		return
+	}
 	if result.Refused != "" {
 		refuse(w, http.StatusUnprocessableEntity, "announcement-refused", result.Refused)
 		return
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -164,7 +164,7 @@
 type ServerRecordResult struct {
 	Closed   bool   // the replicated log closes this start of the server to new requests
 	Outdated bool   // the roster holds a later announcement; nothing changed
-	Known    bool   // the server is in the roster
+	Known    bool   // the roster tells which start of the server is meant
 	Start    int64  // of the server, milliseconds since 1970
 	Reason   string // why the announcement was refused, or ""
 }
@@ -174,6 +174,7 @@
 	RenewAfter time.Duration
 	Forward    string // peer address of the owner, which must get it instead; else empty
 	Refused    string // why the announcement was refused, or ""
+	Unknown    bool   // the server that withdraws is not known here; another VM may know it
 }
 
 // Status answers StatusAsked.
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -215,3 +215,46 @@
 		})
 	}
 }
+
+// A VM that knows a server only from its data folder may know an earlier start of it. It
+// can't say which start a withdrawal means until it has compared its roster with others.
+func TestWithdrawalOfAnUnknownServerIsNotConfirmed(t *testing.T) {
+	record := roster.Record{ID: "w1", Service: "web", Address: "10.0.0.9:1", Domain: "a", Slots: 2, Start: 5, Sequence: 3}
+	later := record
+	later.Start, later.Sequence = 9, 1
+	tests := map[string]struct {
+		saved   []roster.Record
+		heard   *roster.Record // from another VM
+		learned bool
+		want    int64 // start of the server; 0 for unknown
+	}{
+		"empty roster":              {},
+		"compared, never heard of":  {learned: true},
+		"saved only":                {saved: []roster.Record{record}},
+		"saved and compared":        {saved: []roster.Record{record}, learned: true, want: 5},
+		"saved, later start heard":  {saved: []roster.Record{record}, heard: &later, want: 9},
+		"heard from another VM":     {heard: &record, want: 5},
+		"saved, heard of once more": {saved: []roster.Record{record}, heard: &roster.Record{ID: "w1", Service: "web", Address: "10.0.0.9:1", Domain: "a", Slots: 2, Start: 5, Sequence: 4}, want: 5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, err := New(Settings{VM: "a1", Peer: "a1:1", Domain: "a", Region: "north", SavedServers: test.saved}, nil, testStart)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.rosterLearned = test.learned
+			if test.heard != nil {
+				s.Apply(testStart, Received{Message{Servers: &ServerUpdate{Records: []roster.Record{*test.heard}}}})
+			}
+			var got ServerRecordResult
+			for _, effect := range s.Apply(testStart, ServerRecordAnnounced{Call: 1, Record: roster.Record{ID: "w1"}, Withdrawn: true}) {
+				if answer, ok := effect.(Answer); ok {
+					got = answer.Value.(ServerRecordResult)
+				}
+			}
+			if got.Known != (test.want != 0) || got.Start != test.want {
+				t.Errorf("known %v, start %d, want start %d", got.Known, got.Start, test.want)
+			}
+		})
+	}
+}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -333,7 +333,7 @@
 		return
 	}
 	if s.document.Services.ByName(e.Announcement.Service).Placing == document.PlacingEntry {
-		s.announceToRoster(e.Announcement, e.Withdrawn)
+		answer.Unknown = s.announceToRoster(e.Announcement, e.Withdrawn)
 		s.emit(Answer{Call: e.Call, Value: answer})
 		return
 	}
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -17,14 +17,7 @@
 	r := e.Record
 	entry := s.roster.Find(r.ID)
 	if e.Withdrawn {
-		answer := ServerRecordResult{Known: entry != nil}
-		if entry != nil {
-			answer.Start = entry.Start
-			answer.Closed = s.closedInLog(r.ID, entry.Start)
-			s.logServer("ended", entry.Record)
-			s.roster.End(r.ID, s.now)
-		}
-		s.emit(Answer{Call: e.Call, Value: answer})
+		s.emit(Answer{Call: e.Call, Value: s.withdrawServer(r.ID)})
 		return
 	}
 	answer := ServerRecordResult{Known: true, Start: r.Start}
@@ -43,16 +36,33 @@
 	s.emit(Answer{Call: e.Call, Value: answer})
 }
 
+// withdrawServer ends the start of a server that this VM knows. Which start that is can't
+// be told from its id: the server is not known here if the VM has just started on an empty
+// roster, or knows only what it saved before it started and has not compared with others.
+func (s *State) withdrawServer(id string) ServerRecordResult {
+	entry := s.roster.Find(id)
+	if entry == nil || entry.Restored() && !s.rosterLearned {
+		s.emit(Decision{Code: CodeServerChanged, Outcome: "unknown", Fields: []Field{
+			{"server", id},
+			{"restored", entry != nil},
+			{"since_start", s.now.Sub(s.startedAt)},
+		}})
+		return ServerRecordResult{}
+	}
+	s.logServer("ended", entry.Record)
+	s.roster.End(id, s.now)
+	return ServerRecordResult{Known: true, Start: entry.Start, Closed: s.closedInLog(id, entry.Start)}
+}
+
 // announceToRoster enters an announcement for a service whose servers all
 // entries know into the roster. The time of arrival replaces a missing
-// sequence.
-func (s *State) announceToRoster(a routing.Announcement, withdrawn bool) {
+// sequence. It returns whether the server is unknown, so that it can't be withdrawn.
+func (s *State) announceToRoster(a routing.Announcement, withdrawn bool) (unknown bool) {
 	if withdrawn {
-		s.roster.End(a.ID, s.now)
-		return
+		return !s.withdrawServer(a.ID).Known
 	}
 	if a.State == routing.StateStarting {
-		return
+		return false
 	}
 	r := roster.Record{
 		ID:       a.ID,
@@ -73,6 +83,7 @@
 		s.logServer("announced", r)
 	}
 	s.roster.Announce(r, s.now)
+	return false
 }
 
 func (s *State) logServer(outcome string, r roster.Record) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -38,8 +38,13 @@
 	announcedAt time.Time // last announcement that reached this VM itself; zero for none; set to now by Restore and ResetTimeouts
 	goneAt      time.Time // when this VM learned that it ended; zero otherwise
 	limitedAt   time.Time // last change of Limit that this VM heard from the server itself
+	restored    bool      // from the data folder, and not heard of since this VM started
 }
 
+// Restored reports whether all that this VM knows of the server was saved before it
+// started; the server may have started again meanwhile.
+func (e *Entry) Restored() bool { return e.restored }
+
 // Timings and limits of the roster.
 const (
 	SilentAfter     = 6 * time.Second  // four missing announcements at the usual interval of 1.5 s
@@ -193,7 +198,7 @@
 			r.Limit, r.LimitVersion = before.Limit, before.LimitVersion
 		}
 	}
-	e.Record = r
+	e.Record, e.restored = r, false
 	e.hash = e.contentHash()
 	if r.Cold > 0 {
 		e.ColdUntil = now.Add(r.Cold)
@@ -378,8 +383,13 @@
 // become silent.
 func (s *State) Restore(records []Record, domain string, now time.Time) {
 	for _, r := range records {
-		if s.store(r, now) && r.Domain == domain {
-			s.Find(r.ID).announcedAt = now
+		if !s.store(r, now) {
+			continue
+		}
+		e := s.Find(r.ID)
+		e.restored = true
+		if r.Domain == domain {
+			e.announcedAt = now
 		}
 	}
 	s.updates = nil
