Keep the targets of a route by the route, not by its name

Cause: the split of a route's requests over its targets was kept by the name of the route. Names may repeat, on other hosts and on other paths of one host. In the same way a request that was matched against the document before, and began just after the new one came into force, put the old targets back under the name. Later requests of the route then followed the old document until the next change.

Change: the split is kept by the route of the document itself. The classes by which run times are learned go by host and path.

--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -26,10 +26,12 @@
 // select its service.
 func (s *State) beginRouted(e RequestBegan) {
 	r := e.Request
-	split := s.routeSplits[r.Route.Name]
+	// Names may repeat on other hosts, and a request may come with the route of an earlier
+	// document, so that neither tells which targets apply.
+	split := s.routeSplits[r.Route]
 	if split == nil {
 		split = newSplit(r.Route)
-		s.routeSplits[r.Route.Name] = split
+		s.routeSplits[r.Route] = split
 	}
 	r.Service = split.Next()
 	service := s.document.Services.ByName(r.Service)
@@ -87,7 +89,7 @@
 		return s.denyRequest(r, slotRequest, dispatch.ReasonNoServers, placing.Choice{RetryAfter: suspectedRetry}), helper{}
 	}
 	choice := pool.Choose(placing.Request{
-		Class:     r.Route.Name,
+		Class:     r.Route.Location(),
 		Object:    r.Object,
 		Rank:      r.Rank,
 		Remaining: r.Deadline.Sub(s.now),
@@ -302,7 +304,7 @@
 		s.quarantine.EndTrial(r.Fingerprint, r.Grant.Ticket)
 	}
 	run.pool.End(run.server, placing.Outcome{
-		Class:    r.Route.Name,
+		Class:    r.Route.Location(),
 		Object:   r.Object,
 		Target:   r.Route.Target.Std(),
 		Unqueued: run.unqueued,
--- a/internal/reducer/placing_pools.go
+++ b/internal/reducer/placing_pools.go
@@ -18,7 +18,7 @@
 			delete(s.placingPools, name)
 		}
 	}
-	s.routeSplits = make(map[string]*placing.Split)
+	s.routeSplits = make(map[*document.Route]*placing.Split)
 	s.closures = make(map[document.Closure]bool, len(s.document.Closures.Closures))
 	for _, closure := range s.document.Closures.Closures {
 		s.closures[closure] = true
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -79,8 +79,8 @@
 	slotWaiters     map[slotRequestKey]slotWaiter
 
 	roster       roster.State
-	placingPools map[string]*placing.Pool  // by service
-	routeSplits  map[string]*placing.Split // by route
+	placingPools map[string]*placing.Pool // by service
+	routeSplits  map[*document.Route]*placing.Split
 
 	closures      map[document.Closure]bool // of the document in force
 	earlyClosures []earlyClosure            // newer than the document in force, in order of arrival
@@ -187,7 +187,7 @@
 		activeStops:      make(map[string]bool),
 		planMovedAt:      make(map[string]time.Time),
 		placingPools:     make(map[string]*placing.Pool),
-		routeSplits:      make(map[string]*placing.Split),
+		routeSplits:      make(map[*document.Route]*placing.Split),
 		placedRuns:       make(map[uint64]placedRun),
 		detourRuns:       make(map[uint64]string),
 		takenOver:        make(map[uint64]bool),
--- a/pkg/document/checkroutes.go
+++ b/pkg/document/checkroutes.go
@@ -20,7 +20,7 @@
 		if route.Name == "" || len(route.Name) > MaxNameBytes {
 			c.add(SectionRoutes, path+".name", "use 1 to 64 bytes", "route name %q is not valid", route.Name)
 		}
-		location := strings.ToLower(route.Host) + route.Path
+		location := route.Location()
 		if other, found := routeByLocation[location]; found {
 			c.add(SectionRoutes, path+".path", "give each host and path one route", "route %q already has this host and path", other)
 		}
--- a/pkg/document/routes.go
+++ b/pkg/document/routes.go
@@ -164,6 +164,10 @@
 	return false
 }
 
+// Location returns the host in lower case and the path of the route, which no other route
+// of the document has; names may repeat.
+func (r *Route) Location() string { return strings.ToLower(r.Host) + r.Path }
+
 // AllowedIn reports whether requests of the route may run in the region.
 func (r *Route) AllowedIn(region string) bool {
 	return len(r.Regions) == 0 || slices.Contains(r.Regions, region)
