Tell hosts apart when a request that crashes servers is barred

Cause: the fingerprint by which the quarantine table bars requests was made of the service, method, path and body. Two hosts whose routes share a service and a path have the same fingerprint, so that a request that crashes servers for one host bars those of the other.

Change: with a route, its host is part of the fingerprint. The digest of claims stays as it is: VMs of the last release compare it with theirs.

Test: TestFingerprintTellsHostsApart; the old function had no host to differ by.

--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
@@ -193,7 +194,7 @@
 		Rank:         in.rankIndex(),
 		Once:         in.rule.Once,
 		Digest:       digest,
-		Fingerprint:  digest,
+		Fingerprint:  in.fingerprint(digest),
 		Deadline:     in.deadline,
 		ClaimLease:   in.deadline.Sub(in.receivedAt) + claimLeaseMargin,
 		KeyRetention: in.service.Keep.Std(),
@@ -214,6 +215,15 @@
 	return request
 }
 
+// fingerprint returns what identifies the request in the quarantine table. Hosts share
+// servers and may share paths, so the host of a route is part of it.
+func (in *inbound) fingerprint(digest uint64) uint64 {
+	if in.route == nil {
+		return digest
+	}
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(strings.ToLower(in.route.Host)), digest))
+}
+
 // digest returns the hash of service, method, URI and the body's first bytes.
 func (in *inbound) digest() uint64 {
 	hash := xxhash.New()
