Carry out no order for a failure domain that later ones followed

Cause: an evacuation and its end carry neither identity nor age. A frozen control VM got the order to reopen; its sender gave up after a second and had it acknowledged by another VM, and later evacuated again. On waking the VM carried its copy out. In the same way a call to the leader in a connection that is cut arrives when the cut heals.

Change: a leader gives out a fence with a read, its term and the number of closures of failure domains that it has taken, and takes such a closure only with the newest one. Each order counts, also one that changes nothing, and another leader another term. A VM reads the fence, then checks that the caller still waits and that it was not paused (package pause), and only then proposes: whatever was ordered since the read makes the leader refuse it, and it starts anew while the caller waits. Withdrawals of servers, which name no start, are not taken right after a pause either.

Ruled out: a number in the replicated state, which VMs of the last release would not count, so that replicas of both releases would differ. The fence is the leader's alone; leaders and proposers without one work together as before. A base version of the document is not enough: an order that changes nothing leaves it as it was.

--- a/internal/ledger/edition.go
+++ b/internal/ledger/edition.go
@@ -51,6 +51,9 @@
 	Open    bool // reopen
 }
 
+// OfDomain reports whether a failure domain is closed or reopened.
+func (c *Close) OfDomain() bool { return c != nil && c.Closure.Kind == document.CloseDomain }
+
 // CloseResult is the answer to a Close.
 type CloseResult struct{ Changed bool }
 
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/dispatch"
@@ -137,6 +139,9 @@
 // Announce applies a backend server's announcement, or forwards it to the VM that
 // owns the service. withdrawn means that the server leaves.
 func (n *Node) Announce(ctx context.Context, announcement routing.Announcement, withdrawn bool) (reducer.AnnouncementResult, error) {
+	if withdrawn && n.pauses.JustResumed() {
+		return reducer.AnnouncementResult{}, errJustResumed
+	}
 	answer, err := callReducer[reducer.AnnouncementResult](ctx, n, func(call uint64) reducer.Event {
 		return reducer.ServerAnnounced{Call: call, Announcement: announcement, Withdrawn: withdrawn}
 	})
@@ -153,20 +158,56 @@
 
 // AnnounceRecord applies the announcement of a backend server that each VM chooses by
 // itself, without requesting a slot from the VM that owns the service. withdrawn means
-// that the server leaves.
+// that the server leaves; that names no start, so that a late one could end a start that
+// came after it.
 func (n *Node) AnnounceRecord(ctx context.Context, record roster.Record, withdrawn bool) (reducer.ServerRecordResult, error) {
+	if withdrawn && n.pauses.JustResumed() {
+		return reducer.ServerRecordResult{}, errJustResumed
+	}
 	return callReducer[reducer.ServerRecordResult](ctx, n, func(call uint64) reducer.Event {
 		return reducer.ServerRecordAnnounced{Call: call, Record: record, Withdrawn: withdrawn}
 	})
 }
 
-// SetClosure closes a failure domain or backend server for new requests, or opens it
-// again if open is set. It returns once a quorum has recorded the change.
-func (n *Node) SetClosure(ctx context.Context, closure document.Closure, open bool) error {
-	_, err := n.Propose(ctx, ledger.Command{Close: &ledger.Close{Closure: closure, Open: open}})
+// CloseServer closes one start of a backend server for new requests, for good. It returns
+// once a quorum has recorded the change.
+func (n *Node) CloseServer(ctx context.Context, id string, start int64) error {
+	closure := document.Closure{Kind: document.CloseServer, Name: id, Start: start}
+	_, err := n.Propose(ctx, ledger.Command{Close: &ledger.Close{Closure: closure}})
 	return err
 }
 
+// errJustResumed reports that a call may have arrived while the VM was paused: its caller
+// may have given up and sent it, and later ones, to other VMs.
+var errJustResumed = errors.New("the VM was paused; the call may be older than it looks")
+
+// CloseDomain closes a failure domain for new requests, or opens it again if open is set.
+// It returns once a quorum has recorded the change. The context ends when the caller gives
+// up, as it does before it sends the same order elsewhere.
+//
+// The order carries neither identity nor age. It is carried out only if its caller still
+// waited after the fence was read, and no other order for a failure domain was taken since.
+func (n *Node) CloseDomain(ctx context.Context, name string, open bool) error {
+	command := ledger.Command{Close: &ledger.Close{Closure: document.Closure{Kind: document.CloseDomain, Name: name}, Open: open}}
+	for {
+		read, err := n.ReadSection(ctx, document.SectionClosures)
+		if err != nil {
+			return err
+		}
+		if err := ctx.Err(); err != nil {
+			return fmt.Errorf("the caller gave up: %w", err)
+		}
+		if n.pauses.JustResumed() {
+			n.LogDecision(reducer.Decision{Code: reducer.CodeClosure, Outcome: "late", Fields: []reducer.Field{{Name: "closed", Value: "domain " + name}, {Name: "open", Value: open}}})
+			return errJustResumed
+		}
+		answer, err := n.proposeAlone(ctx, command, read.Fence)
+		if err != nil || !answer.Superseded {
+			return err
+		}
+	}
+}
+
 // PutEdition replaces sections in one step and returns the outcome.
 func (n *Node) PutEdition(ctx context.Context, edition ledger.Edition) (ledger.EditionResult, error) {
 	answer, err := n.Propose(ctx, ledger.Command{Edition: &edition})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/heatherwood/heatherwood/internal/clock"
 	"github.com/heatherwood/heatherwood/internal/disk"
+	"github.com/heatherwood/heatherwood/internal/pause"
 	"github.com/heatherwood/heatherwood/internal/peerrpc"
 	"github.com/heatherwood/heatherwood/internal/quorum"
 	"github.com/heatherwood/heatherwood/internal/reach"
@@ -43,6 +44,7 @@
 	state         *reducer.State
 	view          atomic.Pointer[reducer.View]
 	calls         pendingCalls
+	pauses        pause.Detector
 	proposals     sharedProposals
 	logWriter     *logWriter
 	loader        *documentLoader
@@ -73,6 +75,7 @@
 	n := &Node{
 		Settings: vmSettings,
 		Clock:    clk,
+		pauses:   pause.Detector{Clock: clk},
 		Logger:   logger.With().Str("vm", vmSettings.ID).Logger(),
 		Network:  peerrpc.NewNetwork([]byte(vmSettings.SharedKey)),
 		Metrics:  NewMetrics(),
@@ -245,6 +248,7 @@
 		case <-n.stopped:
 			return
 		case <-n.Clock.After(tickInterval):
+			n.pauses.Observe()
 			n.Apply(reducer.Tick{})
 			n.logDrops()
 		}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -31,10 +31,10 @@
 }
 
 // Propose implements peerrpc.Handler.
-func (h peerHandler) Propose(command ledger.Command) reducer.ProposalResult {
+func (h peerHandler) Propose(command ledger.Command, fence ledger.Fence) reducer.ProposalResult {
 	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
 	defer cancel()
-	return h.node.proposeLocally(ctx, command)
+	return h.node.proposeLocally(ctx, command, fence)
 }
 
 // Change implements peerrpc.Handler.
@@ -92,9 +92,9 @@
 	return h.node.trail.receive(args)
 }
 
-func (n *Node) proposeLocally(ctx context.Context, command ledger.Command) reducer.ProposalResult {
+func (n *Node) proposeLocally(ctx context.Context, command ledger.Command, fence ledger.Fence) reducer.ProposalResult {
 	return n.awaitProposal(ctx, func(call uint64) reducer.Event {
-		return reducer.Propose{Call: call, Command: command}
+		return reducer.Propose{Call: call, Command: command, Fence: fence}
 	})
 }
 
@@ -135,13 +135,13 @@
 	if command.Repeatable() {
 		return n.proposeShared(ctx, command)
 	}
-	return n.proposeAlone(ctx, command)
+	return n.proposeAlone(ctx, command, ledger.Fence{})
 }
 
-func (n *Node) proposeAlone(ctx context.Context, command ledger.Command) (reducer.ProposalResult, error) {
+func (n *Node) proposeAlone(ctx context.Context, command ledger.Command, fence ledger.Fence) (reducer.ProposalResult, error) {
 	return viaLeader(ctx, n, func(ctx context.Context, peer string) (reducer.ProposalResult, reducer.Leader, bool) {
-		answer := n.callLeader(ctx, peer, "Propose", &peerrpc.ProposeArgs{Command: command}, func() reducer.ProposalResult {
-			return n.proposeLocally(ctx, command)
+		answer := n.callLeader(ctx, peer, "Propose", &peerrpc.ProposeArgs{Command: command, Fence: fence}, func() reducer.ProposalResult {
+			return n.proposeLocally(ctx, command, fence)
 		})
 		return answer, answer.Leader, !answer.Lost && answer.Refused == 0
 	})
--- a/internal/node/repeat.go
+++ b/internal/node/repeat.go
@@ -86,7 +86,7 @@
 			ctx, cancel = context.WithTimeout(ctx, proposeTimeout)
 		}
 		defer cancel()
-		answer, err := n.proposeAlone(ctx, proposal.command)
+		answer, err := n.proposeAlone(ctx, proposal.command, ledger.Fence{})
 		n.proposals.finish(proposal, answer, err)
 	})
 }
--- a/internal/node/repeat_test.go
+++ b/internal/node/repeat_test.go
@@ -26,7 +26,7 @@
 
 func (l *waitingLeader) Deliver([]reducer.Message) {}
 
-func (l *waitingLeader) Propose(command ledger.Command) reducer.ProposalResult {
+func (l *waitingLeader) Propose(command ledger.Command, _ ledger.Fence) reducer.ProposalResult {
 	l.arrived <- command
 	<-l.released
 	if command.Edition == nil {
--- a/internal/peerrpc/message.go
+++ b/internal/peerrpc/message.go
@@ -25,7 +25,10 @@
 type Empty struct{}
 
 // ProposeArgs asks the leader to replicate a command.
-type ProposeArgs struct{ Command ledger.Command }
+type ProposeArgs struct {
+	Command ledger.Command
+	Fence   ledger.Fence // of a closure of a failure domain
+}
 
 // ReadArgs asks the leader for a linearizable read of a section.
 type ReadArgs struct{ Section document.Section }
@@ -59,7 +62,7 @@
 	// Deliver handles a batch of one-way messages.
 	Deliver(messages []reducer.Message)
 	// Propose replicates a command if this VM is the control leader.
-	Propose(command ledger.Command) reducer.ProposalResult
+	Propose(command ledger.Command, fence ledger.Fence) reducer.ProposalResult
 	// Change changes the replica set if this VM is the control leader.
 	Change(change quorum.Change) reducer.ProposalResult
 	// Read reads a section if this VM is the control leader.
--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -175,7 +175,7 @@
 
 // Propose replicates a command if this VM is the control leader.
 func (p *PeerService) Propose(args *ProposeArgs, reply *reducer.ProposalResult) error {
-	*reply = p.handler.Propose(args.Command)
+	*reply = p.handler.Propose(args.Command, args.Fence)
 	return nil
 }
 
--- a/internal/peerrpc/silence_test.go
+++ b/internal/peerrpc/silence_test.go
@@ -242,7 +242,7 @@
 func (proposingHandler) Deliver([]reducer.Message) {}
 
 // Propose implements Handler.
-func (proposingHandler) Propose(ledger.Command) reducer.ProposalResult {
+func (proposingHandler) Propose(ledger.Command, ledger.Fence) reducer.ProposalResult {
 	return reducer.ProposalResult{}
 }
 
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -29,6 +29,13 @@
 	if s.joinPending(e) {
 		return
 	}
+	if e.Command.Close.OfDomain() && s.quorum.Role == quorum.RoleLeader {
+		if e.Fence != (ledger.Fence{}) && e.Fence != s.fence() {
+			s.emit(Answer{Call: e.Call, Value: ProposalResult{Superseded: true, Leader: s.leader}})
+			return
+		}
+		s.fenceNumber++
+	}
 	e.Command.At = s.now
 	data, err := ledger.Encode(e.Command)
 	if err != nil {
@@ -39,6 +46,12 @@
 	s.rememberPending(e)
 }
 
+// fence returns the fence that a closure of a failure domain needs now. Without it, a copy
+// of an order that a frozen VM or a cut connection held back would undo a later one.
+func (s *State) fence() ledger.Fence {
+	return ledger.Fence{Term: s.quorum.Hard.Term, Number: s.fenceNumber}
+}
+
 func (s *State) changeReplica(e ChangeReplica) {
 	if s.quorum == nil {
 		s.emit(Answer{Call: e.Call, Value: ProposalResult{Refused: quorum.RefuseNotLeader, Leader: s.leader}})
@@ -293,7 +306,7 @@
 	}
 	delete(s.pendingReads, e.Read)
 	section, _ := s.ledger.Section(read.section)
-	s.emit(Answer{Call: read.call, Value: ReadResult{Section: section, Document: s.ledger.Document, Leader: s.leader}})
+	s.emit(Answer{Call: read.call, Value: ReadResult{Section: section, Document: s.ledger.Document, Leader: s.leader, Fence: s.fence()}})
 }
 
 // handleRoleChange answers the pending proposals as lost when this replica is
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -150,6 +150,8 @@
 	Refused  quorum.RefuseReason // 0 when committed
 	Lost     bool                // leadership changed; the proposal may or may not commit
 	Leader   Leader
+
+	Superseded bool // the fence is not the last one; nothing was proposed
 }
 
 // ReadResult answers ReadSection.
@@ -158,6 +160,7 @@
 	Document ledger.Position // last accepted change of any section
 	Refused  quorum.RefuseReason
 	Leader   Leader
+	Fence    ledger.Fence // for a closure that is based on this read
 }
 
 // ServerRecordResult answers ServerRecordAnnounced.
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -42,6 +42,7 @@
 type Propose struct {
 	Call    uint64
 	Command ledger.Command
+	Fence   ledger.Fence // of a closure of a failure domain
 }
 
 // ReadSection asks for a linearizable read; answered by ReadResult.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -110,6 +110,7 @@
 
 	pendingProposals map[uint64]pendingProposal // by log index
 	pendingReads     map[uint64]pendingRead     // by call
+	fenceNumber      uint64                     // closures of failure domains that this VM took as the leader
 	senders          []quorum.Replica           // of messages of the replicated log, the latest last
 	leader           Leader
 	gossipSends      int // gossip messages sent
