Send a body whole or not at all

Cause: a VM without a way to the servers passes a request on to another VM. When that one refused it, the request went on to a third VM or to a server, without asking whether the body could be sent again. The hop had read what follows the 64 KiB that are kept. Beside it: an answer may come while the send is still writing, and then two sends read from one body.

Change: inboundBody gives what is not kept to the latest send only, and says when a part of it is gone. Such a request ends with the refusal of the VM that was asked, as not run; and a send of a body that is gone never begins.

--- /dev/null
+++ b/internal/callerhttp/body.go
@@ -0,0 +1,81 @@
+package callerhttp
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"sync"
+)
+
+// inboundBody is the body of a caller's request. Its first bytes are kept and can be sent
+// again; what follows them can be read once, and only by the latest send: an earlier one
+// may still be writing when its answer has come.
+type inboundBody struct {
+	prefix []byte
+	rest   io.Reader // nil if the prefix is the whole body
+
+	mutex    sync.Mutex
+	latest   *sendBody
+	restUsed bool
+}
+
+var (
+	errBodyUsed  = errors.New("the end of the body was read for an earlier send")
+	errBodyTaken = errors.New("a later send has the body")
+)
+
+// complete reports whether the whole body is kept.
+func (b *inboundBody) complete() bool { return b.rest == nil }
+
+// open returns the body for another send, or errBodyUsed if a part of it is gone. Earlier
+// ones can't read what is not kept from then on. The type of the reader is not one that
+// net/http can read twice, so that it never retries a request by itself.
+func (b *inboundBody) open() (io.ReadCloser, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.restUsed {
+		return nil, errBodyUsed
+	}
+	b.latest = &sendBody{body: b, prefix: bytes.NewReader(b.prefix)}
+	return b.latest, nil
+}
+
+// used reports whether the body can't be sent again.
+func (b *inboundBody) used() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.restUsed
+}
+
+// sendBody is the body of one send.
+type sendBody struct {
+	body   *inboundBody
+	prefix *bytes.Reader
+}
+
+// Read implements io.Reader.
+func (s *sendBody) Read(p []byte) (int, error) {
+	if s.prefix.Len() > 0 {
+		return s.prefix.Read(p)
+	}
+	if s.body.rest == nil {
+		return 0, io.EOF
+	}
+	if !s.takeRest() {
+		return 0, errBodyTaken
+	}
+	return s.body.rest.Read(p)
+}
+
+func (s *sendBody) takeRest() bool {
+	s.body.mutex.Lock()
+	defer s.body.mutex.Unlock()
+	if s.body.latest != s {
+		return false
+	}
+	s.body.restUsed = true
+	return true
+}
+
+// Close implements io.Closer.
+func (s *sendBody) Close() error { return nil }
--- a/internal/callerhttp/detour.go
+++ b/internal/callerhttp/detour.go
@@ -167,6 +167,7 @@
 			response = nil
 		}
 	}
+	report.BodyUsed = in.body.used()
 	report.Latency = in.relay.Node.Clock.Now().Sub(sentAt)
 	in.relay.Node.Metrics.CountDetour(report.Result.String(), report.Latency)
 	step, err := in.exchange.ReportDetour(context.WithoutCancel(ctx), report)
--- a/internal/callerhttp/recognise.go
+++ b/internal/callerhttp/recognise.go
@@ -138,7 +138,6 @@
 		return false
 	}
 	if in.request.Body == nil || in.request.ContentLength == 0 {
-		in.bodyComplete = true
 		return true
 	}
 	http.NewResponseController(in.writer).SetReadDeadline(in.deadline)
@@ -154,12 +153,12 @@
 		in.refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body is larger than allowed", 0)
 		return false
 	case int64(len(prefix)) <= limit:
-		in.bodyPrefix, in.bodyComplete = prefix, true
+		in.body.prefix = prefix
 	case in.rule.Once:
 		in.refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body is larger than allowed", 0)
 		return false
 	default:
-		in.bodyPrefix, in.bodyRest = prefix, http.MaxBytesReader(in.writer, in.request.Body, in.maxBody()-int64(len(prefix)))
+		in.body.prefix, in.body.rest = prefix, http.MaxBytesReader(in.writer, in.request.Body, in.maxBody()-int64(len(prefix)))
 	}
 	return true
 }
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -1,7 +1,6 @@
 package callerhttp
 
 import (
-	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -80,28 +79,26 @@
 
 // inbound is a caller's request while this VM serves it.
 type inbound struct {
-	relay        *Relay
-	writer       http.ResponseWriter
-	request      *http.Request
-	baseContext  context.Context // cancelled when the work should end early
-	view         *reducer.View
-	service      *document.Service
-	rule         document.Rule
-	route        *document.Route // nil for a request found by a service's hosts and rules
-	targetTime   time.Time       // after it, an answer has lost most of its value
-	id           string
-	deadline     time.Time
-	receivedAt   time.Time
-	bodyPrefix   []byte    // first bytes of the body
-	bodyRest     io.Reader // what follows bodyPrefix
-	bodyComplete bool      // bodyPrefix is the whole body
-	exchange     *node.Exchange
-	outcome      string      // for metrics, audit trail and log
-	server       string      // of the last send
-	domain       string      // of that server
-	status       int         // answered to the caller
-	anySend      bool        // the request was sent to a server
-	detour       *detourInfo // nil for a request that the caller sent to this VM
+	relay       *Relay
+	writer      http.ResponseWriter
+	request     *http.Request
+	baseContext context.Context // cancelled when the work should end early
+	view        *reducer.View
+	service     *document.Service
+	rule        document.Rule
+	route       *document.Route // nil for a request found by a service's hosts and rules
+	targetTime  time.Time       // after it, an answer has lost most of its value
+	id          string
+	deadline    time.Time
+	receivedAt  time.Time
+	body        inboundBody
+	exchange    *node.Exchange
+	outcome     string      // for metrics, audit trail and log
+	server      string      // of the last send
+	domain      string      // of that server
+	status      int         // answered to the caller
+	anySend     bool        // the request was sent to a server
+	detour      *detourInfo // nil for a request that the caller sent to this VM
 }
 
 // ServeHTTP implements http.Handler.
@@ -199,7 +196,7 @@
 		ClaimLease:   in.deadline.Sub(in.receivedAt) + claimLeaseMargin,
 		KeyRetention: in.service.Keep.Std(),
 		Holder:       in.relay.Node.Settings.ID,
-		Replayable:   in.bodyComplete,
+		Replayable:   in.body.complete(),
 		Route:        in.route,
 		TargetTime:   in.targetTime,
 	}
@@ -231,7 +228,7 @@
 		io.WriteString(hash, part)
 		hash.Write([]byte{0})
 	}
-	hash.Write(in.bodyPrefix)
+	hash.Write(in.body.prefix)
 	return hash.Sum64()
 }
 
@@ -443,15 +440,6 @@
 	})
 }
 
-// body returns a reader over the request's body that hides the body's type: net/http
-// then never retries a request by itself.
-func (in *inbound) body() io.ReadCloser {
-	if in.bodyComplete {
-		return io.NopCloser(struct{ io.Reader }{bytes.NewReader(in.bodyPrefix)})
-	}
-	return io.NopCloser(struct{ io.Reader }{io.MultiReader(bytes.NewReader(in.bodyPrefix), in.bodyRest)})
-}
-
 // hopByHopHeaders concern one connection only and are not relayed.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -126,6 +126,11 @@
 // whether anything reached the other end: once a byte of the request's header may have
 // been written, it is never ResultDialFailed or ResultDialTimeout.
 func (in *inbound) roundTrip(ctx context.Context, transport http.RoundTripper, timeout *ConnectTimeout, request *http.Request) sendResult {
+	body, err := in.body.open()
+	if err != nil {
+		return sendResult{RequestSent: reducer.RequestSent{Result: routing.ResultUnused, Cause: err.Error()}}
+	}
+	request.Body = body
 	connect := connectAttempt{now: in.relay.Node.Clock.Now, timeout: timeout}
 	response, err := connect.roundTrip(transport, request)
 	sent := sendResult{response: response}
@@ -226,12 +231,11 @@
 		URL:           target,
 		Host:          incoming.Host,
 		Header:        make(http.Header, len(incoming.Header)+3),
-		Body:          in.body(),
 		ContentLength: incoming.ContentLength,
 	}).WithContext(ctx)
 	copyEndToEndHeaders(request.Header, incoming.Header)
-	if in.bodyComplete {
-		request.ContentLength = int64(len(in.bodyPrefix))
+	if in.body.complete() {
+		request.ContentLength = int64(len(in.body.prefix))
 	}
 	in.relay.Dialect.setSendHeaders(request.Header, SendInfo{
 		RequestID: in.id,
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -68,6 +68,8 @@
 type DetourResult struct {
 	Result  routing.Result // of the hop to that VM; ResultOK where the answer is that of a server
 	Refusal *Problem       // with which the VM itself refused the request; Result is ResultShed then
+
+	BodyUsed bool // the body can't be sent again: a part that is not kept was read for the hop
 }
 
 // HandleDetourResult takes how passing the request on ended.
@@ -76,7 +78,7 @@
 	case routing.ResultOK, routing.ResultError:
 		return Step{Stream: true}
 	case routing.ResultShed:
-		return r.handleRefusal(e.Refusal, now)
+		return r.handleRefusal(e, now)
 	case routing.ResultDialFailed, routing.ResultDialTimeout:
 		return r.proceed(now)
 	case routing.ResultBroken:
@@ -104,10 +106,15 @@
 
 // handleRefusal tries the next VM, or the servers directly, if the refusal concerns only the
 // VM that sent it; that one has released no claim then.
-func (r *Request) handleRefusal(refusal *Problem, now time.Time) Step {
+func (r *Request) handleRefusal(e DetourResult, now time.Time) Step {
+	refusal := e.Refusal
 	switch refusal.Reason {
 	case ReasonNoWay, ReasonDetoursFull, ReasonDocumentOutdated, ReasonStarting, ReasonStopping:
-		if refusal.Run == RunNo && now.Before(r.Deadline) {
+		switch {
+		case refusal.Run != RunNo || !now.Before(r.Deadline):
+		case e.BodyUsed:
+			return r.endNotRun(refusal.Status, refusal.Reason, refusal.Detail, refusal.RetryAfter)
+		default:
 			return r.proceed(now)
 		}
 	}
--- a/internal/relay/detour_test.go
+++ b/internal/relay/detour_test.go
@@ -33,6 +33,9 @@
 		"no way there either":           {result: DetourResult{Result: routing.ResultShed, Refusal: refusal(503, ReasonNoWay, RunNo)}, next: "slot"},
 		"no way there after a run":      {result: DetourResult{Result: routing.ResultShed, Refusal: refusal(502, ReasonNoWay, RunUnknown)}, next: "502", run: RunUnknown},
 		"full of other VMs' requests":   {result: DetourResult{Result: routing.ResultShed, Refusal: refusal(503, ReasonDetoursFull, RunNo)}, once: true, next: "claim"},
+		"no way there, body is gone":    {result: DetourResult{Result: routing.ResultShed, Refusal: refusal(503, ReasonNoWay, RunNo), BodyUsed: true}, next: "503", run: RunNo},
+		"full there, body is gone":      {result: DetourResult{Result: routing.ResultShed, Refusal: refusal(503, ReasonDetoursFull, RunNo), BodyUsed: true}, next: "503", run: RunNo},
+		"body can't be read again":      {result: DetourResult{Result: routing.ResultUnused}, next: "503", run: RunNo},
 		"servers are busy":              {result: DetourResult{Result: routing.ResultShed, Refusal: refusal(503, "queue-full", RunNo)}, next: "503", run: RunNo},
 		"outcome of the key is unknown": {result: DetourResult{Result: routing.ResultShed, Refusal: refusal(409, "outcome-unknown", RunUnknown)}, once: true, next: "409", run: RunUnknown},
 	}
