Take no refusal without the request's id for an answer to it

Other operators report that a faulty server wrote an earlier refusal once more on a kept connection, and that callers were told 'not run' for requests that it ran, or that these ran twice.

Cause: an answer counted as foreign only if it bore another id; one without an id that said 'not run' was believed.

Change: where servers repeat the id, an answer without it is foreign; the connection that brought a foreign answer is closed.

--- a/internal/callerhttp/connecttimeout.go
+++ b/internal/callerhttp/connecttimeout.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -63,6 +64,16 @@
 	timedOut      atomic.Bool
 	dialStarted   atomic.Int64 // nanoseconds since 1970; 0 without a dial
 	dialTook      atomic.Int64 // nanoseconds; 0 without a new connection
+
+	conn atomic.Pointer[net.Conn] // that the request is sent on; nil before it has one
+}
+
+// closeConn closes the connection that the request was sent on, so that no other request
+// uses it.
+func (c *connectAttempt) closeConn() {
+	if conn := c.conn.Load(); conn != nil {
+		(*conn).Close()
+	}
 }
 
 // roundTrip sends the request, and cancels it when no connection comes within the
@@ -83,7 +94,10 @@
 
 func (c *connectAttempt) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		GotConn:          func(httptrace.GotConnInfo) { c.waitEnded.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			c.conn.Store(&info.Conn)
+			c.waitEnded.Store(true)
+		},
 		WroteHeaderField: func(string, []string) { c.headerWritten.Store(true) },
 		ConnectStart:     func(string, string) { c.dialStarted.Store(c.now().UnixNano()) },
 		ConnectDone: func(_, _ string, err error) {
--- a/internal/callerhttp/detour.go
+++ b/internal/callerhttp/detour.go
@@ -158,8 +158,8 @@
 		report.DetourResult = readRefusal(response)
 		response = nil
 	case in.relay.Dialect.isForeign(response, in.id):
-		report.Result, report.Cause = routing.ResultBroken, errWrongRequest.Error()
-		response.Body.Close()
+		sent.dropForeign()
+		report.Result, report.Cause = sent.Result, sent.Cause
 		response = nil
 	case in.route != nil:
 		if report.Result, report.Cause = in.bufferAnswer(ctx, response, report.Result); report.Result != sent.Result {
--- a/internal/callerhttp/dialect.go
+++ b/internal/callerhttp/dialect.go
@@ -128,11 +128,12 @@
 	return time.Duration(min(seconds, maxStayAway.Seconds()) * float64(time.Second))
 }
 
-// isForeign reports whether the answer carries the id of another request: a server may
-// send a second copy of an answer, late, on a connection that is in use again.
+// isForeign reports whether the answer belongs to another request: a server may send a
+// second copy of an answer, late, on a connection that is in use again. Where servers repeat
+// the id of the request, an answer without it is foreign too, also a refusal.
 func (d Dialect) isForeign(response *http.Response, id string) bool {
 	echo := response.Header.Get(d.answerIDHeader())
-	return echo != "" && echo != id
+	return echo != id && (echo != "" || d.RequestIDHeader != "")
 }
 
 // answerIDHeader returns the header of an answer that carries the request's id, to the
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -40,9 +40,8 @@
 	response, result := sent.response, sent.Result
 	if response != nil && in.relay.Dialect.isForeign(response, in.id) {
 		// Not even a refusal counts: it says nothing about this request.
-		result, sent.Cause = routing.ResultBroken, errWrongRequest.Error()
-		response.Body.Close()
-		response = nil
+		sent.dropForeign()
+		response, result = nil, sent.Result
 	}
 	if response != nil && response.StatusCode != http.StatusMisdirectedRequest {
 		sent.Notice = in.relay.Dialect.notice(response)
@@ -117,6 +116,15 @@
 type sendResult struct {
 	reducer.RequestSent
 	response *http.Response
+	connect  *connectAttempt
+}
+
+// dropForeign closes the connection that brought an answer to another request: the answer to
+// this one follows on it, and the next request would get that.
+func (s *sendResult) dropForeign() {
+	s.Result, s.Cause = routing.ResultBroken, errWrongRequest.Error()
+	s.response.Body.Close()
+	s.connect.closeConn()
 }
 
 // errAbandoned is the cause of the end of a send whose way was found to be lost.
@@ -131,9 +139,9 @@
 		return sendResult{RequestSent: reducer.RequestSent{Result: routing.ResultUnused, Cause: err.Error()}}
 	}
 	request.Body = body
-	connect := connectAttempt{now: in.relay.Node.Clock.Now, timeout: timeout}
+	connect := &connectAttempt{now: in.relay.Node.Clock.Now, timeout: timeout}
 	response, err := connect.roundTrip(transport, request)
-	sent := sendResult{response: response}
+	sent := sendResult{response: response, connect: connect}
 	sent.ConnectTime = time.Duration(connect.dialTook.Load())
 	if err != nil {
 		sent.Cause = err.Error()
