Refuse announcements of servers that can't be sent to

But a port out of range or without digits, a start in the far future, beyond integers or with a fraction, and 9e18 slots were acknowledged and shared; such a start takes the address of a server that is there, for good.

A record that VMs of the last release took and share is kept, so that rosters stay equal, but gets no requests.

--- a/internal/reducer/placing_pools.go
+++ b/internal/reducer/placing_pools.go
@@ -113,6 +113,10 @@
 		if entry.Service != service.Name || entry.Gone || entry.Leaving || entry.Silent {
 			continue
 		}
+		if s.checkRecord(entry.Record) != "" {
+			// Another VM, of a release that checks less, has taken and logged it.
+			continue
+		}
 		region := s.document.Places.RegionOf(entry.Domain)
 		if region == "" || !service.AllowedIn(region) {
 			continue
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
+	"net/netip"
 	"regexp"
 	"time"
 
@@ -396,6 +396,6 @@
 	if len(address) > routing.MaxAddressBytes {
 		return false
 	}
-	host, port, err := net.SplitHostPort(address)
-	return err == nil && net.ParseIP(host) != nil && port != "" && port != "0"
+	parsed, err := netip.ParseAddrPort(address)
+	return err == nil && parsed.Port() != 0
 }
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -21,7 +22,7 @@
 		return
 	}
 	answer := ServerRecordResult{Known: true, Start: r.Start}
-	answer.Reason = checkRecord(r)
+	answer.Reason = s.checkRecord(r)
 	if answer.Reason == "" {
 		before := roster.Record{}
 		if entry != nil {
@@ -100,12 +101,19 @@
 	}})
 }
 
-func checkRecord(r roster.Record) string {
+// maxStartAhead is how far the clock of a server may be ahead. A start later than that would
+// keep its address, and replace what the server announces itself, for good.
+const maxStartAhead = 5 * time.Minute
+
+// checkRecord returns why no request may be sent by the record, or "".
+func (s *State) checkRecord(r roster.Record) string {
 	switch {
 	case !serverIDPattern.MatchString(r.ID):
 		return "the id must be 1 to 128 of letters, digits, \".\", \"_\" and \"-\""
-	case r.Slots < 1:
-		return "slots must be 1 or more"
+	case r.Slots < 1 || r.Slots > routing.MaxSlots:
+		return fmt.Sprintf("slots must be 1 to %d", routing.MaxSlots)
+	case r.Start > s.now.Add(maxStartAhead).UnixMilli():
+		return "the start lies in the future"
 	case !validAddress(r.Address):
 		return "address must be an IP number and a port"
 	default:
