Send the target of a request as the caller wrote it

Servers saw /a%7Cb for /a|b, escaped bytes for raw UTF-8 and for quotes, and /a for /a?

Change: the target of the caller is the target of the send. One that begins with two slashes and an absolute one are encoded as before.

Test: TestTargetIsSentUnchanged, a server on a real connection. With the encoding as it was, four of its targets arrive changed: /a|b, /škart, /a? and one with quotes.

--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -227,13 +228,7 @@
 // receiver.
 func (in *inbound) outbound(ctx context.Context, address, id string) *http.Request {
 	incoming := in.request
-	target := &url.URL{
-		Scheme:   "http",
-		Host:     address,
-		Path:     incoming.URL.Path,
-		RawPath:  incoming.URL.RawPath,
-		RawQuery: incoming.URL.RawQuery,
-	}
+	target := targetOf(incoming, address)
 	request := (&http.Request{
 		Method:        incoming.Method,
 		URL:           target,
@@ -259,6 +254,18 @@
 	return request
 }
 
+// targetOf returns the URL of a request that is sent on to an address. The target is the one
+// that the caller sent, byte by byte: an encoder would escape it in another way.
+func targetOf(incoming *http.Request, address string) *url.URL {
+	target := &url.URL{Scheme: "http", Host: address, Path: incoming.URL.Path, RawPath: incoming.URL.RawPath, RawQuery: incoming.URL.RawQuery}
+	// Without a path of its own, url.URL would take a target that begins with two slashes
+	// for a host, and an absolute one has a host before the path.
+	if raw, query, found := strings.Cut(incoming.RequestURI, "?"); strings.HasPrefix(raw, "/") && !strings.HasPrefix(raw, "//") {
+		target.Opaque, target.RawQuery, target.ForceQuery = raw, query, found
+	}
+	return target
+}
+
 var copyBuffers = sync.Pool{New: func() any {
 	const bufferBytes = 32 << 10
 	buffer := make([]byte, bufferBytes)
