Go on after a connection between VMs could not be accepted

Cause: the server of calls between VMs returned at any error of accept, and with it the process ended, also when it had no descriptor left for a moment.

Change: it logs the error (HW1020) and goes on after 200 ms.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -111,8 +111,9 @@
 	n.Network.OnSilent = n.logSilence
 	n.Network.OnRefused = func(peer string) { n.Apply(reducer.PeerUnreachable{Peer: peer}) }
 	n.server = &peerrpc.Server{
-		Key:     []byte(vmSettings.SharedKey),
-		Handler: peerHandler{n},
+		Key:            []byte(vmSettings.SharedKey),
+		Handler:        peerHandler{n},
+		OnAcceptFailed: func(err error) { n.LogError(reducer.CodeListenerFailed, err) },
 		OnHandshakeFailed: func(address string, err error) {
 			n.logEvent(reducer.Log{Code: reducer.CodePeerRefused, Detail: fmt.Sprintf("%s: %v", address, err)})
 		},
--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -18,6 +18,7 @@
 	Key               []byte // the site's key
 	Handler           Handler
 	OnHandshakeFailed func(address string, err error) // called after a failed handshake
+	OnAcceptFailed    func(err error)                 // called after a connection that could not be accepted
 
 	mutex    sync.Mutex
 	listener net.Listener
@@ -99,12 +100,19 @@
 			return nil
 		}
 		if err != nil {
-			return err
+			// As when no descriptor is left: connections end, and the VM goes on.
+			if s.OnAcceptFailed != nil {
+				s.OnAcceptFailed(err)
+			}
+			time.Sleep(acceptRetryDelay)
+			continue
 		}
 		go s.serveConn(server, conn)
 	}
 }
 
+const acceptRetryDelay = 200 * time.Millisecond // after a connection that could not be accepted
+
 func (s *Server) serveConn(server *rpc.Server, conn net.Conn) {
 	if !s.track(conn, true) {
 		conn.Close()
