Log how long a request was unread and at what step its caller left

HW1049 now names the step at which a caller was found to have left, how long the request had been in the kernel's buffers, and whether it was sent on; the metrics heatherwood_request_unread_seconds, heatherwood_tick_late_seconds and heatherwood_callers_left_total count the same, and explain puts it in a sentence. What happens to a request does not change.

The package tcp asks the kernel: poll finds the end of a connection behind data that nobody has read, TCP_INFO says when the last data came.

--- a/internal/callerhttp/connecttimeout.go
+++ b/internal/callerhttp/connecttimeout.go
@@ -62,6 +62,7 @@
 	headerWritten atomic.Bool   // a part of the request's header may have been written
 	waitEnded     atomic.Bool   // the request has a connection or has timed out
 	timedOut      atomic.Bool
+	onConnected   func()       // called once the request has a connection; may be nil
 	dialStarted   atomic.Int64 // nanoseconds since 1970; 0 without a dial
 	dialTook      atomic.Int64 // nanoseconds; 0 without a new connection
 
@@ -97,6 +98,9 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			c.conn.Store(&info.Conn)
 			c.waitEnded.Store(true)
+			if c.onConnected != nil {
+				c.onConnected()
+			}
 		},
 		WroteHeaderField: func(string, []string) { c.headerWritten.Store(true) },
 		ConnectStart:     func(string, string) { c.dialStarted.Store(c.now().UnixNano()) },
--- /dev/null
+++ b/internal/callerhttp/departure.go
@@ -0,0 +1,104 @@
+package callerhttp
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/heatherwood/heatherwood/internal/reducer"
+	"github.com/heatherwood/heatherwood/internal/tcp"
+)
+
+// stage is what a request waits for, as the log and the metrics name it.
+type stage string
+
+const (
+	stageUnread  stage = "unread"  // to be read by this VM
+	stageBody    stage = "body"    // for the rest of its body
+	stageTurn    stage = "turn"    // for a claim, a slot or a retry
+	stageConnect stage = "connect" // for a connection to a server or another VM
+	stageServer  stage = "server"  // for an answer
+	stageAnswer  stage = "answer"  // for the caller to take the answer
+)
+
+type socketKey struct{}
+
+// ConnContext keeps the socket of a caller's connection in the context of its requests; it is
+// the ConnContext of the servers whose requests a Relay handles.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, socketKey{}, tcp.SocketOf(conn))
+}
+
+// callerWatch knows what a request waits for and whether its caller has left.
+type callerWatch struct {
+	socket tcp.Socket
+	unread time.Duration // from the arrival of the request, or of what followed it, until it was read
+
+	mutex     sync.Mutex
+	stage     stage
+	leftWhile stage // stage at which the caller was found to have left; empty while it waits
+}
+
+// enter records what the request waits for now.
+func (w *callerWatch) enter(s stage) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.stage = s
+}
+
+// noteLeft records that the caller has left.
+func (w *callerWatch) noteLeft() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.leftWhile == "" {
+		w.leftWhile = w.stage
+	}
+}
+
+// lookForCaller records how long the request was unread, and whether its caller has left already.
+func (in *inbound) lookForCaller() {
+	socket, _ := in.request.Context().Value(socketKey{}).(tcp.Socket)
+	in.caller.socket, in.caller.stage = socket, stageUnread
+	var err error
+	if in.caller.unread, err = socket.SinceData(); err != nil {
+		in.relay.Node.LogError(reducer.CodePanicRecovered, err)
+	}
+	in.relay.Node.Metrics.UnreadSeconds.Update(in.caller.unread.Seconds())
+	in.callerLeft()
+}
+
+// callerLeft reports whether the caller has left, whether or not net/http has found out.
+func (in *inbound) callerLeft() bool {
+	left := in.request.Context().Err() != nil
+	if !left {
+		var err error
+		if left, err = in.caller.socket.PeerClosed(); err != nil {
+			in.relay.Node.LogError(reducer.CodePanicRecovered, err)
+		}
+	}
+	if left {
+		in.caller.noteLeft()
+	}
+	return left
+}
+
+// logLeft logs and counts a caller that left before the request ended.
+func (in *inbound) logLeft() {
+	if in.request.Context().Err() != nil {
+		in.caller.noteLeft()
+	}
+	in.caller.mutex.Lock()
+	while := in.caller.leftWhile
+	in.caller.mutex.Unlock()
+	if while == "" {
+		return
+	}
+	in.relay.Node.Metrics.CountCallerLeft(string(while))
+	in.relay.Node.LogDecision(reducer.Decision{Code: reducer.CodeCallerLeft, Request: in.id, Outcome: string(while), Fields: []reducer.Field{
+		{Name: "unread", Value: in.caller.unread},
+		{Name: "took", Value: in.relay.Node.Clock.Now().Sub(in.receivedAt)},
+		{Name: "sent", Value: in.anySend},
+		{Name: "server", Value: in.server},
+	}})
+}
--- a/internal/callerhttp/detour.go
+++ b/internal/callerhttp/detour.go
@@ -99,6 +99,7 @@
 func (l *Relay) PeerServer() *http.Server {
 	return &http.Server{
 		Handler:           http.HandlerFunc(l.servePeer),
+		ConnContext:       ConnContext,
 		MaxHeaderBytes:    peerMaxHeader,
 		ReadHeaderTimeout: peerHeaderTimeout,
 		IdleTimeout:       peerServerIdleTimeout,
--- a/internal/callerhttp/guard.go
+++ b/internal/callerhttp/guard.go
@@ -1,11 +1,15 @@
 package callerhttp
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"github.com/heatherwood/heatherwood/internal/clock"
 	"github.com/heatherwood/heatherwood/internal/node"
 	"github.com/heatherwood/heatherwood/internal/reducer"
@@ -32,9 +36,10 @@
 // stays incomplete, for longer than the steering document in force allows. The
 // timeouts of net/http are fixed when a server starts; these follow the document.
 type Guard struct {
-	Clock   clock.Clock
-	Limits  func() document.Limits                                       // returns those in force; zero values mean the defaults
-	OnClose func(reason CloseReason, caller string, after time.Duration) // called for each closed connection
+	Clock          clock.Clock
+	Limits         func() document.Limits                                       // returns those in force; zero values mean the defaults
+	OnClose        func(reason CloseReason, caller string, after time.Duration) // called for each closed connection
+	MaxConnections int                                                          // open at a time, others wait to be accepted; 0 for no limit
 
 	mu    sync.Mutex
 	conns map[*guardedConn]struct{}
@@ -66,6 +71,7 @@
 // guardedConn is a connection with the state that its timeout depends on.
 type guardedConn struct {
 	net.Conn
+	socket        syscall.Conn // beneath Conn; nil without one
 	guard         *Guard
 	serving       bool      // a request's header has been read, and its answer is not complete
 	headerStarted bool      // the first bytes of a request have arrived
@@ -76,7 +82,11 @@
 // the http.Server that serves it needs TrackState as its ConnState.
 func (g *Guard) WrapListener(l net.Listener) net.Listener {
 	g.conns = make(map[*guardedConn]struct{})
-	watched := &guardedListener{Listener: l, guard: g, done: make(chan struct{})}
+	sockets := &socketListener{Listener: l}
+	watched := &guardedListener{Listener: sockets, sockets: sockets, guard: g, done: make(chan struct{})}
+	if g.MaxConnections > 0 {
+		watched.Listener = netutil.LimitListener(sockets, g.MaxConnections)
+	}
 	go g.sweepUntil(watched.done)
 	return watched
 }
@@ -122,6 +132,16 @@
 	return nil
 }
 
+var errNoSocket = errors.New("the connection has no socket")
+
+// SyscallConn implements syscall.Conn.
+func (c *guardedConn) SyscallConn() (syscall.RawConn, error) {
+	if c.socket == nil {
+		return nil, errNoSocket
+	}
+	return c.socket.SyscallConn()
+}
+
 // sweepUntil closes timed out connections at each interval until done is closed.
 func (g *Guard) sweepUntil(done <-chan struct{}) {
 	for {
@@ -159,9 +179,23 @@
 	return fallback
 }
 
+// socketListener remembers the socket that it accepted last: the limit on connections hides it.
+type socketListener struct {
+	net.Listener
+	latest syscall.Conn
+}
+
+// Accept implements net.Listener; it is called by one goroutine.
+func (l *socketListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	l.latest, _ = conn.(syscall.Conn)
+	return conn, err
+}
+
 // guardedListener wraps the connections that it accepts in guardedConn.
 type guardedListener struct {
 	net.Listener
+	sockets   *socketListener
 	guard     *Guard
 	closeOnce sync.Once
 	done      chan struct{}
@@ -173,7 +207,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &guardedConn{Conn: conn, guard: l.guard}, nil
+	return &guardedConn{Conn: conn, socket: l.sockets.latest, guard: l.guard}, nil
 }
 
 // Close implements net.Listener and ends the sweeps.
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -99,6 +99,7 @@
 	status      int         // answered to the caller
 	anySend     bool        // the request was sent to a server
 	detour      *detourInfo // nil for a request that the caller sent to this VM
+	caller      callerWatch
 }
 
 // ServeHTTP implements http.Handler.
@@ -117,6 +118,8 @@
 	}
 	in.assignID()
 	in.markAnswer(problem.DetourAnswerVM)
+	in.lookForCaller()
+	in.caller.enter(stageBody)
 	if !in.fitsDetour() || !in.matchRequest() || !in.readBody() {
 		in.logEnd()
 		return
@@ -130,6 +133,7 @@
 	ctx, cancel := context.WithDeadline(in.baseContext, in.deadline)
 	defer cancel()
 	in.setConnDeadlines()
+	in.callerLeft()
 	in.runSteps(ctx)
 	in.recordMetrics()
 	in.logEnd()
@@ -258,6 +262,7 @@
 
 // runSteps performs the steps that the reducer returns until the caller has an answer.
 func (in *inbound) runSteps(ctx context.Context) {
+	in.caller.enter(stageTurn)
 	exchange, step, err := in.relay.Node.BeginExchange(ctx, reducer.RequestBegan{
 		Request:           in.newRelayRequest(),
 		AssignedElsewhere: in.placedElsewhere(),
@@ -271,6 +276,7 @@
 		}
 	}()
 	for err == nil {
+		in.caller.enter(stageTurn)
 		in.recordClaim(step)
 		switch {
 		case step.Claim != nil:
@@ -370,6 +376,7 @@
 
 // logEnd logs the end of the request on this VM.
 func (in *inbound) logEnd() {
+	in.logLeft()
 	fields := []reducer.Field{
 		{Name: "status", Value: int64(in.status)},
 		{Name: "took", Value: in.relay.Node.Clock.Now().Sub(in.receivedAt)},
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -140,7 +140,8 @@
 		return sendResult{RequestSent: reducer.RequestSent{Result: routing.ResultUnused, Cause: err.Error()}}
 	}
 	request.Body = body
-	connect := &connectAttempt{now: in.relay.Node.Clock.Now, timeout: timeout}
+	connect := &connectAttempt{now: in.relay.Node.Clock.Now, timeout: timeout, onConnected: func() { in.caller.enter(stageServer) }}
+	in.caller.enter(stageConnect)
 	response, err := connect.roundTrip(transport, request)
 	sent := sendResult{response: response, connect: connect}
 	sent.ConnectTime = time.Duration(connect.dialTook.Load())
@@ -279,6 +280,7 @@
 	copyEndToEndHeaders(header, response.Header)
 	header.Set(in.relay.Dialect.answerIDHeader(), in.id)
 	in.markAnswer(problem.DetourAnswerServer)
+	in.caller.enter(stageAnswer)
 	in.status = response.StatusCode
 	in.writer.WriteHeader(response.StatusCode)
 	record := &bodyRecorder{limit: ledger.MaxOutcomeBytes, enabled: in.rule.Once}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,8 +9,6 @@
 	"strings"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"github.com/heatherwood/heatherwood/internal/backendhttp"
 	"github.com/heatherwood/heatherwood/internal/callerhttp"
 	"github.com/heatherwood/heatherwood/internal/node"
@@ -38,9 +36,11 @@
 // New returns the HTTP server of a VM.
 func New(n *node.Node) *Server {
 	s := &Server{Node: n, relay: callerhttp.NewRelay(n, callerhttp.DefaultDialect()), guard: callerhttp.NewGuard(n)}
+	s.guard.MaxConnections = maxConnections
 	s.http = &http.Server{
 		Handler:        s.handler(),
 		ConnState:      s.guard.TrackState,
+		ConnContext:    callerhttp.ConnContext,
 		MaxHeaderBytes: maxHeaderBytes,
 	}
 	s.peers = s.relay.PeerServer()
@@ -78,7 +78,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	s.listener = s.guard.WrapListener(netutil.LimitListener(listener, maxConnections))
+	s.listener = s.guard.WrapListener(listener)
 	return nil
 }
 
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -140,7 +140,7 @@
 
 // describeCause explains in one sentence why the request ended as it did.
 func (r Report) describeCause() string {
-	var notPlaced, sendFailed, placed, ended *Line
+	var notPlaced, sendFailed, placed, left, ended *Line
 	for i := range r.Lines {
 		line := &r.Lines[i]
 		switch line.Event {
@@ -150,6 +150,8 @@
 			sendFailed, notPlaced = line, nil
 		case eventID(reducer.CodePlaced):
 			placed = line
+		case eventID(reducer.CodeCallerLeft):
+			left = line
 		case eventID(reducer.CodeRequestEnded):
 			ended = line
 		}
@@ -159,6 +161,8 @@
 		return fmt.Sprintf("it was sent to server %s and no end is logged: the VM died or its last lines were lost", placed.stringField("server"))
 	case ended == nil:
 		return "its end is not logged: the VM died or its last lines were lost"
+	case left != nil:
+		return describeLeave(left)
 	case ended.numberField("status") < 400 && ended.numberField("status") > 0:
 		return r.describeAnswer(ended, placed, sendFailed)
 	case notPlaced != nil && sendFailed != nil:
@@ -196,6 +200,24 @@
 	return text
 }
 
+// describeLeave describes a line that logs that the caller left.
+func describeLeave(left *Line) string {
+	stages := map[string]string{
+		"unread":  "before it was read",
+		"body":    "before its body had arrived",
+		"turn":    "while it waited for a claim, a slot or a retry",
+		"connect": "while it waited for a connection to a server or another VM",
+		"server":  "while it waited for an answer",
+		"answer":  "before it had taken the whole answer",
+	}
+	sent := "it had not been sent to a server"
+	if left.Fields["sent"] == true {
+		sent = "it had been sent on"
+	}
+	return fmt.Sprintf("its caller left %s; %s read it %.0f ms or more after it had arrived, and ended it after another %.0f ms; %s",
+		cmp.Or(stages[left.Outcome], left.Outcome), left.VM, left.numberField("unread_ms"), left.numberField("took_ms"), sent)
+}
+
 // describeRefusal describes a line that logs that no server was chosen.
 func describeRefusal(notPlaced *Line) string {
 	limits := ""
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -45,6 +45,10 @@
 			requestLine("HW1031", "04.000", `"status":503,"took_ms":1,"server":"","host":"shop.example","path":"/new/","document":49,"outcome":"document-outdated"`),
 			"document-outdated; nothing in the document with log index 49, then in force on e1, fits shop.example/new/",
 		},
+		"caller left before its request was read": {
+			requestLine("HW1049", "04.000", `"unread_ms":2101,"took_ms":0.3,"sent":false,"server":"","outcome":"unread"`) + ended("503", "cancelled"),
+			"its caller left before it was read; e1 read it 2101 ms or more after it had arrived, and ended it after another 0 ms; it had not been sent to a server",
+		},
 		"answered by the second send": {placed + sendFailed + placed + ended("200", "answered"), "the send before it, to server s1, had ended broken"},
 	}
 	for name, test := range tests {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -22,6 +22,9 @@
 
 	DetourSeconds *metrics.Histogram // from passing a request on to another VM to the header of its answer
 
+	UnreadSeconds   *metrics.Histogram // from the arrival of a request until it was read
+	TickLateSeconds *metrics.Histogram // by which the processor came late to a tick
+
 	DocumentBytesSent     *metrics.Counter // of document text, to other VMs
 	DocumentBytesReceived *metrics.Counter // of document text, of all copies of it
 
@@ -41,6 +44,9 @@
 
 		DetourSeconds: set.NewHistogram("heatherwood_detour_seconds"),
 
+		UnreadSeconds:   set.NewHistogram("heatherwood_request_unread_seconds"),
+		TickLateSeconds: set.NewHistogram("heatherwood_tick_late_seconds"),
+
 		DocumentBytesSent:     set.NewCounter("heatherwood_document_bytes_sent_total"),
 		DocumentBytesReceived: set.NewCounter("heatherwood_document_bytes_received_total"),
 
@@ -71,6 +77,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_server_probes_total{failure=%q}`, string(failure))).Inc()
 }
 
+// CountCallerLeft counts a caller that left before its request was answered, by what the request
+// then waited for.
+func (m *Metrics) CountCallerLeft(while string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_callers_left_total{while=%q}`, while)).Inc()
+}
+
 // CountDetour counts a request that was passed on to another VM, by its result and the time
 // until the header of the answer.
 func (m *Metrics) CountDetour(result string, took time.Duration) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -245,10 +245,12 @@
 
 func (n *Node) tickUntilStopped() {
 	for {
+		due := n.Clock.Now().Add(tickInterval)
 		select {
 		case <-n.stopped:
 			return
 		case <-n.Clock.After(tickInterval):
+			n.Metrics.TickLateSeconds.Update(n.Clock.Now().Sub(due).Seconds())
 			n.pauses.Observe()
 			n.Apply(reducer.Tick{})
 			n.logDrops()
--- a/internal/peerrpc/forward.go
+++ b/internal/peerrpc/forward.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // DialForward opens a connection to a peer on which callers' requests are passed on by HTTP.
@@ -106,6 +107,16 @@
 	return c.Conn.Close()
 }
 
+var errNoSocket = errors.New("the connection has no socket")
+
+// SyscallConn implements syscall.Conn.
+func (c *requestConn) SyscallConn() (syscall.RawConn, error) {
+	if socket, ok := c.Conn.(syscall.Conn); ok {
+		return socket.SyscallConn()
+	}
+	return nil, errNoSocket
+}
+
 // CloseWrite lets net/http finish an answer while the request's body is still unread.
 func (c *requestConn) CloseWrite() error {
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -53,6 +53,7 @@
 	CodeLinkReplaced          Code = 1046
 	CodeWayChanged            Code = 1047
 	CodeDetour                Code = 1048
+	CodeCallerLeft            Code = 1049
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -112,6 +113,7 @@
 	{CodeLinkReplaced, "info", "silent connection to another VM was replaced by a second one that answers"},
 	{CodeWayChanged, "info", "way of this VM to the backend servers of a failure domain changed"},
 	{CodeDetour, "info", "request passed on to another VM, or taken over for one, for want of a way to the servers"},
+	{CodeCallerLeft, "info", "caller left before its request was answered"},
 }
 
 // Info returns the catalogue entry of a code.
--- /dev/null
+++ b/internal/tcp/socket.go
@@ -0,0 +1,72 @@
+package tcp
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Socket is the kernel's side of a connection; the zero value knows nothing about it.
+type Socket struct{ raw syscall.RawConn }
+
+// SocketOf returns the socket of a connection, or the zero value for one without a socket.
+func SocketOf(conn net.Conn) Socket {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return Socket{}
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return Socket{} // the connection is wrapped around one without a socket
+	}
+	return Socket{raw: raw}
+}
+
+// PeerClosed reports whether the other end has closed the connection, or it was reset or closed
+// here. Unlike a read, it finds the end behind data that is not read yet.
+func (s Socket) PeerClosed() (bool, error) {
+	if s.raw == nil {
+		return false, nil
+	}
+	fds := []unix.PollFd{{Events: unix.POLLRDHUP}}
+	var pollErr error
+	err := s.raw.Control(func(fd uintptr) {
+		fds[0].Fd = int32(fd)
+		for {
+			_, pollErr = unix.Poll(fds, 0)
+			if !errors.Is(pollErr, unix.EINTR) {
+				return
+			}
+		}
+	})
+	switch {
+	case errors.Is(err, net.ErrClosed):
+		return true, nil
+	case err != nil:
+		return false, fmt.Errorf("poll connection: %w", err)
+	case pollErr != nil:
+		return false, fmt.Errorf("poll connection: %w", pollErr)
+	}
+	return fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0, nil
+}
+
+// SinceData returns how long ago the last bytes of the other end arrived, whether they have been
+// read or not; 0 if the kernel does not say.
+func (s Socket) SinceData() (time.Duration, error) {
+	if s.raw == nil {
+		return 0, nil
+	}
+	var info *unix.TCPInfo
+	var optionErr error
+	err := s.raw.Control(func(fd uintptr) {
+		info, optionErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err := errors.Join(err, optionErr); err != nil {
+		return 0, fmt.Errorf("read state of connection: %w", err)
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, nil
+}
