Don't send requests on for callers that have left

What callers saw: nothing, they had left.

Cause: net/http learns that a connection has ended from a read that runs beside the handler, and starts that read only once the body is read to its end. Where a VM lacked the processor, or was paused, a request and the end of its connection wait in the kernel together; the handler can send the request on before the read has found the end, and with a long or pipelined request it is not looked for at all.

Now the kernel is asked at the moment when a request has been read, and again just before the first byte of each send to a server or another VM is written. A caller that has left is found however far the request came, also while it waited for a connection. Keyed operations go on.

--- a/internal/callerhttp/connecttimeout.go
+++ b/internal/callerhttp/connecttimeout.go
@@ -63,6 +63,8 @@
 	waitEnded     atomic.Bool   // the request has a connection or has timed out
 	timedOut      atomic.Bool
 	onConnected   func()       // called once the request has a connection; may be nil
+	mayWrite      func() bool  // asked before the first byte is written
+	refused       atomic.Bool  // mayWrite returned false, and nothing was written
 	dialStarted   atomic.Int64 // nanoseconds since 1970; 0 without a dial
 	dialTook      atomic.Int64 // nanoseconds; 0 without a new connection
 
@@ -97,6 +99,9 @@
 	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			c.conn.Store(&info.Conn)
+			if conn, ok := info.Conn.(*serverConn); ok {
+				conn.attempt.Store(c)
+			}
 			c.waitEnded.Store(true)
 			if c.onConnected != nil {
 				c.onConnected()
--- a/internal/callerhttp/departure.go
+++ b/internal/callerhttp/departure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -37,7 +38,8 @@
 
 	mutex     sync.Mutex
 	stage     stage
-	leftWhile stage // stage at which the caller was found to have left; empty while it waits
+	leftWhile stage  // stage at which the caller was found to have left; empty while it waits
+	onLeft    func() // ends the work; nil for work that goes on without its caller
 }
 
 // enter records what the request waits for now.
@@ -47,13 +49,17 @@
 	w.stage = s
 }
 
-// noteLeft records that the caller has left.
+// noteLeft records that the caller has left, and ends the work if it is only for this caller.
 func (w *callerWatch) noteLeft() {
 	w.mutex.Lock()
-	defer w.mutex.Unlock()
 	if w.leftWhile == "" {
 		w.leftWhile = w.stage
 	}
+	onLeft := w.onLeft
+	w.mutex.Unlock()
+	if onLeft != nil {
+		onLeft()
+	}
 }
 
 // lookForCaller records how long the request was unread, and whether its caller has left already.
@@ -68,6 +74,33 @@
 	in.callerLeft()
 }
 
+var errCallerLeft = errors.New("the caller left")
+
+// beginWork sets the context of the work, and returns what ends it. A keyed operation goes on when
+// its caller leaves, so that its outcome is known when the caller asks again.
+func (in *inbound) beginWork() context.CancelFunc {
+	if in.rule.Once {
+		in.baseContext = context.WithoutCancel(in.request.Context())
+		return func() {}
+	}
+	base, cancel := context.WithCancelCause(in.request.Context())
+	in.baseContext = base
+	in.caller.mutex.Lock()
+	defer in.caller.mutex.Unlock()
+	in.caller.onLeft = func() { cancel(errCallerLeft) }
+	return in.caller.onLeft
+}
+
+// mayWrite reports whether the request may still be written to a server or another VM. net/http
+// looks for the end of the caller's connection beside the handler: on a VM that lacked the
+// processor, the handler can be first.
+func (in *inbound) mayWrite() bool {
+	if in.rule.Once {
+		return true
+	}
+	return !in.callerLeft()
+}
+
 // callerLeft reports whether the caller has left, whether or not net/http has found out.
 func (in *inbound) callerLeft() bool {
 	left := in.request.Context().Err() != nil
--- a/internal/callerhttp/detour.go
+++ b/internal/callerhttp/detour.go
@@ -34,7 +34,7 @@
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, maxConnectTimeout)
 			defer cancel()
-			return n.Network.DialForward(ctx, address)
+			return newServerConn(n.Network.DialForward(ctx, address))
 		},
 		MaxIdleConnsPerHost:    idlePerHost,
 		IdleConnTimeout:        peerIdleTimeout,
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -64,7 +64,7 @@
 				}
 				ctx, cancel := context.WithTimeout(ctx, maxConnectTimeout)
 				defer cancel()
-				return n.DialServer(ctx, address)
+				return newServerConn(n.DialServer(ctx, address))
 			},
 			MaxIdleConnsPerHost:    idlePerHost,
 			IdleConnTimeout:        90 * time.Second,
@@ -124,17 +124,15 @@
 		in.logEnd()
 		return
 	}
-	in.baseContext = r.Context()
-	if in.rule.Once {
-		// The operation goes on when its caller hangs up, so that its outcome
-		// is known when the caller retries.
-		in.baseContext = context.WithoutCancel(in.baseContext)
-	}
+	defer in.beginWork()()
 	ctx, cancel := context.WithDeadline(in.baseContext, in.deadline)
 	defer cancel()
 	in.setConnDeadlines()
-	in.callerLeft()
-	in.runSteps(ctx)
+	if in.callerLeft() && !in.rule.Once {
+		in.refuseAborted(ctx)
+	} else {
+		in.runSteps(ctx)
+	}
 	in.recordMetrics()
 	in.logEnd()
 }
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -140,7 +140,7 @@
 		return sendResult{RequestSent: reducer.RequestSent{Result: routing.ResultUnused, Cause: err.Error()}}
 	}
 	request.Body = body
-	connect := &connectAttempt{now: in.relay.Node.Clock.Now, timeout: timeout, onConnected: func() { in.caller.enter(stageServer) }}
+	connect := &connectAttempt{now: in.relay.Node.Clock.Now, timeout: timeout, onConnected: func() { in.caller.enter(stageServer) }, mayWrite: in.mayWrite}
 	in.caller.enter(stageConnect)
 	response, err := connect.roundTrip(transport, request)
 	sent := sendResult{response: response, connect: connect}
@@ -148,7 +148,7 @@
 	if err != nil {
 		sent.Cause = err.Error()
 	}
-	headerWritten := connect.headerWritten.Load()
+	headerWritten := connect.headerWritten.Load() && !connect.refused.Load()
 	switch {
 	case err == nil && response.StatusCode >= http.StatusInternalServerError:
 		sent.Result = routing.ResultError
