End work for callers that leave behind bytes that nobody reads

What callers saw: nothing; a server worked on for up to the whole time of a request that may be repeated, though its caller had left.

The connections of requests under way that net/http does not read from are now looked at every 200 ms.

--- a/internal/callerhttp/departure.go
+++ b/internal/callerhttp/departure.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/heatherwood/heatherwood/internal/clock"
+	"github.com/heatherwood/heatherwood/internal/node"
 	"github.com/heatherwood/heatherwood/internal/reducer"
 	"github.com/heatherwood/heatherwood/internal/tcp"
 )
@@ -23,17 +25,30 @@
 	stageAnswer  stage = "answer"  // for the caller to take the answer
 )
 
-type socketKey struct{}
+type connKey struct{}
 
-// ConnContext keeps the socket of a caller's connection in the context of its requests; it is
-// the ConnContext of the servers whose requests a Relay handles.
+// callerConn is a connection on which requests come.
+type callerConn struct {
+	tcp.Socket
+	conn net.Conn
+}
+
+// ConnContext keeps a caller's connection in the context of its requests; it is the ConnContext
+// of the servers whose requests a Relay handles.
 func ConnContext(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, socketKey{}, tcp.SocketOf(conn))
+	return context.WithValue(ctx, connKey{}, callerConn{Socket: tcp.SocketOf(conn), conn: conn})
+}
+
+// isRead reports whether net/http waits for bytes of the connection, and so will find its end.
+func (c callerConn) isRead() bool {
+	guarded, ok := c.conn.(*guardedConn)
+	return ok && guarded.reading.Load()
 }
 
 // callerWatch knows what a request waits for and whether its caller has left.
 type callerWatch struct {
-	socket tcp.Socket
+	conn   callerConn
+	node   *node.Node
 	unread time.Duration // from the arrival of the request, or of what followed it, until it was read
 
 	mutex     sync.Mutex
@@ -64,10 +79,10 @@
 
 // lookForCaller records how long the request was unread, and whether its caller has left already.
 func (in *inbound) lookForCaller() {
-	socket, _ := in.request.Context().Value(socketKey{}).(tcp.Socket)
-	in.caller.socket, in.caller.stage = socket, stageUnread
+	in.caller.conn, _ = in.request.Context().Value(connKey{}).(callerConn)
+	in.caller.node, in.caller.stage = in.relay.Node, stageUnread
 	var err error
-	if in.caller.unread, err = socket.SinceData(); err != nil {
+	if in.caller.unread, err = in.caller.conn.SinceData(); err != nil {
 		in.relay.Node.LogError(reducer.CodePanicRecovered, err)
 	}
 	in.relay.Node.Metrics.UnreadSeconds.Update(in.caller.unread.Seconds())
@@ -76,7 +91,8 @@
 
 var errCallerLeft = errors.New("the caller left")
 
-// beginWork sets the context of the work, and returns what ends it. A keyed operation goes on when
+// beginWork sets the context of the work, and returns what ends it. The work ends early when the
+// caller is found to have left, here or by the watcher. A keyed operation goes on when
 // its caller leaves, so that its outcome is known when the caller asks again.
 func (in *inbound) beginWork() context.CancelFunc {
 	if in.rule.Once {
@@ -86,9 +102,13 @@
 	base, cancel := context.WithCancelCause(in.request.Context())
 	in.baseContext = base
 	in.caller.mutex.Lock()
-	defer in.caller.mutex.Unlock()
 	in.caller.onLeft = func() { cancel(errCallerLeft) }
-	return in.caller.onLeft
+	in.caller.mutex.Unlock()
+	in.relay.watcher.add(&in.caller)
+	return func() {
+		in.relay.watcher.remove(&in.caller)
+		cancel(nil)
+	}
 }
 
 // mayWrite reports whether the request may still be written to a server or another VM. net/http
@@ -103,17 +123,83 @@
 
 // callerLeft reports whether the caller has left, whether or not net/http has found out.
 func (in *inbound) callerLeft() bool {
-	left := in.request.Context().Err() != nil
-	if !left {
-		var err error
-		if left, err = in.caller.socket.PeerClosed(); err != nil {
-			in.relay.Node.LogError(reducer.CodePanicRecovered, err)
+	if in.request.Context().Err() != nil {
+		in.caller.noteLeft()
+		return true
+	}
+	return in.caller.look()
+}
+
+// look reports whether the kernel knows that the caller has left.
+func (w *callerWatch) look() bool {
+	closed, err := w.conn.PeerClosed()
+	if err != nil {
+		w.node.LogError(reducer.CodePanicRecovered, err)
+	}
+	if closed {
+		w.noteLeft()
+	}
+	return closed
+}
+
+// watchInterval is the time between two looks at connections that net/http does not read from;
+// servers may work on for half a second after a caller has left.
+const watchInterval = 200 * time.Millisecond
+
+// watcher looks for callers that leave while net/http does not read from their connections:
+// because a part of the body, or the start of the next request, is in the way.
+type watcher struct {
+	clock clock.Clock
+
+	mutex   sync.Mutex
+	callers map[*callerWatch]struct{}
+	running bool
+}
+
+func (w *watcher) add(c *callerWatch) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.callers[c] = struct{}{}
+	if !w.running {
+		w.running = true
+		go w.run()
+	}
+}
+
+func (w *watcher) remove(c *callerWatch) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	delete(w.callers, c)
+}
+
+// run looks at all callers at each interval, until there are none.
+func (w *watcher) run() {
+	for {
+		<-w.clock.After(watchInterval)
+		for _, c := range w.unreadCallers() {
+			c.look()
+		}
+		w.mutex.Lock()
+		if len(w.callers) == 0 {
+			w.running = false
+			w.mutex.Unlock()
+			return
 		}
+		w.mutex.Unlock()
 	}
-	if left {
-		in.caller.noteLeft()
+}
+
+// unreadCallers returns the callers whose connections net/http does not read from.
+func (w *watcher) unreadCallers() []*callerWatch {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	var list []*callerWatch
+	for c := range w.callers {
+		if !c.conn.isRead() {
+			list = append(list, c)
+		}
 	}
-	return left
+	return list
 }
 
 // logLeft logs and counts a caller that left before the request ended.
--- a/internal/callerhttp/guard.go
+++ b/internal/callerhttp/guard.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -73,9 +74,10 @@
 	net.Conn
 	socket        syscall.Conn // beneath Conn; nil without one
 	guard         *Guard
-	serving       bool      // a request's header has been read, and its answer is not complete
-	headerStarted bool      // the first bytes of a request have arrived
-	waitingSince  time.Time // start of the current timeout
+	reading       atomic.Bool // a read waits for bytes
+	serving       bool        // a request's header has been read, and its answer is not complete
+	headerStarted bool        // the first bytes of a request have arrived
+	waitingSince  time.Time   // start of the current timeout
 }
 
 // WrapListener returns a listener whose connections are watched until it is closed;
@@ -112,7 +114,9 @@
 
 // Read implements net.Conn.
 func (c *guardedConn) Read(b []byte) (int, error) {
+	c.reading.Store(true)
 	n, err := c.Conn.Read(b)
+	c.reading.Store(false)
 	if n > 0 {
 		c.guard.mu.Lock()
 		if !c.serving && !c.headerStarted {
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -46,6 +46,7 @@
 
 	peers              *http.Transport // to other VMs that serve requests for this one
 	peerConnectTimeout ConnectTimeout
+	watcher            watcher
 }
 
 // NewRelay returns a Relay with a connection pool for each backend server.
@@ -71,7 +72,8 @@
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxAnswerHeader,
 		},
-		peers: newPeerTransport(n, idlePerHost, maxAnswerHeader),
+		peers:   newPeerTransport(n, idlePerHost, maxAnswerHeader),
+		watcher: watcher{clock: n.Clock, callers: make(map[*callerWatch]struct{})},
 	}
 	n.ProbeServer = l.probeServer
 	return l
