Reset connections to servers whose request has no answer yet when it ends

What callers saw: nothing; servers ran requests after their callers had left, when a way that had hung opened again, or began work of which the caller's leave never reached them.

Cause: a send that is given up closes its connection in order, so that bytes that still wait on the way, in the kernel's buffer or behind lost packets, arrive first. Where a server doesn't read, the end never arrives. A reset discards what has not been received.

The stand-in for links now loses the bytes on the way of a connection that is reset.

--- a/internal/callerhttp/connecttimeout.go
+++ b/internal/callerhttp/connecttimeout.go
@@ -100,13 +100,20 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			c.conn.Store(&info.Conn)
 			if conn, ok := info.Conn.(*serverConn); ok {
-				conn.attempt.Store(c)
+				conn.begin(c)
 			}
 			c.waitEnded.Store(true)
 			if c.onConnected != nil {
 				c.onConnected()
 			}
 		},
+		GotFirstResponseByte: func() {
+			if conn := c.conn.Load(); conn != nil {
+				if conn, ok := (*conn).(*serverConn); ok {
+					conn.unanswered.Store(false)
+				}
+			}
+		},
 		WroteHeaderField: func(string, []string) { c.headerWritten.Store(true) },
 		ConnectStart:     func(string, string) { c.dialStarted.Store(c.now().UnixNano()) },
 		ConnectDone: func(_, _ string, err error) {
--- a/internal/callerhttp/serverconn.go
+++ b/internal/callerhttp/serverconn.go
@@ -1,15 +1,24 @@
 package callerhttp
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
 )
 
 // serverConn is a connection to a server or another VM. It asks the request that it was given to
-// whether that may still be sent, at the last moment before its first byte is written.
+// whether that may still be sent, at the last moment before its first byte is written. If it is
+// closed before the answer has begun, what the other end has not received yet is not delivered.
 type serverConn struct {
 	net.Conn
-	attempt atomic.Pointer[connectAttempt] // whose first byte is not written yet; nil for none
+	attempt    atomic.Pointer[connectAttempt] // whose first byte is not written yet; nil for none
+	unanswered atomic.Bool                    // a request was given to it, and no byte of its answer has come
+}
+
+// begin gives a request to the connection.
+func (c *serverConn) begin(a *connectAttempt) {
+	c.attempt.Store(a)
+	c.unanswered.Store(true)
 }
 
 // newServerConn wraps what a dial returned.
@@ -28,3 +37,14 @@
 	}
 	return c.Conn.Write(b)
 }
+
+// Close implements net.Conn. An orderly close would let the request arrive first, however long
+// it still waits on the way, and a server would run it for nobody.
+func (c *serverConn) Close() error {
+	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok && c.unanswered.Load() {
+		if err := socket.SetLinger(0); err != nil {
+			return errors.Join(err, c.Conn.Close())
+		}
+	}
+	return c.Conn.Close()
+}
--- a/internal/demo/departed_test.go
+++ b/internal/demo/departed_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/heatherwood/heatherwood/internal/standin"
 	"github.com/heatherwood/heatherwood/internal/tcp"
 )
 
@@ -131,6 +132,7 @@
 		"another request behind it":     {wire: wire("GET", "/3", 0) + wire("GET", "/behind", 0)},
 		"another one behind it, later":  {wire: wire("GET", "/4", 0), later: wire("GET", "/behind", 0)},
 		"long body, read by the server": {wire: wire("POST", "/5", longBody)},
+		"long body, not read":           {wire: wire("POST", "/6", longBody), unread: true},
 	}
 	p := newWorkplace(t)
 	entry := p.start(t)
@@ -166,3 +168,43 @@
 		})
 	}
 }
+
+// A request that waited on a way that hangs ran when that opened, after its caller had left.
+func TestRequestsOnAWayThatHangsEndWithTheirCallers(t *testing.T) {
+	const (
+		callers  = 30
+		patience = 300 * time.Millisecond
+		hang     = time.Second // from the first request on
+	)
+	s := startCutSite(t)
+	entry := s.VMSettings[0].Entry
+	var group sync.WaitGroup
+	for i := range callers {
+		group.Go(func() { sendUntilRun(t, "GET", entry, "proofs", fmt.Sprint("/warm-up/", i), "", "") })
+	}
+	group.Wait()
+	s.setCut(standin.CutHang, 1)
+	for i := range callers {
+		group.Go(func() {
+			conn, err := net.Dial("tcp", entry)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			fmt.Fprintf(conn, "GET /departed/%d HTTP/1.1\r\nHost: a\r\nHeatherwood-Service: proofs\r\nHeatherwood-Timeout: 10s\r\n\r\n", i)
+			time.Sleep(patience)
+			conn.Close()
+		})
+	}
+	group.Wait()
+	time.Sleep(hang - patience)
+	s.setCut(standin.CutNone, 1)
+	time.Sleep(hang)
+	begun := 0
+	for _, server := range s.Backends {
+		begun += server.Begun("/departed/")
+	}
+	if begun > 0 {
+		t.Errorf("%d requests of %d callers that had left ran", begun, callers)
+	}
+}
--- a/internal/standin/links.go
+++ b/internal/standin/links.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/heatherwood/heatherwood/internal/tcp"
 )
 
 // Cut is a way in which connections to backend servers are lost.
@@ -120,6 +122,9 @@
 			l.changed.Wait()
 		}
 		l.mutex.Unlock()
+		if reset, resetErr := tcp.SocketOf(from).WasReset(); reset && resetErr == nil {
+			n, err = 0, syscall.ECONNRESET // bytes on the way are lost with their connection
+		}
 		if n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,7 @@
 
 	mutex     sync.Mutex
 	runsByKey map[string]int // by Idempotency-Key
+	begun     []string       // paths of requests that began to run, the last maxBegun
 	limit     string         // value of the header by which its answers name a limit; empty without one
 	arrivals  []time.Time    // of requests since the limit was named
 }
@@ -89,6 +91,7 @@
 	for highest := s.maxRunning.Load(); running > highest && !s.maxRunning.CompareAndSwap(highest, running); highest = s.maxRunning.Load() {
 	}
 	s.nameLimit(w)
+	s.noteBegun(r.URL.Path)
 	const maxBody = 1 << 20
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 	if err != nil {
@@ -140,6 +143,28 @@
 	w.Header().Set(problem.HeaderLimit, s.limit)
 }
 
+const maxBegun = 1000
+
+func (s *Server) noteBegun(path string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.begun = append(s.begun, path)
+	s.begun = s.begun[max(0, len(s.begun)-maxBegun):]
+}
+
+// Begun returns how many of the last 1,000 requests that began to run had a path that begins so.
+func (s *Server) Begun(prefix string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	count := 0
+	for _, path := range s.begun {
+		if strings.HasPrefix(path, prefix) {
+			count++
+		}
+	}
+	return count
+}
+
 // SetLimit makes later answers name a limit in requests a second, in the text that the
 // header will hold; "" ends it. It is not enforced.
 func (s *Server) SetLimit(text string) {
--- a/internal/tcp/socket.go
+++ b/internal/tcp/socket.go
@@ -29,8 +29,20 @@
 // PeerClosed reports whether the other end has closed the connection, or it was reset or closed
 // here. Unlike a read, it finds the end behind data that is not read yet.
 func (s Socket) PeerClosed() (bool, error) {
+	events, err := s.poll()
+	return events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0, err
+}
+
+// WasReset reports whether the connection was reset.
+func (s Socket) WasReset() (bool, error) {
+	events, err := s.poll()
+	return events&unix.POLLERR != 0, err
+}
+
+// poll returns what has happened to the connection; one that was closed here counts as hung up.
+func (s Socket) poll() (int16, error) {
 	if s.raw == nil {
-		return false, nil
+		return 0, nil
 	}
 	fds := []unix.PollFd{{Events: unix.POLLRDHUP}}
 	var pollErr error
@@ -45,13 +57,13 @@
 	})
 	switch {
 	case errors.Is(err, net.ErrClosed):
-		return true, nil
+		return unix.POLLHUP, nil
 	case err != nil:
-		return false, fmt.Errorf("poll connection: %w", err)
+		return 0, fmt.Errorf("poll connection: %w", err)
 	case pollErr != nil:
-		return false, fmt.Errorf("poll connection: %w", pollErr)
+		return 0, fmt.Errorf("poll connection: %w", pollErr)
 	}
-	return fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0, nil
+	return fds[0].Revents, nil
 }
 
 // SinceData returns how long ago the last bytes of the other end arrived, whether they have been
--- a/internal/tcp/socket_test.go
+++ b/internal/tcp/socket_test.go
@@ -78,3 +78,24 @@
 		t.Errorf("closed %v, %v; age %v, %v", closed, err, age, ageErr)
 	}
 }
+
+func TestWasReset(t *testing.T) {
+	tests := map[string]struct {
+		act  func(caller *net.TCPConn)
+		want bool
+	}{
+		"open":   {act: func(*net.TCPConn) {}},
+		"closed": {act: func(caller *net.TCPConn) { caller.Close() }},
+		"reset":  {act: func(caller *net.TCPConn) { caller.SetLinger(0); caller.Close() }, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			caller, accepted := connect(t)
+			test.act(caller)
+			time.Sleep(20 * time.Millisecond)
+			if got, err := SocketOf(accepted).WasReset(); err != nil || got != test.want {
+				t.Errorf("reset: %v, %v; want %v", got, err, test.want)
+			}
+		})
+	}
+}
