Take no request that a stop would cut off, and answer those that come late

Reported elsewhere: in a planned stop of an entry, requests that came late in the grace were taken, passed on and cut at its end. Here the listeners close after 2.5 s, so nothing sent later was passed on.

Cause: a stopping VM chose servers as if it had the whole time of the request; and http.Server.Shutdown reads a request on a connection that had none yet, and then drops it.

A VM that leaves knows until when it accepts requests and when it stops. Until then a request is placed only if one as long as the longest of late would end in time; afterwards requests on open connections get 503, not run, at once, until nothing runs. heatherwood's own interface does the same.

--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -47,6 +48,7 @@
 	peers              *http.Transport // to other VMs that serve requests for this one
 	peerConnectTimeout ConnectTimeout
 	watcher            watcher
+	serving            atomic.Int64 // requests
 }
 
 // NewRelay returns a Relay with a connection pool for each backend server.
@@ -110,6 +112,8 @@
 // serve answers a request; d tells of the VM that passed it on, if the caller did not send it
 // to this one.
 func (l *Relay) serve(w http.ResponseWriter, r *http.Request, d *detourInfo) {
+	l.serving.Add(1)
+	defer l.serving.Add(-1)
 	in := &inbound{
 		relay:      l,
 		writer:     w,
@@ -139,6 +143,19 @@
 	in.logEnd()
 }
 
+const idleCheckInterval = 20 * time.Millisecond
+
+// AwaitIdle waits until no request is served, or the context ends.
+func (l *Relay) AwaitIdle(ctx context.Context) {
+	for l.serving.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.Node.Clock.After(idleCheckInterval):
+		}
+	}
+}
+
 // assignID takes the caller's id of the request, or makes one.
 func (in *inbound) assignID() {
 	if header := in.relay.Dialect.RequestIDHeader; header != "" {
--- a/internal/demo/departed_test.go
+++ b/internal/demo/departed_test.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// start returns the address of an entry of a site whose VMs send all requests to the workplace.
-func (p *workplace) start(t *testing.T) string {
+// start returns a site whose VMs send all requests to the workplace, and the address of one.
+func (p *workplace) start(t *testing.T) (d *Demo, entry string) {
 	t.Helper()
 	d, err := Start(context.Background(), Options{
 		Site: "plaques", DataDir: t.TempDir(), StartServers: true, Logger: zerolog.Nop(),
@@ -106,9 +106,9 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(d.Stop)
-	entry := d.VMSettings[0].Entry
+	entry = d.VMSettings[0].Entry
 	sendUntilRun(t, "GET", entry, "proofs", "/warm-up", "", "")
-	return entry
+	return d, entry
 }
 
 // A server worked on for a caller that had left where the entry did not read from its connection.
@@ -135,7 +135,7 @@
 		"long body, not read":           {wire: wire("POST", "/6", longBody), unread: true},
 	}
 	p := newWorkplace(t)
-	entry := p.start(t)
+	_, entry := p.start(t)
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			p.mutex.Lock()
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -43,6 +43,7 @@
 	ReasonSuspected        Reason = "suspected"
 	ReasonNotOwner         Reason = "not-owner"
 	ReasonCancelled        Reason = "cancelled"
+	ReasonStopping         Reason = "stopping" // the VM stops before an answer is expected
 	ReasonUnknownService   Reason = "unknown-service"
 	ReasonStarting         Reason = "starting"
 	ReasonOwnerUnreachable Reason = "owner-unreachable"
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/backendhttp"
@@ -31,6 +32,7 @@
 	peers    *http.Server // of requests that other VMs pass on
 	relay    *callerhttp.Relay
 	listener net.Listener
+	stopping atomic.Bool // the listener was closed to stop the VM
 }
 
 // New returns the HTTP server of a VM.
@@ -90,7 +92,7 @@
 		}
 	}()
 	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || (s.stopping.Load() && errors.Is(err, net.ErrClosed)) {
 		return nil
 	}
 	return err
@@ -99,15 +101,33 @@
 // Drain directs callers to other VMs and continues to answer until look-ups that name
 // this VM have expired, or until the context ends.
 func (s *Server) Drain(ctx context.Context) {
-	s.Node.Apply(reducer.Leave{})
+	s.leave(ctx, reducer.LookupTTL)
 	select {
 	case <-s.Node.Clock.After(reducer.LookupTTL):
 	case <-ctx.Done():
 	}
 }
 
-// Stop waits for running requests until the context ends and then stops the VM.
+// leave tells the VM that it will stop when the context ends, and that it refuses callers'
+// requests after the time.
+func (s *Server) leave(ctx context.Context, accept time.Duration) {
+	stopAt, _ := ctx.Deadline()
+	s.Node.Apply(reducer.Leave{AcceptUntil: s.Node.Clock.Now().Add(accept), StopAt: stopAt})
+}
+
+// Stop waits for running requests until the context ends and then stops the VM. Requests that
+// come on open connections meanwhile are refused: http.Server.Shutdown would read them and close
+// the connection, which tells a caller nothing.
 func (s *Server) Stop(ctx context.Context) {
+	s.leave(ctx, 0)
+	s.stopping.Store(true)
+	s.http.SetKeepAlivesEnabled(false)
+	if s.listener != nil {
+		if err := s.listener.Close(); err != nil {
+			s.Node.LogError(reducer.CodeListenerFailed, err)
+		}
+	}
+	s.relay.AwaitIdle(ctx)
 	for _, server := range []*http.Server{s.http, s.peers} {
 		if err := server.Shutdown(ctx); err != nil {
 			s.Node.LogError(reducer.CodeRequestsCutOff, err)
--- a/internal/placing/estimate.go
+++ b/internal/placing/estimate.go
@@ -8,6 +8,8 @@
 type runTimes struct {
 	cold float64 // on a server that did not handle the object recently
 	warm float64 // on one that did
+
+	longest float64 // of late runs: each shorter one brings it closer to itself
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -35,6 +35,7 @@
 	Allowed   func(region string) bool
 	Fallback  uint64 // hash that orders the servers of a request without an object
 	OwnWay    bool   // no other VM may be asked to send it
+	Certain   bool   // only if a run as long as the longest of late ends before Remaining has passed
 }
 
 // Choice is the chosen server, or a refusal with the time after which a slot
@@ -99,6 +100,7 @@
 	coldRunWeight    = 0.1  // cold runs
 	shorterRunWeight = 0.15 // warm runs below the average
 	longerRunWeight  = 0.04 // warm runs above it
+	longestRunWeight = 0.01 // runs shorter than the longest
 	slownessWeight   = 0.2  // slowness of a server
 	runRatioWeight   = 0.1  // ratio of all runs at a server to a warm one
 	othersLoadWeight = 0.1  // load of other entries
@@ -370,7 +372,14 @@
 // tooLate reports whether the answer is expected too close to the deadline. A
 // class without measurements is always tried.
 func (p *Pool) tooLate(o option, req Request) bool {
-	return p.classes[req.Class] != nil && o.expected > maxRemainingShare*req.Remaining.Seconds()
+	class := p.classes[req.Class]
+	if class == nil {
+		return false
+	}
+	if req.Certain && class.longest > req.Remaining.Seconds() {
+		return true
+	}
+	return o.expected > maxRemainingShare*req.Remaining.Seconds()
 }
 
 func (p *Pool) cost(o option, position int, usual runTimes, req Request) float64 {
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -158,8 +158,11 @@
 type LiftQuarantine struct{ Fingerprint uint64 }
 
 // Leave reports that this VM will stop: look-ups no longer name it, and its
-// services pass to other VMs of the failure domain.
-type Leave struct{}
+// services pass to other VMs of the failure domain. A later one replaces its times.
+type Leave struct {
+	AcceptUntil time.Time // from then on, callers' requests are refused; zero for never
+	StopAt      time.Time // then, what still runs is cut off; zero for no such time
+}
 
 // SeedsChanged reports new seeds after a change of the settings.
 type SeedsChanged struct{ Seeds []string }
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -92,12 +92,13 @@
 		Class:     r.Route.Location(),
 		Object:    r.Object,
 		Rank:      r.Rank,
-		Remaining: r.Deadline.Sub(s.now),
+		Remaining: slotRequest.Remaining,
 		Target:    r.TargetTime.Sub(s.now),
 		Exclude:   slotRequest.Exclude,
 		Allowed:   regionFilter(r.Route),
 		Fallback:  slotRequest.Fingerprint ^ uint64(len(s.requests)),
 		OwnWay:    ownWay,
+		Certain:   slotRequest.Remaining < r.Deadline.Sub(s.now),
 	}, s.now)
 	if h := s.helperFor(r, choice); h.VM != "" {
 		return dispatch.Answer{}, h
@@ -113,6 +114,9 @@
 		if r.TakenOver && s.ways.InDoubt(s.now) {
 			reason = dispatch.ReasonNoWay
 		}
+		if slotRequest.Remaining < r.Deadline.Sub(s.now) && reason == dispatch.ReasonQueueFull {
+			reason, choice.RetryAfter = dispatch.ReasonStopping, stoppingRetry
+		}
 		return s.denyRequest(r, slotRequest, reason, choice), helper{}
 	}
 	s.lastTicket++
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -118,6 +118,7 @@
 	heartbeatDue     time.Time
 	stale            bool // no heartbeat of the leader for leaderStaleAfter
 	leaving          bool
+	leave            Leave                // while leaving
 	silentDomains    map[string]bool      // by failure domain
 	activeStops      map[string]bool      // by planned stop
 	planMovedAt      map[string]time.Time // last change of the weights, by service
@@ -251,8 +252,10 @@
 	case LiftQuarantine:
 		s.liftQuarantine(e)
 	case Leave:
-		s.leaving = true
-		s.log(CodeStopping, "leaving", 0)
+		if !s.leaving {
+			s.log(CodeStopping, "leaving", 0)
+		}
+		s.leaving, s.leave = true, e
 		s.tickMembers()
 		s.tickOwners()
 		s.publish()
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -42,6 +42,9 @@
 
 func (s *State) beginRequest(e RequestBegan) {
 	r := e.Request
+	if s.refuseWhileStopping(e.Call) {
+		return
+	}
 	if r.TakenOver {
 		if problem := s.takeOver(e); problem != nil {
 			s.emit(Answer{Call: e.Call, Value: relay.Step{Refuse: problem}})
@@ -95,6 +98,11 @@
 			return
 		}
 	}
+	byStop := step.SlotRequest != nil && s.boundByStop(step.SlotRequest)
+	if byStop && step.SlotRequest.Remaining <= 0 {
+		s.runStep(call, r, r.HandleSlotAnswer(dispatch.Answer{Denial: &dispatch.Denial{Reason: dispatch.ReasonStopping, RetryAfter: stoppingRetry}}, nil, s.now))
+		return
+	}
 	if step.SlotRequest != nil && r.PlacedLocally {
 		s.placeRequest(call, r, *step.SlotRequest)
 		return
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -232,6 +232,8 @@
 		return "no backend server can take it"
 	case dispatch.ReasonShiftCap:
 		return "it would exceed the cap on shifts of traffic"
+	case dispatch.ReasonStopping:
+		return "this VM stops before an answer is expected"
 	case dispatch.ReasonQuarantined:
 		return "requests like it crashed backend servers"
 	case dispatch.ReasonSuspected:
