Try another connection while one hangs in its handshake

Cause: a connection that goes silent before its handshake has ended is given up after 3 s, and until then no second or third one is tried. If it was the first connection to a peer, all waiting messages are dropped afterwards. Under load handshakes last long enough for it to happen.

Another connection is now tried each second beside one that does not come, three at a time, both for the first connection and in a race against a silent one.

--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -235,7 +235,7 @@
 	if time.Since(lastFailure) < redialDelay {
 		return nil, errDialBackoff
 	}
-	c, err := p.dial()
+	c, err := p.dialFirst()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if err != nil {
@@ -254,6 +254,47 @@
 	return p.connection, p.lastDialFailure
 }
 
+// dialFirst opens a connection. While one does not come, it tries others beside it, up to
+// maxRaces, as a connection may go silent before its handshake ends.
+func (p *peer) dialFirst() (*connection, error) {
+	type dialed struct {
+		connection *connection
+		err        error
+	}
+	results := make(chan dialed, maxRaces)
+	start := func() {
+		go func() {
+			c, err := p.dial()
+			results <- dialed{c, err}
+		}()
+	}
+	next := time.NewTicker(raceInterval)
+	defer next.Stop()
+	start()
+	for started, ended := 1, 0; ; {
+		select {
+		case <-next.C:
+			if started < maxRaces {
+				started++
+				start()
+			}
+		case d := <-results:
+			ended++
+			if d.err != nil && ended < started {
+				continue
+			}
+			go func() {
+				for range started - ended {
+					if other := <-results; other.err == nil {
+						other.connection.Close()
+					}
+				}
+			}()
+			return d.connection, d.err
+		}
+	}
+}
+
 // dial opens a connection and runs the handshake.
 func (p *peer) dial() (*connection, error) {
 	select {
--- a/internal/peerrpc/progress.go
+++ b/internal/peerrpc/progress.go
@@ -33,7 +33,7 @@
 	timer      *time.Timer  // nil before the first batch
 	read       bool         // the peer has sent something
 	failed     bool         // it ended or was closed
-	racing     bool         // onSilent runs
+	races      int          // calls of onSilent that run
 	raceDue    time.Time    // earliest next call of onSilent
 }
 
@@ -176,12 +176,12 @@
 		c.timer.Reset(left)
 		return
 	}
-	if c.onSilent != nil && !c.racing && !now.Before(c.raceDue) {
-		c.racing, c.raceDue = true, now.Add(raceInterval)
+	if c.onSilent != nil && c.races < maxRaces && !now.Before(c.raceDue) {
+		c.races, c.raceDue = c.races+1, now.Add(raceInterval)
 		go func() {
 			c.onSilent()
 			c.mutex.Lock()
-			c.racing = false
+			c.races--
 			c.mutex.Unlock()
 		}()
 	}
--- a/internal/peerrpc/silence.go
+++ b/internal/peerrpc/silence.go
@@ -10,6 +10,7 @@
 const (
 	silentAfter  = 400 * time.Millisecond // without progress while small batches are unanswered, before a second connection is tried
 	raceInterval = time.Second            // between two tries
+	maxRaces     = 3                      // tries at a time: each may go silent as well
 	raceTimeout  = 2 * time.Second        // for the acknowledgement on the second connection
 	raceGrace    = 50 * time.Millisecond  // for one on the first that is on its way
 	pingInterval = 250 * time.Millisecond // of empty batches while a call waits for its reply
--- a/internal/peerrpc/silence_test.go
+++ b/internal/peerrpc/silence_test.go
@@ -18,6 +18,8 @@
 type silencer struct {
 	mutex sync.Mutex
 	open  []*silencedConn
+	count int
+	stuck func(number int) bool // of a connection that is silent from the start; nil for none
 }
 
 type silencedConn struct {
@@ -48,6 +50,8 @@
 			c := &silencedConn{accepted: time.Now()}
 			s.mutex.Lock()
 			s.open = append(s.open, c)
+			s.count++
+			c.there = s.stuck != nil && s.stuck(s.count)
 			s.mutex.Unlock()
 			go c.pass(onward, conn, &c.there)
 			go c.pass(conn, onward, &c.back)
@@ -149,6 +153,44 @@
 	}
 }
 
+// Connections that went silent before their handshake ended held up all messages for 3 s, and
+// those of a first connection were lost.
+func TestConnectionSilentFromTheStartIsNotWaitedFor(t *testing.T) {
+	const maxDelay = 2*raceInterval + silentAfter
+	tests := map[string]struct {
+		stuck   func(number int) bool
+		silence bool // the connection in use goes silent
+	}{
+		"the first one":                   {stuck: func(n int) bool { return n == 1 }},
+		"the first two":                   {stuck: func(n int) bool { return n <= 2 }},
+		"one that is to replace another":  {stuck: func(n int) bool { return n == 2 }, silence: true},
+		"two that are to replace another": {stuck: func(n int) bool { return n == 2 || n == 3 }, silence: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var handler recordingHandler
+			link := silencer{stuck: test.stuck}
+			address := link.listen(t, serve(t, &handler))
+			network := NewNetwork([]byte("key"))
+			defer network.Close()
+			sent := 0
+			send := func() {
+				network.Send(address, heartbeat(uint64(sent)))
+				sent++
+			}
+			if test.silence {
+				send()
+				awaitDelivered(t, &handler, sent, time.Second)
+				link.silence(true, true)
+			}
+			send()
+			send()
+			awaitDelivered(t, &handler, sent, maxDelay+500*time.Millisecond)
+		})
+	}
+}
+
 // A call that waits on a silent connection ends soon enough to be tried again.
 func TestCallOnSilentConnectionEnds(t *testing.T) {
 	var link silencer
