Count a request's time from its arrival

What callers saw: a request that had waited unread, at a VM that was paused or short of processor, got its whole time again: it was run and answered after its caller's deadline, and servers were told of time that was not left.

The kernel says when the last bytes of a connection came (TCP_INFO); deadlines, the target and the logged times now count from there. TestTimeUnreadCountsAgainstTheDeadline failed before: after a pause of 1 s the server was told of 1.999 s of 2, and a request whose caller waits 0.8 s ran.

--- a/internal/callerhttp/departure.go
+++ b/internal/callerhttp/departure.go
@@ -78,6 +78,7 @@
 }
 
 // lookForCaller records how long the request was unread, and whether its caller has left already.
+// The request's time counts from its arrival, as its caller's does.
 func (in *inbound) lookForCaller() {
 	in.caller.conn, _ = in.request.Context().Value(connKey{}).(callerConn)
 	in.caller.node, in.caller.stage = in.relay.Node, stageUnread
@@ -85,6 +86,7 @@
 	if in.caller.unread, err = in.caller.conn.SinceData(); err != nil {
 		in.relay.Node.LogError(reducer.CodePanicRecovered, err)
 	}
+	in.receivedAt = in.receivedAt.Add(-in.caller.unread)
 	in.relay.Node.Metrics.UnreadSeconds.Update(in.caller.unread.Seconds())
 	in.callerLeft()
 }
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -94,7 +94,7 @@
 	targetTime  time.Time       // after it, an answer has lost most of its value
 	id          string
 	deadline    time.Time
-	receivedAt  time.Time
+	receivedAt  time.Time // when it arrived, as far as the kernel tells
 	body        inboundBody
 	exchange    *node.Exchange
 	outcome     string      // for metrics, audit trail and log
