End the server for callers as soon as it serves nothing

After the wait for running requests, http.Server.Shutdown waited up to 5 s more for connections that never had a request, and dropped requests that came on them.

A dial beside which others are tried returns the first result, so that a peer that is gone is found no later than before.

--- a/internal/callerhttp/departure.go
+++ b/internal/callerhttp/departure.go
@@ -218,7 +218,7 @@
 	in.relay.Node.Metrics.CountCallerLeft(string(while))
 	in.relay.Node.LogDecision(reducer.Decision{Code: reducer.CodeCallerLeft, Request: in.id, Outcome: string(while), Fields: []reducer.Field{
 		{Name: "unread", Value: in.caller.unread},
-		{Name: "took", Value: in.relay.Node.Clock.Now().Sub(in.receivedAt)},
+		{Name: "took", Value: in.relay.Node.Clock.Now().Sub(in.receivedAt) - in.caller.unread},
 		{Name: "sent", Value: in.anySend},
 		{Name: "server", Value: in.server},
 	}})
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -134,7 +135,8 @@
 	ctx, cancel := context.WithDeadline(in.baseContext, in.deadline)
 	defer cancel()
 	in.setConnDeadlines()
-	if in.callerLeft() && !in.rule.Once {
+	in.callerLeft()
+	if ctx.Err() != nil {
 		in.refuseAborted(ctx)
 	} else {
 		in.runSteps(ctx)
@@ -145,15 +147,35 @@
 
 const idleCheckInterval = 20 * time.Millisecond
 
-// AwaitIdle waits until no request is served, or the context ends.
-func (l *Relay) AwaitIdle(ctx context.Context) {
-	for l.serving.Load() > 0 {
+// flushTime is how long answers that are complete here may take to leave for their callers.
+const flushTime = 200 * time.Millisecond
+
+// FinishServing ends the server of a listener for callers, once it serves no request or the
+// context ends. No more connections are accepted; requests that still come on open ones are left
+// to the handler, which refuses them when the VM stops. http.Server.Shutdown alone would read
+// them and close the connection, which tells a caller nothing.
+func (l *Relay) FinishServing(ctx context.Context, server *http.Server, listener net.Listener) {
+	server.SetKeepAlivesEnabled(false)
+	if err := listener.Close(); err != nil {
+		l.Node.LogError(reducer.CodeListenerFailed, err)
+	}
+	for l.serving.Load() > 0 && ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-			return
 		case <-l.Node.Clock.After(idleCheckInterval):
 		}
 	}
+	if count := l.serving.Load(); count > 0 {
+		l.Node.LogError(reducer.CodeRequestsCutOff, fmt.Errorf("%d requests still ran: %w", count, ctx.Err()))
+	}
+	flushContext, cancel := context.WithTimeout(ctx, flushTime)
+	defer cancel()
+	// An error means that connections without a request are still open.
+	if err := server.Shutdown(flushContext); err != nil {
+		if err := server.Close(); err != nil {
+			l.Node.LogError(reducer.CodeListenerFailed, err)
+		}
+	}
 }
 
 // assignID takes the caller's id of the request, or makes one.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -116,22 +116,15 @@
 }
 
 // Stop waits for running requests until the context ends and then stops the VM. Requests that
-// come on open connections meanwhile are refused: http.Server.Shutdown would read them and close
-// the connection, which tells a caller nothing.
+// come on open connections meanwhile are refused.
 func (s *Server) Stop(ctx context.Context) {
 	s.leave(ctx, 0)
 	s.stopping.Store(true)
-	s.http.SetKeepAlivesEnabled(false)
 	if s.listener != nil {
-		if err := s.listener.Close(); err != nil {
-			s.Node.LogError(reducer.CodeListenerFailed, err)
-		}
+		s.relay.FinishServing(ctx, s.http, s.listener)
 	}
-	s.relay.AwaitIdle(ctx)
-	for _, server := range []*http.Server{s.http, s.peers} {
-		if err := server.Shutdown(ctx); err != nil {
-			s.Node.LogError(reducer.CodeRequestsCutOff, err)
-		}
+	if err := s.peers.Shutdown(ctx); err != nil {
+		s.Node.LogError(reducer.CodeRequestsCutOff, err)
 	}
 	s.closeHTTP()
 	s.relay.CloseIdleConnections()
--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -255,7 +255,8 @@
 }
 
 // dialFirst opens a connection. While one does not come, it tries others beside it, up to
-// maxRaces, as a connection may go silent before its handshake ends.
+// maxRaces, as a connection may go silent before its handshake ends. The first result counts: an
+// error comes no later than without the others.
 func (p *peer) dialFirst() (*connection, error) {
 	type dialed struct {
 		connection *connection
@@ -271,7 +272,7 @@
 	next := time.NewTicker(raceInterval)
 	defer next.Stop()
 	start()
-	for started, ended := 1, 0; ; {
+	for started := 1; ; {
 		select {
 		case <-next.C:
 			if started < maxRaces {
@@ -279,12 +280,8 @@
 				start()
 			}
 		case d := <-results:
-			ended++
-			if d.err != nil && ended < started {
-				continue
-			}
 			go func() {
-				for range started - ended {
+				for range started - 1 {
 					if other := <-results; other.err == nil {
 						other.connection.Close()
 					}
