Write nothing on a connection that comes as its timeout passes

What callers saw: once in about 20 runs of a test beside load, a request with a long body was answered 502, run unknown, though its caller waited and servers were free.

Cause, found by reading: on a VM that lacked the processor, the timeout of a connection and the connection itself are handled at the same moment. The timeout cancelled the send, while the connection let it begin to write; a send of which a byte may have been written counts as one that may have run, and a long body can't be sent again. Now one of the two wins: after the timeout nothing is written, and the request goes on to another server.

TestNothingIsWrittenAfterTheConnectTimeout; that the 502 seen had this cause is suspected, no run shows it.

--- a/internal/callerhttp/connecttimeout.go
+++ b/internal/callerhttp/connecttimeout.go
@@ -62,9 +62,10 @@
 	headerWritten atomic.Bool   // a part of the request's header may have been written
 	waitEnded     atomic.Bool   // the request has a connection or has timed out
 	timedOut      atomic.Bool
+	connected     atomic.Bool  // a connection came before the timeout
 	onConnected   func()       // called once the request has a connection; may be nil
-	mayWrite      func() bool  // asked before the first byte is written
-	refused       atomic.Bool  // mayWrite returned false, and nothing was written
+	mayWrite      func() bool  // asked before the first byte is written; nil for always
+	refused       atomic.Bool  // nothing was written: the request has timed out, or mayWrite returned false
 	dialStarted   atomic.Int64 // nanoseconds since 1970; 0 without a dial
 	dialTook      atomic.Int64 // nanoseconds; 0 without a new connection
 
@@ -79,22 +80,33 @@
 	}
 }
 
+// passes reports whether the first byte of the request may be written. Where a connection comes
+// at the moment of its timeout, as on a VM that lacked the processor, only one of the two counts.
+func (c *connectAttempt) passes() bool {
+	passes := c.connected.Load() && (c.mayWrite == nil || c.mayWrite())
+	c.refused.Store(!passes)
+	return passes
+}
+
 // roundTrip sends the request, and cancels it when no connection comes within the
 // timeout. The dial then goes on, so that its time is observed and later requests
 // can use the connection.
 func (c *connectAttempt) roundTrip(transport http.RoundTripper, request *http.Request) (*http.Response, error) {
 	c.limit = c.timeout.Current()
 	ctx, cancel := context.WithCancel(request.Context())
-	timer := time.AfterFunc(c.limit, func() {
-		if c.waitEnded.CompareAndSwap(false, true) {
-			c.timedOut.Store(true)
-			cancel()
-		}
-	})
+	timer := time.AfterFunc(c.limit, func() { c.expire(cancel) })
 	defer timer.Stop()
 	return transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, c.trace())))
 }
 
+// expire ends the wait for a connection, unless the request has one.
+func (c *connectAttempt) expire(cancel func()) {
+	if c.waitEnded.CompareAndSwap(false, true) {
+		c.timedOut.Store(true)
+		cancel()
+	}
+}
+
 func (c *connectAttempt) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -102,7 +114,9 @@
 			if conn, ok := info.Conn.(*serverConn); ok {
 				conn.begin(c)
 			}
-			c.waitEnded.Store(true)
+			if c.waitEnded.CompareAndSwap(false, true) {
+				c.connected.Store(true)
+			}
 			if c.onConnected != nil {
 				c.onConnected()
 			}
--- a/internal/callerhttp/serverconn.go
+++ b/internal/callerhttp/serverconn.go
@@ -21,6 +21,8 @@
 	c.unanswered.Store(true)
 }
 
+var errNotSent = errors.New("the request was given up before it was sent")
+
 // newServerConn wraps what a dial returned.
 func newServerConn(conn net.Conn, err error) (net.Conn, error) {
 	if err != nil {
@@ -31,9 +33,8 @@
 
 // Write implements net.Conn.
 func (c *serverConn) Write(b []byte) (int, error) {
-	if a := c.attempt.Swap(nil); a != nil && a.mayWrite != nil && !a.mayWrite() {
-		a.refused.Store(true)
-		return 0, errCallerLeft
+	if a := c.attempt.Swap(nil); a != nil && !a.passes() {
+		return 0, errNotSent
 	}
 	return c.Conn.Write(b)
 }
--- a/internal/callerhttp/serverconn_test.go
+++ b/internal/callerhttp/serverconn_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -77,3 +78,40 @@
 	c.written.Add(int64(n))
 	return n, err
 }
+
+// A request that got its connection at the moment of its timeout was written and then cut off; one
+// whose body could not be sent again failed as if it might have run.
+func TestNothingIsWrittenAfterTheConnectTimeout(t *testing.T) {
+	tests := map[string]struct {
+		timeoutFirst bool
+	}{
+		"the timeout is first":    {timeoutFirst: true},
+		"the connection is first": {},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			near, far := net.Pipe()
+			defer far.Close()
+			go io.Copy(io.Discard, far)
+			var written atomic.Int64
+			conn, err := newServerConn(countingConn{Conn: near, written: &written}, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			attempt := &connectAttempt{now: time.Now, timeout: &ConnectTimeout{}}
+			connected := func() { attempt.trace().GotConn(httptrace.GotConnInfo{Conn: conn}) }
+			if !test.timeoutFirst {
+				connected()
+			}
+			attempt.expire(func() {})
+			if test.timeoutFirst {
+				connected()
+			}
+			_, err = conn.Write([]byte("GET"))
+			if wrote := written.Load() > 0; wrote == test.timeoutFirst || attempt.timedOut.Load() != test.timeoutFirst || attempt.refused.Load() != test.timeoutFirst {
+				t.Errorf("written: %v, %v; timed out: %v, refused: %v", wrote, err, attempt.timedOut.Load(), attempt.refused.Load())
+			}
+		})
+	}
+}
