Log and count each send by the evidence of whether it ran

HW1030 had the result of a failed send, but not on what evidence it counts as run or not run; it was missing where the owner of a service grants the slot, and for an answer of 503, 429, 408 or 421 that states nothing. It has evidence and the status now, heatherwood_sends_total counts all sends by evidence, and explain tells it. No decision is changed.

--- a/internal/callerhttp/detour.go
+++ b/internal/callerhttp/detour.go
@@ -151,7 +151,7 @@
 	request.Header.Set(problem.HeaderDetourDocument, strconv.FormatUint(in.view.Position.Index, 10))
 	sent := in.roundTrip(ctx, in.relay.peers, &in.relay.peerConnectTimeout, request)
 	report := reducer.RequestDetoured{Cause: sent.Cause}
-	report.Result = sent.Result
+	report.Result, report.Evidence = sent.Result, sent.Evidence
 	response := sent.response
 	switch {
 	case response == nil:
@@ -160,14 +160,17 @@
 		response = nil
 	case in.relay.Dialect.isForeign(response, in.id):
 		sent.dropForeign()
-		report.Result, report.Cause = sent.Result, sent.Cause
+		report.Result, report.Cause, report.Evidence = sent.Result, sent.Cause, sent.Evidence
 		response = nil
 	case in.route != nil:
 		if report.Result, report.Cause = in.bufferAnswer(ctx, response, report.Result); report.Result != sent.Result {
 			response.Body.Close()
-			response = nil
+			response, report.Evidence = nil, relay.EvidenceWritten
 		}
 	}
+	if response != nil {
+		report.Status = response.StatusCode
+	}
 	report.BodyUsed = in.body.used()
 	report.Latency = in.relay.Node.Clock.Now().Sub(sentAt)
 	in.relay.Node.Metrics.CountDetour(report.Result.String(), report.Latency)
@@ -190,7 +193,7 @@
 	defer response.Body.Close()
 	var document problem.Problem
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxProblemBytes)).Decode(&document); err != nil {
-		return relay.DetourResult{Result: routing.ResultBroken}
+		return relay.DetourResult{Result: routing.ResultBroken, Evidence: relay.EvidenceWritten}
 	}
 	refusal := &relay.Problem{
 		Status:     response.StatusCode,
@@ -199,5 +202,9 @@
 		Run:        relay.RunState(document.Run),
 		RetryAfter: parseRetryAfter(response.Header.Get("Retry-After")),
 	}
-	return relay.DetourResult{Result: routing.ResultShed, Refusal: refusal}
+	evidence := relay.EvidenceAnswered
+	if refusal.Run == relay.RunNo {
+		evidence = relay.EvidenceStated
+	}
+	return relay.DetourResult{Result: routing.ResultShed, Refusal: refusal, Evidence: evidence}
 }
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -31,7 +31,7 @@
 	if !sentAt.Before(in.deadline) {
 		// The process stood still since the slot was granted: the grant, and the lease
 		// of a claim, may have ended.
-		step, err := in.exchange.ReportSend(context.WithoutCancel(ctx), reducer.RequestSent{Result: routing.ResultUnused, Cause: "the deadline passed before the send"})
+		step, err := in.exchange.ReportSend(context.WithoutCancel(ctx), reducer.RequestSent{Result: routing.ResultUnused, Evidence: relay.EvidenceNothingWritten, Cause: "the deadline passed before the send"})
 		return step, err, false
 	}
 	sendCtx, abandon := context.WithCancelCause(withOpenOnly(ctx, grant.OpenOnly))
@@ -48,7 +48,7 @@
 		sent.Notice = in.relay.Dialect.notice(response)
 	}
 	if response != nil && in.reportedNotRun(response) {
-		result = routing.ResultShed
+		result, sent.Evidence = routing.ResultShed, relay.EvidenceStated
 		sent.AddressReused = response.StatusCode == http.StatusMisdirectedRequest
 		go drain(response)
 		response = nil
@@ -57,9 +57,10 @@
 		sent.Load = in.relay.Dialect.parseLoad(response.Header)
 		if result, sent.Cause = in.bufferAnswer(sendCtx, response, result); result == routing.ResultBroken || result == routing.ResultTimeout || result == routing.ResultCancelled {
 			response.Body.Close()
-			response = nil
+			response, sent.Evidence = nil, relay.EvidenceWritten
 		}
 	}
+	in.relay.Node.Metrics.CountSend(string(sent.Evidence))
 	latency := in.relay.Node.Clock.Now().Sub(sentAt)
 	sent.Result, sent.Latency = result, latency
 	in.exchange.OnAbandon(nil)
@@ -123,7 +124,7 @@
 // dropForeign closes the connection that brought an answer to another request: the answer to
 // this one follows on it, and the next request would get that.
 func (s *sendResult) dropForeign() {
-	s.Result, s.Cause = routing.ResultBroken, errWrongRequest.Error()
+	s.Result, s.Cause, s.Evidence, s.Status = routing.ResultBroken, errWrongRequest.Error(), relay.EvidenceWritten, 0
 	s.response.Body.Close()
 	s.connect.closeConn()
 }
@@ -137,7 +138,7 @@
 func (in *inbound) roundTrip(ctx context.Context, transport http.RoundTripper, timeout *ConnectTimeout, request *http.Request) sendResult {
 	body, err := in.body.open()
 	if err != nil {
-		return sendResult{RequestSent: reducer.RequestSent{Result: routing.ResultUnused, Cause: err.Error()}}
+		return sendResult{RequestSent: reducer.RequestSent{Result: routing.ResultUnused, Evidence: relay.EvidenceNothingWritten, Cause: err.Error()}}
 	}
 	request.Body = body
 	connect := &connectAttempt{now: in.relay.Node.Clock.Now, timeout: timeout, onConnected: func() { in.caller.enter(stageServer) }, mayWrite: in.mayWrite}
@@ -150,6 +151,16 @@
 	}
 	headerWritten := connect.headerWritten.Load() && !connect.refused.Load()
 	switch {
+	case err == nil:
+		sent.Evidence, sent.Status = relay.EvidenceAnswered, response.StatusCode
+	case headerWritten:
+		sent.Evidence = relay.EvidenceWritten
+	case connect.connected.Load():
+		sent.Evidence = relay.EvidenceNothingWritten
+	default:
+		sent.Evidence = relay.EvidenceNoConnection
+	}
+	switch {
 	case err == nil && response.StatusCode >= http.StatusInternalServerError:
 		sent.Result = routing.ResultError
 	case err == nil:
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/reducer"
+	"github.com/heatherwood/heatherwood/internal/relay"
 )
 
 // Line is one parsed log line.
@@ -167,12 +168,12 @@
 		return r.describeAnswer(ended, placed, sendFailed)
 	case notPlaced != nil && sendFailed != nil:
 		return fmt.Sprintf("the send to server %s ended %s after %.0f ms (%s); then %s",
-			sendFailed.stringField("server"), sendFailed.Outcome, sendFailed.numberField("took_ms"), causeOrDefault(sendFailed.stringField("why")), describeRefusal(notPlaced))
+			sendFailed.stringField("server"), sendFailed.Outcome, sendFailed.numberField("took_ms"), describeEvidence(sendFailed), describeRefusal(notPlaced))
 	case notPlaced != nil:
 		return describeRefusal(notPlaced)
 	case sendFailed != nil:
 		return fmt.Sprintf("the send to server %s ended %s after %.0f ms (%s); then: %s",
-			sendFailed.stringField("server"), sendFailed.Outcome, sendFailed.numberField("took_ms"), causeOrDefault(sendFailed.stringField("why")), sendFailed.stringField("next"))
+			sendFailed.stringField("server"), sendFailed.Outcome, sendFailed.numberField("took_ms"), describeEvidence(sendFailed), sendFailed.stringField("next"))
 	case ended.stringField("host") != "":
 		return fmt.Sprintf("it ended with status %.0f: %s; nothing in the document with log index %.0f, then in force on %s, fits %s%s",
 			ended.numberField("status"), ended.Outcome, ended.numberField("document"), ended.VM, ended.stringField("host"), ended.stringField("path"))
@@ -228,6 +229,22 @@
 		notPlaced.Outcome, notPlaced.numberField("candidates"), notPlaced.stringField("service"), limits, notPlaced.numberField("left_ms"), notPlaced.numberField("retry_after_ms"))
 }
 
+// describeEvidence describes why a send ended, and what that says of whether the request ran.
+func describeEvidence(sendFailed *Line) string {
+	texts := map[relay.Evidence]string{
+		relay.EvidenceNoConnection:   "nothing was sent",
+		relay.EvidenceNothingWritten: "nothing was written",
+		relay.EvidenceStated:         "the server stated that it did not run it",
+		relay.EvidenceAnswered:       fmt.Sprintf("the server answered %.0f and did not state that it had not run it", sendFailed.numberField("answer")),
+		relay.EvidenceWritten:        "it may have run there",
+	}
+	why := causeOrDefault(sendFailed.stringField("why"))
+	if text, known := texts[relay.Evidence(sendFailed.stringField("evidence"))]; known {
+		return why + "; " + text
+	}
+	return why
+}
+
 // causeOrDefault returns the cause, or a text that none was logged.
 func causeOrDefault(cause string) string {
 	if cause == "" {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -49,6 +49,10 @@
 			requestLine("HW1049", "04.000", `"unread_ms":2101,"took_ms":0.3,"sent":false,"server":"","outcome":"unread"`) + ended("503", "cancelled"),
 			"its caller left before it was read; e1 read it 2101 ms or more after it had arrived, and ended it after another 0 ms; it had not been sent to a server",
 		},
+		"server says nothing of whether it ran": {
+			requestLine("HW1030", "03.000", `"server":"s1","took_ms":30,"why":"","evidence":"answered","answer":429,"next":"refuse","outcome":"ok"`) + ended("502", "run-unstated"),
+			"the send to server s1 ended ok after 30 ms (no cause given; the server answered 429 and did not state that it had not run it); then: refuse",
+		},
 		"answered by the second send": {placed + sendFailed + placed + ended("200", "answered"), "the send before it, to server s1, had ended broken"},
 	}
 	for name, test := range tests {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -83,6 +83,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_callers_left_total{while=%q}`, while)).Inc()
 }
 
+// CountSend counts a send to a server that has ended, by what is known of whether the request ran.
+func (m *Metrics) CountSend(evidence string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_sends_total{evidence=%q}`, evidence)).Inc()
+}
+
 // CountDetour counts a request that was passed on to another VM, by its result and the time
 // until the header of the answer.
 func (m *Metrics) CountDetour(result string, took time.Duration) {
--- a/internal/reducer/detour.go
+++ b/internal/reducer/detour.go
@@ -104,6 +104,7 @@
 			{"to", vm},
 			{"took", e.Latency},
 			{"why", e.Cause},
+			{"evidence", string(e.Evidence)},
 			{"reason", reason},
 			{"next", nextAction(step)},
 		}})
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -120,12 +120,14 @@
 	Call           uint64
 	Result         routing.Result
 	Latency        time.Duration
-	Load           placing.Load  // reported by the server in its answer
-	ConnectTime    time.Duration // time to connect, if the send opened a connection
-	AddressReused  bool          // another server uses the address now
-	ServerDied     bool          // after the failed send the server refuses connections
-	Cause          string        // of a failed send, for the log
-	routing.Notice               // of the server about itself
+	Load           placing.Load   // reported by the server in its answer
+	ConnectTime    time.Duration  // time to connect, if the send opened a connection
+	AddressReused  bool           // another server uses the address now
+	ServerDied     bool           // after the failed send the server refuses connections
+	Cause          string         // of a failed send, for the log
+	Evidence       relay.Evidence // of whether the request ran
+	Status         int            // of the server's answer, 0 without one
+	routing.Notice                // of the server about itself
 }
 
 // RequestDetoured reports the header of the answer of a VM that a request was passed on to,
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -227,16 +227,7 @@
 		phase = s.markSuspected(r, run.server.ID)
 	}
 	step := r.HandleSendResult(e.Result, phase, s.now, s.retryBudget(r))
-	if e.Result != routing.ResultOK || !step.Stream {
-		s.emit(Decision{Code: CodeSendFailed, Request: r.ID, Outcome: e.Result.String(), Fields: []Field{
-			{"service", r.Service},
-			{"server", run.server.ID},
-			{"took", e.Latency},
-			{"expected", run.expected},
-			{"why", e.Cause},
-			{"next", nextAction(step)},
-		}})
-	}
+	s.logSend(r, e, step, Field{"expected", run.expected})
 	if result := e.Result; !step.Stream {
 		if cut {
 			result = blameless(result)
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -210,6 +210,7 @@
 		phase = s.finishGrant(r, result, e.Latency)
 	}
 	step := r.HandleSendResult(e.Result, phase, s.now, s.retryBudget(r))
+	s.logSend(r, e, step)
 	if answered && !step.Stream {
 		s.finishGrant(r, e.Result, e.Latency)
 	}
@@ -275,6 +276,23 @@
 	}, fields...)})
 }
 
+// logSend logs a send that did not succeed, or whose answer callers take to mean that nothing
+// ran.
+func (s *State) logSend(r *relay.Request, e RequestSent, step relay.Step, fields ...Field) {
+	if e.Result == routing.ResultOK && step.Stream && !relay.StatusMeansNotRun(e.Status) {
+		return
+	}
+	s.emit(Decision{Code: CodeSendFailed, Request: r.ID, Outcome: e.Result.String(), Fields: append([]Field{
+		{"service", r.Service},
+		{"server", r.Grant.Server},
+		{"took", e.Latency},
+		{"why", e.Cause},
+		{"evidence", string(e.Evidence)},
+		{"answer", int64(e.Status)},
+		{"next", nextAction(step)},
+	}, fields...)})
+}
+
 // finishGrant ends the grant of a request and returns the phase of its
 // fingerprint. It does not wait for what another VM, as the owner, concludes
 // from a broken connection: the request counts as suspected.
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -69,6 +69,9 @@
 	Result  routing.Result // of the hop to that VM; ResultOK where the answer is that of a server
 	Refusal *Problem       // with which the VM itself refused the request; Result is ResultShed then
 
+	Evidence Evidence // of whether the request ran, as far as this hop tells
+	Status   int      // of the answer of a server, 0 without one
+
 	BodyUsed bool // the body can't be sent again: a part that is not kept was read for the hop
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,6 +56,18 @@
 	mayHaveRun     bool     // this request, or an earlier one with its key
 }
 
+// Evidence is what is known of whether a request ran, once a send of it has ended.
+type Evidence string
+
+// The kinds of evidence; all but the last two mean that the request did not run.
+const (
+	EvidenceNoConnection   Evidence = "no-connection"   // none came, so nothing was sent
+	EvidenceNothingWritten Evidence = "nothing-written" // the send was given up before its first byte
+	EvidenceStated         Evidence = "stated"          // the server states, for this request, that it did not run it
+	EvidenceAnswered       Evidence = "answered"        // the server answered and states nothing of the kind
+	EvidenceWritten        Evidence = "written"         // a part was written, and no whole answer to it came
+)
+
 // Step is what the code that performs the I/O does next. Exactly one field is
 // set, except that Settle or Release may accompany Refuse.
 type Step struct {
@@ -380,9 +392,9 @@
 	return step
 }
 
-// statusMeansNotRun reports whether callers take the status to mean that the
+// StatusMeansNotRun reports whether callers take the status to mean that the
 // request did not run and never will.
-func statusMeansNotRun(status int) bool {
+func StatusMeansNotRun(status int) bool {
 	switch status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		return true
@@ -397,7 +409,7 @@
 	run := RunNo
 	if r.mayHaveRun {
 		run = RunUnknown
-		if statusMeansNotRun(status) {
+		if StatusMeansNotRun(status) {
 			status = http.StatusBadGateway
 		}
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -184,7 +184,7 @@
 			if step.Refuse == nil {
 				t.Fatalf("step %+v, want a refusal", step)
 			}
-			if step.Refuse.Run != RunUnknown || statusMeansNotRun(step.Refuse.Status) {
+			if step.Refuse.Run != RunUnknown || StatusMeansNotRun(step.Refuse.Status) {
 				t.Errorf("status %d, run %s", step.Refuse.Status, step.Refuse.Run)
 			}
 		})
