Promise callers no more than the backend server stated

What callers saw: operations that may run once ran twice. A server ran the request and answered 503, 429 or 408 of its own, without stating that it had not run it; the answer went on as it was. Callers take these statuses for "not run, and never will" and send the operation again under a new id.

Cause: evidence about the request was taken from the server's words where this VM decides on a retry, but not where its caller does: the status was passed on as a promise that nobody had made. Now an answer with such a status to a request that may run once only, without the server's statement, is replaced by 502, run unknown, without digest and Retry-After, here and where another VM relays it. Repeatable requests and operations with a key are unchanged: the first may run again, of the second all attempts run once.

--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -209,7 +209,7 @@
 		}
 		phase = s.finishGrant(r, result, e.Latency)
 	}
-	step := r.HandleSendResult(e.Result, phase, s.now, s.retryBudget(r))
+	step := r.HandleSendResult(relay.SendEnd{Result: e.Result, Status: e.Status, Suspicion: phase}, s.now, s.retryBudget(r))
 	s.logSend(r, e, step)
 	if answered && !step.Stream {
 		s.finishGrant(r, e.Result, e.Latency)
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -77,6 +77,9 @@
 
 // HandleDetourResult takes how passing the request on ended.
 func (r *Request) HandleDetourResult(e DetourResult, now time.Time, budget *RetryBudget) Step {
+	if r.isFalsePromise(e.Result, e.Status) {
+		return r.endUnstated(e.Status)
+	}
 	switch e.Result {
 	case routing.ResultOK, routing.ResultError:
 		return Step{Stream: true}
--- a/internal/relay/detour_test.go
+++ b/internal/relay/detour_test.go
@@ -100,7 +100,7 @@
 			t.Fatalf("step %+v, want a slot request", step)
 		}
 		r.HandleSlotAnswer(grantAnswer(), nil, start)
-		step = r.HandleSendResult(routing.ResultDialFailed, 0, start, &RetryBudget{})
+		step = r.HandleSendResult(SendEnd{Result: routing.ResultDialFailed}, start, &RetryBudget{})
 	}
 	if step.Refuse == nil || step.Refuse.Reason != ReasonNoWay || step.Refuse.Status != http.StatusServiceUnavailable || step.Release != nil {
 		t.Errorf("step %+v, problem %+v; want %s without a release", step, step.Refuse, ReasonNoWay)
@@ -119,7 +119,7 @@
 	}
 	budget.CountFirstTry()
 	r.HandleSlotAnswer(grantAnswer(), nil, start)
-	if step := r.HandleSendResult(routing.ResultBroken, 1, start, budget); step.Refuse == nil {
+	if step := r.HandleSendResult(SendEnd{Result: routing.ResultBroken, Suspicion: 1}, start, budget); step.Refuse == nil {
 		t.Errorf("step %+v after as many runs as a request may have, want a refusal", step)
 	}
 }
@@ -130,7 +130,7 @@
 	r.Replayable = false
 	r.Start(start, &RetryBudget{})
 	r.HandleSlotAnswer(grantAnswer(), nil, start)
-	if step := r.HandleSendResult(routing.ResultDialTimeout, 0, start, &RetryBudget{}); step.SlotRequest == nil {
+	if step := r.HandleSendResult(SendEnd{Result: routing.ResultDialTimeout}, start, &RetryBudget{}); step.SlotRequest == nil {
 		t.Errorf("step %+v, want another slot request", step)
 	}
 }
--- a/internal/relay/lapsed_test.go
+++ b/internal/relay/lapsed_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/ledger"
-	"github.com/heatherwood/heatherwood/internal/quarantine"
 	"github.com/heatherwood/heatherwood/internal/routing"
 )
 
@@ -32,7 +31,7 @@
 			r.HandleClaimResult(&ledger.ClaimResult{Code: ledger.ClaimGranted}, nil, start)
 			r.HandleSlotAnswer(grantAnswer(), nil, start)
 			r.mayHaveRun = test.brokenBefore
-			step := r.HandleSendResult(routing.ResultUnused, quarantine.Clear, late, &RetryBudget{})
+			step := r.HandleSendResult(SendEnd{Result: routing.ResultUnused}, late, &RetryBudget{})
 			if step.Refuse == nil || step.Refuse.Status != test.status || step.Refuse.Run != test.run {
 				t.Fatalf("step %+v, want status %d and run %s", step, test.status, test.run)
 			}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -266,10 +266,19 @@
 	return r.endNotRun(http.StatusServiceUnavailable, string(dispatch.ReasonOwnerUnreachable), "the VM that grants the slots was not reached", time.Second)
 }
 
-// HandleSendResult takes how the send ended. Suspicion is the quarantine phase of
-// the request's fingerprint after a broken connection.
-func (r *Request) HandleSendResult(result routing.Result, suspicion quarantine.Phase, now time.Time, budget *RetryBudget) Step {
-	server := r.Grant.Server
+// SendEnd is how a send to a server ended.
+type SendEnd struct {
+	Result    routing.Result
+	Status    int              // of the server's answer, 0 without one
+	Suspicion quarantine.Phase // of the request's fingerprint, after a broken connection
+}
+
+// HandleSendResult takes how the send ended.
+func (r *Request) HandleSendResult(e SendEnd, now time.Time, budget *RetryBudget) Step {
+	server, result := r.Grant.Server, e.Result
+	if r.isFalsePromise(result, e.Status) {
+		return r.endUnstated(e.Status)
+	}
 	switch result {
 	case routing.ResultOK:
 		return Step{Stream: true}
@@ -283,7 +292,7 @@
 	case routing.ResultBroken:
 		r.mayHaveRun = true
 		r.runs++
-		if r.repeatable() && suspicion == quarantine.Clear {
+		if r.repeatable() && e.Suspicion == quarantine.Clear {
 			return r.retryElsewhere(server, now, budget)
 		}
 		return r.endUnknown(http.StatusBadGateway, "connection-lost", "the backend server's connection broke before the whole answer")
@@ -303,6 +312,20 @@
 	}
 }
 
+// isFalsePromise reports whether callers would take the answer of a server to mean that the
+// request did not run, which the server did not state: they would send the operation again under
+// a new id, though it may run once only. With a key, the operation runs once whatever they send.
+func (r *Request) isFalsePromise(result routing.Result, status int) bool {
+	isAnswer := result == routing.ResultOK || result == routing.ResultError
+	return isAnswer && StatusMeansNotRun(status) && !r.repeatable() && !r.Once
+}
+
+// endUnstated replaces an answer that promises more than its server stated.
+func (r *Request) endUnstated(status int) Step {
+	r.mayHaveRun = true
+	return r.endUnknown(http.StatusBadGateway, "run-unstated", fmt.Sprintf("the backend server answered %d and did not state that it had not run the request", status))
+}
+
 // endCancelled ends a request whose caller hung up or whose VM stops.
 func (r *Request) endCancelled(result routing.Result) Step {
 	r.mayHaveRun = r.mayHaveRun || result.MayHaveRun()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -100,7 +100,7 @@
 			budget := &RetryBudget{}
 			r.Start(start, budget)
 			r.HandleSlotAnswer(grantAnswer(), nil, start)
-			step := r.HandleSendResult(test.result, test.suspicion, start, budget)
+			step := r.HandleSendResult(SendEnd{Result: test.result, Suspicion: test.suspicion}, start, budget)
 			if test.retried {
 				if step.SlotRequest == nil {
 					t.Errorf("step %+v, want another slot request", step)
@@ -125,7 +125,7 @@
 		step := r.HandleSlotAnswer(grantAnswer(), nil, start)
 		for step.Send != nil {
 			sends++
-			if step = r.HandleSendResult(routing.ResultShed, quarantine.Clear, start, budget); step.SlotRequest != nil {
+			if step = r.HandleSendResult(SendEnd{Result: routing.ResultShed}, start, budget); step.SlotRequest != nil {
 				step = r.HandleSlotAnswer(grantAnswer(), nil, start)
 			}
 		}
@@ -141,7 +141,7 @@
 	budget := &RetryBudget{}
 	r.Start(start, budget)
 	r.HandleSlotAnswer(grantAnswer(), nil, start)
-	r.HandleSendResult(routing.ResultBroken, quarantine.Clear, start, budget)
+	r.HandleSendResult(SendEnd{Result: routing.ResultBroken}, start, budget)
 	step := r.HandleSlotAnswer(dispatch.Answer{Denial: &dispatch.Denial{Reason: dispatch.ReasonQueueFull}}, nil, start)
 	if step.Refuse.Run != RunUnknown {
 		t.Errorf("run %q after a broken send, want unknown", step.Refuse.Run)
@@ -155,21 +155,21 @@
 	denial := dispatch.Answer{Denial: &dispatch.Denial{Reason: dispatch.ReasonQueueFull}}
 	tests := map[string]func(r *Request, budget *RetryBudget) Step{
 		"broken, then no slot": func(r *Request, budget *RetryBudget) Step {
-			r.HandleSendResult(routing.ResultBroken, quarantine.Clear, start, budget)
+			r.HandleSendResult(SendEnd{Result: routing.ResultBroken}, start, budget)
 			return r.HandleSlotAnswer(denial, nil, start)
 		},
 		"broken, then shed, then no slot": func(r *Request, budget *RetryBudget) Step {
-			r.HandleSendResult(routing.ResultBroken, quarantine.Clear, start, budget)
+			r.HandleSendResult(SendEnd{Result: routing.ResultBroken}, start, budget)
 			r.HandleSlotAnswer(grantAnswer(), nil, start)
-			r.HandleSendResult(routing.ResultShed, quarantine.Clear, start, budget)
+			r.HandleSendResult(SendEnd{Result: routing.ResultShed}, start, budget)
 			return r.HandleSlotAnswer(denial, nil, start)
 		},
 		"error answer, then no slot": func(r *Request, budget *RetryBudget) Step {
-			r.HandleSendResult(routing.ResultError, quarantine.Clear, start, budget)
+			r.HandleSendResult(SendEnd{Result: routing.ResultError}, start, budget)
 			return r.HandleSlotAnswer(denial, nil, start)
 		},
 		"broken, then owner unreachable": func(r *Request, budget *RetryBudget) Step {
-			r.HandleSendResult(routing.ResultBroken, quarantine.Clear, start, budget)
+			r.HandleSendResult(SendEnd{Result: routing.ResultBroken}, start, budget)
 			return r.HandleSlotAnswer(dispatch.Answer{}, errors.New("owner unreachable"), start)
 		},
 	}
--- a/internal/trial/exchange.go
+++ b/internal/trial/exchange.go
@@ -160,7 +160,7 @@
 		}
 	}
 	d.applyEffects(pool, effects)
-	step := x.relay.HandleSendResult(result, phase, sm.now(), d.retryBudget(x.request))
+	step := x.relay.HandleSendResult(relay.SendEnd{Result: result, Suspicion: phase}, sm.now(), d.retryBudget(x.request))
 	if step.Stream && result == routing.ResultError {
 		sm.Stats.countRefused(x.request)
 	}
