Bound the bytes that all requests of a VM hold together

What operators saw: a control VM of 280 MB held 2.8 GB while 200 connections sent configurations without end. The class: a bound on each of many things that others may start, taken for a bound on their sum.

Operators' orders, callers' bodies and answers that are kept for a retry each have a budget now, a quarter of the memory limit. A caller's body beyond 4 KiB that finds no room is refused with 503 bodies-full, not run; an answer that finds none is passed on as it comes, as large ones are.

--- a/internal/callerhttp/recognise.go
+++ b/internal/callerhttp/recognise.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/heatherwood/heatherwood/internal/intake"
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/problem"
 	"github.com/heatherwood/heatherwood/internal/relay"
@@ -141,8 +142,16 @@
 		return true
 	}
 	http.NewResponseController(in.writer).SetReadDeadline(in.deadline)
-	prefix, err := io.ReadAll(io.LimitReader(in.request.Body, limit+1))
+	share := in.relay.bodies.Open(nil)
+	in.shares = append(in.shares, share)
+	prefix, err := share.ReadAll(io.LimitReader(in.request.Body, limit+1), limit+1)
+	if err == nil && int64(len(prefix)) > limit {
+		err = share.Grow(sendBufferBytes)
+	}
 	switch {
+	case errors.Is(err, intake.ErrFull):
+		in.refuse(http.StatusServiceUnavailable, "bodies-full", "this VM holds as much of requests' bodies as it may", bodiesFullRetry)
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		in.refuse(http.StatusRequestTimeout, "body-late", "the body did not arrive in time", 0)
 		return false
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
+	"github.com/heatherwood/heatherwood/internal/intake"
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/node"
 	"github.com/heatherwood/heatherwood/internal/plan"
@@ -34,6 +35,9 @@
 	claimLeaseMargin   = 5 * time.Second        // a claim's lease ends so long after the request's deadline
 	writeMargin        = 30 * time.Second       // after the deadline, for a slow caller to take the answer
 	readMargin         = time.Second            // after the deadline, so that the deadline ends the request, and not a failed read
+	freeBytes          = 4 << 10                // of each body and answer, that count in no budget
+	sendBufferBytes    = 32 << 10               // that net/http takes to send a body on that is not kept whole
+	bodiesFullRetry    = time.Second            // within it, some of the bodies that are held have gone
 	outdatedRetryDelay = 300 * time.Millisecond // within it, a VM usually has the newer document that it knows of
 	maxLoggedBytes     = 128                    // of a host or path
 	startupRetryDelay  = time.Second            // within it, a control quorum forms and its document reaches the VMs
@@ -49,7 +53,8 @@
 	peers              *http.Transport // to other VMs that serve requests for this one
 	peerConnectTimeout ConnectTimeout
 	watcher            watcher
-	serving            atomic.Int64 // requests
+	bodies, answers    *intake.Budget // bytes that all requests hold of theirs
+	serving            atomic.Int64   // requests
 }
 
 // NewRelay returns a Relay with a connection pool for each backend server.
@@ -75,6 +80,8 @@
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxAnswerHeader,
 		},
+		bodies:  n.NewBudget("bodies", maxOnceBodyBytes, freeBytes),
+		answers: n.NewBudget("answers", bufferedAnswerBytes, freeBytes),
 		peers:   newPeerTransport(n, idlePerHost, maxAnswerHeader),
 		watcher: watcher{clock: n.Clock, callers: make(map[*callerWatch]struct{})},
 	}
@@ -105,6 +112,7 @@
 	anySend     bool        // the request was sent to a server
 	detour      *detourInfo // nil for a request that the caller sent to this VM
 	caller      callerWatch
+	shares      []*intake.Share // of what the request holds, until its end
 }
 
 // ServeHTTP implements http.Handler.
@@ -123,6 +131,7 @@
 		receivedAt: l.Node.Clock.Now(),
 		detour:     d,
 	}
+	defer in.releaseShares()
 	in.assignID()
 	in.markAnswer(problem.DetourAnswerVM)
 	in.lookForCaller()
@@ -145,6 +154,12 @@
 	in.logEnd()
 }
 
+func (in *inbound) releaseShares() {
+	for _, share := range in.shares {
+		share.Release()
+	}
+}
+
 const idleCheckInterval = 20 * time.Millisecond
 
 // flushTime is how long answers that are complete here may take to leave for their callers.
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/dispatch"
+	"github.com/heatherwood/heatherwood/internal/intake"
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/problem"
 	"github.com/heatherwood/heatherwood/internal/reducer"
@@ -213,11 +214,14 @@
 	if err := in.relay.Dialect.checkAnswer(response, in.id); err != nil {
 		return routing.ResultBroken, err.Error()
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, bufferedAnswerBytes+1))
-	if err != nil {
+	share := in.relay.answers.Open(nil)
+	in.shares = append(in.shares, share)
+	body, err := share.ReadAll(io.LimitReader(response.Body, bufferedAnswerBytes+1), bufferedAnswerBytes+1)
+	full := errors.Is(err, intake.ErrFull)
+	if err != nil && !full {
 		return in.resultOfBreak(ctx), err.Error()
 	}
-	if len(body) > bufferedAnswerBytes {
+	if full || len(body) > bufferedAnswerBytes {
 		response.Body = &joinedBody{Reader: io.MultiReader(bytes.NewReader(body), response.Body), Closer: response.Body}
 		return result, ""
 	}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -83,6 +83,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_callers_left_total{while=%q}`, while)).Inc()
 }
 
+// WatchBytes adds a gauge of the bytes that requests of one kind hold together.
+func (m *Metrics) WatchBytes(kind string, held func() int64) {
+	m.set.NewGauge(fmt.Sprintf(`heatherwood_held_bytes{kind=%q}`, kind), func() float64 { return float64(held()) })
+}
+
 // CountSend counts a send to a server that has ended, by what is known of whether the request ran.
 func (m *Metrics) CountSend(evidence string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_sends_total{evidence=%q}`, evidence)).Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -15,12 +16,14 @@
 
 	"github.com/heatherwood/heatherwood/internal/clock"
 	"github.com/heatherwood/heatherwood/internal/disk"
+	"github.com/heatherwood/heatherwood/internal/intake"
 	"github.com/heatherwood/heatherwood/internal/pause"
 	"github.com/heatherwood/heatherwood/internal/peerrpc"
 	"github.com/heatherwood/heatherwood/internal/quorum"
 	"github.com/heatherwood/heatherwood/internal/reach"
 	"github.com/heatherwood/heatherwood/internal/reducer"
 	"github.com/heatherwood/heatherwood/internal/settings"
+	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
 // Node runs one VM: it owns the reducer's state, the connections to peers and the
@@ -30,6 +33,7 @@
 	Clock    clock.Clock
 	Logger   zerolog.Logger
 	Network  *peerrpc.Network
+	Orders   *intake.Budget // bytes of operators' orders
 	Metrics  *Metrics
 
 	// DialServer opens a connection to a backend server, by host:port. It is set before
@@ -82,6 +86,7 @@
 		stopped:  make(chan struct{}),
 		failed:   make(chan error, 1),
 	}
+	n.Orders = n.NewBudget("orders", leastOrders, 0)
 	dialer := &net.Dialer{}
 	n.DialServer = func(ctx context.Context, address string) (net.Conn, error) {
 		return dialer.DialContext(ctx, "tcp", address)
@@ -121,6 +126,22 @@
 	return n, nil
 }
 
+const (
+	defaultMemoryMiB = 128                          // of a VM whose settings name no memory limit
+	leastOrders      = document.MaxSectionBytes + 1 // bytes of the largest order, and one that tells a longer one
+	budgetsInMemory  = 4                            // each budget has this part of the memory limit
+)
+
+// NewBudget returns a budget for the requests of one kind, a part of the VM's memory limit, but at
+// least so many bytes; its name is a label of heatherwood_held_bytes, free that of
+// intake.NewBudget.
+func (n *Node) NewBudget(name string, least, free int64) *intake.Budget {
+	memory := int64(cmp.Or(n.Settings.MemoryLimitMiB, defaultMemoryMiB)) << 20
+	b := intake.NewBudget(max(least, memory/budgetsInMemory), free)
+	n.Metrics.WatchBytes(name, b.Held)
+	return b
+}
+
 func (n *Node) reducerSettings() reducer.Settings {
 	vmSettings := n.Settings
 	result := reducer.Settings{
--- a/internal/operatorhttp/sections.go
+++ b/internal/operatorhttp/sections.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/heatherwood/heatherwood/internal/intake"
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/node"
 	"github.com/heatherwood/heatherwood/internal/problem"
@@ -104,9 +104,19 @@
 		h.refuseChange(w, c, http.StatusPreconditionRequired, "if-match-missing", err.Error())
 		return
 	}
-	if c.text, err = io.ReadAll(http.MaxBytesReader(w, r.Body, document.MaxSectionBytes)); err != nil {
+	text, share, err := h.Node.Orders.ReadBody(w, r, h.Node.Clock, document.MaxSectionBytes)
+	defer share.Release()
+	c.text = text
+	switch {
+	case errors.Is(err, intake.ErrFull):
+		h.refuseChange(w, c, http.StatusServiceUnavailable, "no-room", "this VM holds as many orders as it may; ask another one")
+		return
+	case errors.Is(err, intake.ErrTooLarge):
 		h.refuseChange(w, c, http.StatusRequestEntityTooLarge, "section-too-large", "a section has at most 32 MiB")
 		return
+	case err != nil:
+		h.refuseChange(w, c, http.StatusBadRequest, "section-cut", "the section did not arrive whole")
+		return
 	}
 	h.commitChange(w, r, c)
 }
