Leave the claim of a request to the VM that passed it on

What could be seen: an operation with a key runs twice. Found by reading; no run shows it.

A VM without a way to the servers passes an operation on to another VM, which claims the key for the same attempt. When that VM stops it released the claim, without waiting for the log, and said that another VM may be asked. The first VM went on with the same claim; where the release reached the log after that, the key was free while the operation ran, its outcome was not recorded, and the next request with the key would have run again.

Now a VM that refuses for reasons of its own leaves the claim to the one that passed the request on, which continues with it or releases it, also after the deadline.

--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -384,7 +384,10 @@
 	case ctx.Err() != nil:
 		reason, detail = "cancelled", "the caller hung up"
 	}
-	in.resolveAborted()
+	// The VM that passed a request on continues with its claim when this one stops.
+	if continues := in.detour != nil && !in.anySend && reason == relay.ReasonStopping; !continues {
+		in.resolveAborted()
+	}
 	if in.anySend {
 		status := http.StatusBadGateway
 		if reason == "deadline" {
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -18,6 +18,16 @@
 	ReasonStopping         = "stopping"
 )
 
+// concernsVM reports whether a refusal says something of the VM that sent it, and nothing of the
+// request: another VM may serve that.
+func concernsVM(reason string) bool {
+	switch reason {
+	case ReasonNoWay, ReasonDetoursFull, ReasonDocumentOutdated, ReasonStarting, ReasonStopping:
+		return true
+	}
+	return false
+}
+
 const maxHelpers = 8 // VMs that are asked to serve one request; each that cannot says so at once
 
 // minUnconnected is the number of servers without a connection after which another VM is
@@ -114,15 +124,12 @@
 // VM that sent it; that one has released no claim then.
 func (r *Request) handleRefusal(e DetourResult, now time.Time) Step {
 	refusal := e.Refusal
-	switch refusal.Reason {
-	case ReasonNoWay, ReasonDetoursFull, ReasonDocumentOutdated, ReasonStarting, ReasonStopping:
-		switch {
-		case refusal.Run != RunNo || !now.Before(r.Deadline):
-		case e.BodyUsed:
-			return r.endNotRun(refusal.Status, refusal.Reason, refusal.Detail, refusal.RetryAfter)
-		default:
-			return r.proceed(now)
-		}
+	switch {
+	case !concernsVM(refusal.Reason) || refusal.Run != RunNo:
+	case e.BodyUsed || !now.Before(r.Deadline):
+		return r.endNotRun(refusal.Status, refusal.Reason, refusal.Detail, refusal.RetryAfter)
+	default:
+		return r.proceed(now)
 	}
 	if refusal.Run != RunNo {
 		r.mayHaveRun = true
--- a/internal/relay/detour_test.go
+++ b/internal/relay/detour_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/detour"
+	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/routing"
 )
@@ -107,6 +108,40 @@
 	}
 }
 
+// A VM that stops released the claim of a request that it had taken over, while the VM that had
+// passed it on continued with that claim: the key was free for a second run.
+func TestHelperThatStopsKeepsTheClaim(t *testing.T) {
+	denials := map[string]struct {
+		reason  dispatch.Reason
+		release bool
+	}{
+		"stopping":   {reason: dispatch.ReasonStopping},
+		"queue full": {reason: dispatch.ReasonQueueFull, release: true},
+	}
+	for name, test := range denials {
+		t.Run(name, func(t *testing.T) {
+			helper := newRequest(true)
+			helper.TakenOver = true
+			helper.Start(start, &RetryBudget{})
+			helper.HandleClaimResult(&ledger.ClaimResult{Code: ledger.ClaimGranted}, nil, start)
+			refusal := helper.HandleSlotAnswer(dispatch.Answer{Denial: &dispatch.Denial{Reason: test.reason}}, nil, start)
+			if (refusal.Release != nil) != test.release {
+				t.Errorf("the helper's step %+v, want a release: %v", refusal, test.release)
+			}
+			first := newRequest(true)
+			first.PassOn(detour.Helper{VM: "h"}, first.Start(start, &RetryBudget{}))
+			step := first.HandleDetourResult(DetourResult{Result: routing.ResultShed, Refusal: refusal.Refuse}, start, &RetryBudget{})
+			if (step.Claim != nil) == test.release {
+				t.Errorf("the step of the VM that passed it on is %+v, want it to continue: %v", step, !test.release)
+			}
+			late := first.HandleDetourResult(DetourResult{Result: routing.ResultShed, Refusal: refusal.Refuse}, first.Deadline, &RetryBudget{})
+			if (late.Release != nil) == test.release {
+				t.Errorf("after the deadline its step is %+v, want one of the two VMs to release the claim", late)
+			}
+		})
+	}
+}
+
 // Retries of a request count against the sends of the VM that passed it on, and its first try
 // is counted there.
 func TestTakenOverRequestContinuesTheCounts(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -406,10 +406,11 @@
 }
 
 // endNotRun refuses a request that cannot continue and releases its claim: a
-// `once` request gets here only if it did not run.
+// `once` request gets here only if it did not run. The VM that passed a request on may
+// continue with the claim at another VM, so that it is left to that one.
 func (r *Request) endNotRun(status int, reason, detail string, retryAfter time.Duration) Step {
 	step := r.refuse(status, reason, detail, retryAfter)
-	if r.Once {
+	if r.Once && !(r.TakenOver && concernsVM(reason)) {
 		step.Release = &ledger.Release{Key: r.Key, Attempt: r.ID}
 	}
 	return step
