Blame no server for bodies that callers do not send whole

What other callers saw: 503 no-servers, as long as some caller sent bodies that were too large, or broken in the middle. Cause: the send ends when the caller's body cannot be read on, and that counted as a connection that its server had broken: a few such bodies, and all servers of the service were avoided, and the ways to them in doubt.

Now a send that ends for want of its caller's bytes says nothing of the server or the way; its caller gets 400 body-cut, run unknown. A server that breaks the connection while a body is awaited still counts.

--- a/internal/callerhttp/body.go
+++ b/internal/callerhttp/body.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"sync"
+
+	"github.com/heatherwood/heatherwood/internal/routing"
 )
 
 // inboundBody is the body of a caller's request. Its first bytes are kept and can be sent
@@ -17,6 +19,8 @@
 	mutex    sync.Mutex
 	latest   *sendBody
 	restUsed bool
+	awaited  bool // a send waits for bytes of the caller
+	failed   bool // the caller's bytes did not come whole
 }
 
 var (
@@ -64,7 +68,25 @@
 	if !s.takeRest() {
 		return 0, errBodyTaken
 	}
-	return s.body.rest.Read(p)
+	s.body.noteRead(true, nil)
+	n, err := s.body.rest.Read(p)
+	s.body.noteRead(false, err)
+	return n, err
+}
+
+func (b *inboundBody) noteRead(awaited bool, err error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.awaited = awaited
+	b.failed = b.failed || err != nil && !errors.Is(err, io.EOF)
+}
+
+// isMissing reports whether a send that ended so has no answer for want of the caller's bytes: they
+// did not come whole, or were still awaited at the deadline.
+func (b *inboundBody) isMissing(result routing.Result) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.failed || b.awaited && result == routing.ResultTimeout
 }
 
 func (s *sendBody) takeRest() bool {
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -65,6 +65,7 @@
 	latency := in.relay.Node.Clock.Now().Sub(sentAt)
 	sent.Result, sent.Latency = result, latency
 	in.exchange.OnAbandon(nil)
+	sent.BodyMissing = response == nil && sent.Evidence == relay.EvidenceWritten && in.body.isMissing(result)
 	sent.ServerDied = result == routing.ResultBroken && response == nil && sendCtx.Err() == nil && in.relay.connectionRefused(grant.Address)
 	step, err := in.exchange.ReportSend(context.WithoutCancel(ctx), sent.RequestSent)
 	if err != nil || !step.Stream {
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -124,6 +124,7 @@
 	ConnectTime    time.Duration  // time to connect, if the send opened a connection
 	AddressReused  bool           // another server uses the address now
 	ServerDied     bool           // after the failed send the server refuses connections
+	BodyMissing    bool           // no answer came for want of the caller's body
 	Cause          string         // of a failed send, for the log
 	Evidence       relay.Evidence // of whether the request ran
 	Status         int            // of the server's answer, 0 without one
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -226,10 +226,10 @@
 	if e.ServerDied && !cut {
 		phase = s.markSuspected(r, run.server.ID)
 	}
-	step := r.HandleSendResult(relay.SendEnd{Result: e.Result, Status: e.Status, Suspicion: phase}, s.now, s.retryBudget(r))
+	step := r.HandleSendResult(relay.SendEnd{Result: e.Result, Status: e.Status, Suspicion: phase, BodyMissing: e.BodyMissing}, s.now, s.retryBudget(r))
 	s.logSend(r, e, step, Field{"expected", run.expected})
 	if result := e.Result; !step.Stream {
-		if cut {
+		if cut || e.BodyMissing {
 			result = blameless(result)
 		}
 		s.endRun(r, result, e.Latency)
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -204,12 +204,12 @@
 	phase := quarantine.Clear
 	if !answered {
 		result := e.Result
-		if s.ways.Way(r.Grant.Domain) != reach.Open {
+		if s.ways.Way(r.Grant.Domain) != reach.Open || e.BodyMissing {
 			result = blameless(result) // the owner would eject the server for all VMs
 		}
 		phase = s.finishGrant(r, result, e.Latency)
 	}
-	step := r.HandleSendResult(relay.SendEnd{Result: e.Result, Status: e.Status, Suspicion: phase}, s.now, s.retryBudget(r))
+	step := r.HandleSendResult(relay.SendEnd{Result: e.Result, Status: e.Status, Suspicion: phase, BodyMissing: e.BodyMissing}, s.now, s.retryBudget(r))
 	s.logSend(r, e, step)
 	if answered && !step.Stream {
 		s.finishGrant(r, e.Result, e.Latency)
--- a/internal/reducer/ways.go
+++ b/internal/reducer/ways.go
@@ -34,12 +34,15 @@
 	case routing.ResultDialTimeout:
 		s.ways.Failed(grant.Domain, grant.Address, reach.Late, s.now)
 	case routing.ResultBroken:
+		if e.BodyMissing {
+			return
+		}
 		s.ways.Failed(grant.Domain, grant.Address, reach.Broken, s.now)
 	}
 }
 
-// blameless returns the result of a send as it counts for its server where the way to it may
-// explain a failure: nothing counts then.
+// blameless returns the result of a send as it counts for its server where the way to it, or
+// the caller, may explain a failure: nothing counts then.
 func blameless(result routing.Result) routing.Result {
 	switch result {
 	case routing.ResultDialFailed, routing.ResultDialTimeout:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -271,6 +271,8 @@
 	Result    routing.Result
 	Status    int              // of the server's answer, 0 without one
 	Suspicion quarantine.Phase // of the request's fingerprint, after a broken connection
+
+	BodyMissing bool // no answer came for want of the caller's body
 }
 
 // HandleSendResult takes how the send ended.
@@ -292,6 +294,9 @@
 	case routing.ResultBroken:
 		r.mayHaveRun = true
 		r.runs++
+		if e.BodyMissing {
+			return r.endUnknown(http.StatusBadRequest, "body-cut", "the body ended early, or is larger than allowed")
+		}
 		if r.repeatable() && e.Suspicion == quarantine.Clear {
 			return r.retryElsewhere(server, now, budget)
 		}
