Play lost disks beside a loss of all power with keyed operations

A key whose last try was refused had run in an earlier try that got no answer: a refusal speaks of one try. Such keys are asked for again until their outcome is known, and a key that was refused at each try must not have run. The history was read at a VM whose disk had just been lost (a history is local): it is awaited there, and the check of the changes is unchanged.

--- a/internal/demo/process_test.go
+++ b/internal/demo/process_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -40,7 +42,11 @@
 	killCount int
 }
 
-func startProcesses(t *testing.T) *processSite {
+func startProcesses(t *testing.T) *processSite { return startProcessesWith(t, false) }
+
+// startProcessesWith starts the site; with managed replicas a control VM that has lost its disk is
+// replaced by itself.
+func startProcessesWith(t *testing.T, managed bool) *processSite {
 	t.Helper()
 	dir := t.TempDir()
 	binary := filepath.Join(dir, "heatherwood")
@@ -54,8 +60,16 @@
 	}
 	p := &processSite{t: t, demo: d, binary: binary, commands: make([]*exec.Cmd, len(d.VMSettings))}
 	t.Cleanup(p.stopAll)
-	for i, s := range d.VMSettings {
-		p.writeSettings(s)
+	for i := range d.VMSettings {
+		s := &d.VMSettings[i]
+		if managed {
+			s.ManageReplicas, s.Bootstrap = true, true
+			s.InitialReplicas = slices.Clone(s.InitialReplicas)
+			for k := range s.InitialReplicas {
+				s.InitialReplicas[k].ID = s.InitialReplicas[k].Peer
+			}
+		}
+		p.writeSettings(*s)
 		p.startVM(i)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), progressTimeout)
@@ -143,11 +157,12 @@
 // outcomes holds the results that the callers and the operator got.
 type outcomes struct {
 	mutex    sync.Mutex
-	answered map[string]bool // keys of requests that got a complete answer
-	notRun   map[string]bool // keys of requests whose last answer said that nothing ran
-	changes  []string        // ids of accepted changes, in the order of acceptance
-	unknown  int             // payments given up because they may have run
-	refused  int             // answers that said that nothing ran
+	answered map[string]bool     // keys of requests that got a complete answer
+	notRun   map[string]bool     // keys of requests whose last answer said that nothing ran
+	changes  []string            // ids of accepted changes, in the order of acceptance
+	unknown  int                 // payments given up because they may have run
+	refused  int                 // answers that said that nothing ran
+	results  map[string][]string // of each try, by key
 }
 
 // Kills of VM processes must not make answers to callers and operators untrue: no key runs
@@ -161,8 +176,18 @@
 		}
 	}
 	p := startProcesses(t)
-	seen := &outcomes{answered: make(map[string]bool), notRun: make(map[string]bool)}
-	ctx, cancel := context.WithTimeout(context.Background(), soakTime)
+	seen := p.disturb(soakTime, p.killAtRandom)
+	p.checkRuns(seen)
+	p.checkChanges(seen)
+	p.checkAudit()
+	t.Logf("%d kills, %d keys answered, %d unknown, %d refused, %d changes", p.killCount, len(seen.answered), seen.unknown, seen.refused, len(seen.changes))
+}
+
+// disturb lets the callers and an operator work for so long while faults are injected, starts all
+// VMs again and returns what was seen.
+func (p *processSite) disturb(length time.Duration, inject func(context.Context, *rand.Rand)) *outcomes {
+	seen := &outcomes{answered: make(map[string]bool), notRun: make(map[string]bool), results: make(map[string][]string)}
+	ctx, cancel := context.WithTimeout(context.Background(), length)
 	defer cancel()
 	var group sync.WaitGroup
 	const callers = 4
@@ -178,17 +203,104 @@
 		defer group.Done()
 		p.sendChanges(ctx, seen)
 	}()
-	p.killAtRandom(ctx, rand.New(rand.NewPCG(1, 2)))
+	inject(ctx, rand.New(rand.NewPCG(1, 2)))
 	group.Wait()
 	for vm := range p.commands {
 		if p.commands[vm] == nil {
 			p.startVM(vm)
 		}
 	}
+	return seen
+}
+
+// Disks of control VMs are lost one after the other, and all other VMs lose power at the same
+// moment: no key runs twice, and what was acknowledged stays.
+func TestKeysRunOnceThroughLossOfDisksAndPower(t *testing.T) {
+	length := defaultSoakTime
+	if text := os.Getenv(soakVariable); text != "" {
+		var err error
+		if length, err = time.ParseDuration(text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p := startProcessesWith(t, true)
+	for i := range p.demo.VMSettings {
+		p.demo.VMSettings[i].Bootstrap = false
+		p.writeSettings(p.demo.VMSettings[i])
+	}
+	losses := 0
+	seen := p.disturb(length, func(ctx context.Context, random *rand.Rand) {
+		for ; ctx.Err() == nil; losses++ {
+			time.Sleep(time.Duration(1000+random.IntN(1000)) * time.Millisecond)
+			vm := random.IntN(len(p.commands))
+			for p.demo.VMSettings[vm].DataDir == "" {
+				vm = random.IntN(len(p.commands))
+			}
+			others := random.IntN(3) > 0 // they lose power too
+			for i := range p.commands {
+				if i == vm || others {
+					p.killVM(i)
+				}
+			}
+			if err := os.RemoveAll(p.demo.VMSettings[vm].DataDir); err != nil {
+				t.Error(err)
+			}
+			time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+			for i := range p.commands {
+				if i == vm || others {
+					p.startVM(i)
+				}
+			}
+			p.awaitChanges(ctx, len(p.demo.VMSettings))
+		}
+	})
+	p.askAgain(seen)
 	p.checkRuns(seen)
+	// A history is that of the VM that is asked, which may have an empty disk still.
+	waitUntil(t, "the first VM holds the newest change again", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		versions, err := p.demo.client(0, document.SectionStops).History(ctx, document.SectionStops, false)
+		return err == nil && (len(seen.changes) == 0 || slices.ContainsFunc(versions, func(v operator.Version) bool { return v.ChangeID == seen.changes[len(seen.changes)-1] }))
+	})
 	p.checkChanges(seen)
-	p.checkAudit()
-	t.Logf("%d kills, %d keys answered, %d unknown, %d refused, %d changes", p.killCount, len(seen.answered), seen.unknown, seen.refused, len(seen.changes))
+	t.Logf("%d disks lost, %d keys answered, %d unknown, %d refused, %d changes", losses, len(seen.answered), seen.unknown, seen.refused, len(seen.changes))
+}
+
+// askAgain sends the payments whose last try was refused again, until the outcome of each is known.
+// A refusal speaks of one try: where an earlier one got no answer, that may have run.
+func (p *processSite) askAgain(seen *outcomes) {
+	ran := make(map[string]bool)
+	for _, server := range p.demo.Backends {
+		for key := range server.RunsByKey() {
+			ran[key] = true
+		}
+	}
+	client := &caller.Client{Service: "payments", Seeds: p.demo.Info().Entries, HTTP: &http.Client{Timeout: 3 * time.Second}}
+	for _, key := range slices.Collect(maps.Keys(seen.notRun)) {
+		if ran[key] && !slices.ContainsFunc(seen.results[key], func(result string) bool { return !strings.Contains(result, caller.ErrRefused.Error()) }) {
+			p.t.Errorf("key %s was refused at each try, but it ran: %q", key, seen.results[key])
+		}
+		waitUntil(p.t, "the outcome of "+key+" is known", func() bool { return p.sendPayment(context.Background(), client, seen, key) })
+	}
+}
+
+const replaceTime = 4 * time.Second // in which a replica on an empty disk holds everything again
+
+// awaitChanges waits until a quorum answers and the replica that was lost is replaced.
+func (p *processSite) awaitChanges(ctx context.Context, vms int) {
+	for vm := 0; ctx.Err() == nil; vm = (vm + 1) % vms {
+		readCtx, cancel := context.WithTimeout(ctx, time.Second)
+		_, err := p.demo.client(vm, document.SectionStops).Get(readCtx, document.SectionStops)
+		cancel()
+		if err == nil {
+			break
+		}
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(replaceTime):
+	}
 }
 
 // sendPayments sends payments, which must not run twice. Each is sent again until its
@@ -212,6 +324,11 @@
 	seen.mutex.Lock()
 	defer seen.mutex.Unlock()
 	delete(seen.notRun, key)
+	result := fmt.Sprint(err)
+	if response != nil {
+		result = response.Status + " " + response.Header.Get("Heatherwood-Run") + " " + result
+	}
+	seen.results[key] = append(seen.results[key], result)
 	switch {
 	case err == nil && response.StatusCode == http.StatusOK:
 		seen.answered[key] = true
@@ -271,7 +388,7 @@
 			p.t.Errorf("key %s ran %d times", key, n)
 		}
 		if seen.notRun[key] {
-			p.t.Errorf("key %s was reported as not run, but it ran", key)
+			p.t.Errorf("key %s was reported as not run, but it ran; its tries: %q", key, seen.results[key])
 		}
 	}
 	for key := range seen.answered {
