--- a/internal/demo/process_test.go
+++ b/internal/demo/process_test.go
@@ -25,12 +25,26 @@
 	"github.com/heatherwood/heatherwood/pkg/operator"
 )
 
-// soakVariable is the environment variable that holds how long TestKilledProcesses
-// runs, such as "2m"; without it the test runs for defaultSoakTime.
+// soakVariable is the environment variable that holds how long the tests that disturb
+// processes run, such as "2m"; without it they run for defaultSoakTime.
 const soakVariable = "HEATHERWOOD_SOAK"
 
 const defaultSoakTime = 8 * time.Second
 
+// soakTimeOf returns how long the tests that disturb processes run.
+func soakTimeOf(t *testing.T) time.Duration {
+	t.Helper()
+	text := os.Getenv(soakVariable)
+	if text == "" {
+		return defaultSoakTime
+	}
+	length, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return length
+}
+
 // processSite is a site whose VMs run as processes of their own, so that a kill ends
 // them as a crash would.
 type processSite struct {
@@ -168,13 +182,7 @@
 // Kills of VM processes must not make answers to callers and operators untrue: no key runs
 // twice, a request reported as not run has not run, and accepted changes stay.
 func TestKilledProcesses(t *testing.T) {
-	soakTime := defaultSoakTime
-	if text := os.Getenv(soakVariable); text != "" {
-		var err error
-		if soakTime, err = time.ParseDuration(text); err != nil {
-			t.Fatal(err)
-		}
-	}
+	soakTime := soakTimeOf(t)
 	p := startProcesses(t)
 	seen := p.disturb(soakTime, p.killAtRandom)
 	p.checkRuns(seen)
@@ -216,13 +224,7 @@
 // Disks of control VMs are lost one after the other, and all other VMs lose power at the same
 // moment: no key runs twice, and what was acknowledged stays.
 func TestKeysRunOnceThroughLossOfDisksAndPower(t *testing.T) {
-	length := defaultSoakTime
-	if text := os.Getenv(soakVariable); text != "" {
-		var err error
-		if length, err = time.ParseDuration(text); err != nil {
-			t.Fatal(err)
-		}
-	}
+	length := soakTimeOf(t)
 	p := startProcessesWith(t, true)
 	for i := range p.demo.VMSettings {
 		p.demo.VMSettings[i].Bootstrap = false
