Answer 503 to orders whose body stalls

An order that does not arrive within 3 s of the last byte got 400, which ends an operator's call for good; a control VM that was paused in the middle of a body would have answered so to a valid order. It gets 503 now, and is sent again.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -13,12 +15,15 @@
 const stallTimeout = 3 * time.Second // without a byte of a body, after which it is given up
 
 // ReadBody reads the body of a request of at most limit bytes. The share holds it until it is
-// released; the caller does so after an error too. The error is ErrTooLarge or ErrFull, wrapped,
-// or that of the connection.
+// released; the caller does so after an error too. The error is ErrTooLarge, ErrFull or ErrLate,
+// wrapped, or that of the connection.
 func (b *Budget) ReadBody(w http.ResponseWriter, r *http.Request, clk clock.Clock, limit int64) ([]byte, *Share, error) {
 	reader := &bodyReader{body: r.Body, control: http.NewResponseController(w), clock: clk}
 	share := b.Open(reader.giveUp)
 	body, err := share.ReadAll(reader, limit)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = fmt.Errorf("%w: %w", ErrLate, err)
+	}
 	if keepErr := share.Keep(); keepErr != nil {
 		err = keepErr
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -13,6 +13,9 @@
 // ErrTooLarge means that one body is larger than its own limit.
 var ErrTooLarge = errors.New("the body is larger than allowed")
 
+// ErrLate means that a body stalled, or that this VM did; the sender may send it again.
+var ErrLate = errors.New("the body did not arrive in time")
+
 // Budget is the number of bytes that all shares of it may hold together.
 type Budget struct {
 	limit int64
--- a/internal/operatorhttp/sections.go
+++ b/internal/operatorhttp/sections.go
@@ -111,6 +111,9 @@
 	case errors.Is(err, intake.ErrFull):
 		h.refuseChange(w, c, http.StatusServiceUnavailable, "no-room", "this VM holds as many orders as it may; ask another one")
 		return
+	case errors.Is(err, intake.ErrLate):
+		h.refuseChange(w, c, http.StatusServiceUnavailable, "section-late", "the section did not arrive in time; send it again")
+		return
 	case errors.Is(err, intake.ErrTooLarge):
 		h.refuseChange(w, c, http.StatusRequestEntityTooLarge, "section-too-large", "a section has at most 32 MiB")
 		return
