--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -8,7 +8,7 @@
 
 // Begin counts a request that is sent to the server.
 func (p *Pool) Begin(s *Server, now time.Time) {
-	if s.running == 0 {
+	if s.running == s.partial {
 		s.silentSince = now
 	}
 	s.running++
@@ -20,8 +20,16 @@
 	}
 }
 
+// BeginPartial is Begin for a request whose caller still sends its body, so that the server may
+// not be able to answer it.
+func (p *Pool) BeginPartial(s *Server, now time.Time) {
+	p.Begin(s, now)
+	s.partial++
+}
+
 // Outcome describes how a request on a server ended.
 type Outcome struct {
+	Partial  bool // it was begun by BeginPartial
 	Class    string
 	Object   string
 	Target   time.Duration // answer time of the class after which an answer loses most of its value
@@ -35,6 +43,9 @@
 // the ejection from its outcome.
 func (p *Pool) End(s *Server, e Outcome, now time.Time) {
 	s.running = max(0, s.running-1)
+	if e.Partial {
+		s.partial = max(0, s.partial-1)
+	}
 	s.recordLoad(e.Load, now)
 	if e.Result == routing.ResultOK || e.Result == routing.ResultError || e.Result == routing.ResultShed {
 		s.silentSince = now
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -28,6 +28,7 @@
 	idHash            uint64
 	inOwnRegion       bool                 // in the region of the entry
 	running           int                  // requests sent by this entry that have not ended
+	partial           int                  // of these, requests whose callers still send their bodies
 	othersLoad        float64              // requests of other entries, as last reported
 	othersReportedAt  time.Time            // of othersLoad
 	meanOthersLoad    float64              // moving average of othersLoad
@@ -73,12 +74,12 @@
 		!(s.isCold(now) && now.Before(s.nextColdSend))
 }
 
-// unresponsive reports whether the server has running requests and answered
+// unresponsive reports whether the server has running requests, sent to it whole, and answered
 // nothing for longer than any run should take, waiting included: it may have
 // failed without closing its connections.
 func (s *Server) unresponsive(usual runTimes, req Request, now time.Time) bool {
 	limit := seconds(maxSilentRuns*usual.cold) + req.Target/2
-	return !s.cut && s.running > 0 && now.Sub(s.silentSince) > max(limit, minSilence)
+	return !s.cut && s.running > s.partial && now.Sub(s.silentSince) > max(limit, minSilence)
 }
 
 // ranObject reports whether the server ran the object recently.
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -89,6 +89,7 @@
 	Address  string // host:port
 	SentAt   time.Time
 	Expected time.Duration // usual time to the answer
+	Partial  bool          // its caller still sends the body, so that a missing answer says nothing
 }
 
 // Probe asks for a connection to a server that no request waits for.
@@ -327,12 +328,21 @@
 // silent reports whether answers to several requests are missing for longer than the time
 // between answers explains.
 func (t *Tracker) silent(now time.Time) bool {
-	return len(t.flights) >= minFlights && now.Sub(t.reachedAt) > max(minSilence, silentGaps*t.meanGap)
+	if now.Sub(t.reachedAt) <= max(minSilence, silentGaps*t.meanGap) {
+		return false
+	}
+	whole := 0
+	for _, f := range t.flights {
+		if !f.Partial {
+			whole++
+		}
+	}
+	return whole >= minFlights
 }
 
 func (t *Tracker) hasFlight(d *domain) bool {
 	for _, f := range t.flights {
-		if f.Domain == d.name {
+		if f.Domain == d.name && !f.Partial {
 			return true
 		}
 	}
@@ -350,7 +360,7 @@
 		return false
 	}
 	for _, f := range t.flights {
-		if f.Domain == d.name && now.Sub(f.SentAt) > max(minOverdue, time.Duration(overdueFactor*float64(f.Expected))) {
+		if f.Domain == d.name && !f.Partial && now.Sub(f.SentAt) > max(minOverdue, time.Duration(overdueFactor*float64(f.Expected))) {
 			return true
 		}
 	}
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -186,6 +186,32 @@
 	}
 }
 
+// Servers do not answer requests whose bodies callers do not end; that silence counted against the
+// ways to them.
+func TestAwaitedBodiesAreNoSilence(t *testing.T) {
+	for name, partial := range map[string]bool{"whole bodies": false, "bodies that callers still send": true} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld("a", "b")
+			w.run(t, 3000, 50)
+			for call := range uint64(300) {
+				domain := []string{"a", "b"}[call%2]
+				w.Begin(100_000+call, Flight{Domain: domain, Address: address(domain, int(call%5)), SentAt: at(w.now), Expected: 100 * time.Millisecond, Partial: partial})
+			}
+			probes := w.probes
+			w.run(t, 8000, 0)
+			if (w.probes > probes) == partial {
+				t.Errorf("%d probes for want of answers", w.probes-probes)
+			}
+			if w.Helpless(at(w.now)) == partial {
+				t.Errorf("helpless: %v", !partial)
+			}
+			if got := len(w.FlightsTo("a")); got != 150 {
+				t.Errorf("%d requests are under way to a, want 150", got)
+			}
+		})
+	}
+}
+
 func TestSlowServersAreProbedSeldom(t *testing.T) {
 	w := newWorld("a")
 	w.run(t, 1000, 50)
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -123,7 +123,11 @@
 	if verdict == quarantine.Trial {
 		s.quarantine.BeginTrial(slotRequest.Fingerprint, s.lastTicket)
 	}
-	pool.Begin(choice.Server, s.now)
+	if r.Replayable {
+		pool.Begin(choice.Server, s.now)
+	} else {
+		pool.BeginPartial(choice.Server, s.now)
+	}
 	s.placedRuns[s.lastTicket] = placedRun{pool: pool, server: choice.Server, unqueued: choice.Server.Load(s.now) <= float64(choice.Server.Slots), sentAt: s.now, expected: choice.Expected}
 	s.emit(Decision{Code: CodePlaced, Request: r.ID, Outcome: "sent", Fields: []Field{
 		{"route", r.Route.Name},
@@ -299,6 +303,7 @@
 		s.quarantine.EndTrial(r.Fingerprint, r.Grant.Ticket)
 	}
 	run.pool.End(run.server, placing.Outcome{
+		Partial:  !r.Replayable,
 		Class:    r.Route.Location(),
 		Object:   r.Object,
 		Target:   r.Route.Target.Std(),
--- a/internal/reducer/ways.go
+++ b/internal/reducer/ways.go
@@ -15,7 +15,7 @@
 	if run, found := s.placedRuns[grant.Ticket]; found && r.PlacedLocally {
 		expected = run.expected
 	}
-	s.ways.Begin(call, reach.Flight{Domain: grant.Domain, Address: grant.Address, SentAt: s.now, Expected: expected})
+	s.ways.Begin(call, reach.Flight{Domain: grant.Domain, Address: grant.Address, SentAt: s.now, Expected: expected, Partial: !r.Replayable})
 }
 
 // noteWay takes what the end of a send says about the way to its server.
