Log and count on whose word, and on what evidence, callers take a request for not run

HW1031 had the status and the reason of an answer, but not who decided on it nor what was sent before; a 408, 421, 429 or 503 could be judged only by putting lines of several events and VMs together, and two sends over one connection could not be told from two over different ones. HW1031 of such an answer now has decided (vm, other-vm, server), the sends before it with their evidence, and the weakest of these; HW1030 has this VM's end of the connection; heatherwood_promises_total counts. explain names the other VM that refused. No decision changes. Ruled out: a line of its own, which would double the log of a flood.

--- a/internal/callerhttp/connecttimeout.go
+++ b/internal/callerhttp/connecttimeout.go
@@ -80,6 +80,18 @@
 	}
 }
 
+// localAddress returns the address of this VM's end of the connection that the request was sent
+// on, which identifies the connection in the log; empty without one, and for a nil attempt.
+func (c *connectAttempt) localAddress() string {
+	if c == nil {
+		return ""
+	}
+	if conn := c.conn.Load(); conn != nil {
+		return (*conn).LocalAddr().String()
+	}
+	return ""
+}
+
 // passes reports whether the first byte of the request may be written. Where a connection comes
 // at the moment of its timeout, as on a VM that lacked the processor, only one of the two counts.
 func (c *connectAttempt) passes() bool {
--- a/internal/callerhttp/detour.go
+++ b/internal/callerhttp/detour.go
@@ -156,7 +156,7 @@
 	switch {
 	case response == nil:
 	case response.Header.Get(problem.HeaderDetourAnswer) == problem.DetourAnswerVM:
-		report.DetourResult = readRefusal(response)
+		report.DetourResult = readRefusal(response, to.VM)
 		response = nil
 	case in.relay.Dialect.isForeign(response, in.id):
 		sent.dropForeign()
@@ -171,6 +171,7 @@
 	if response != nil {
 		report.Status = response.StatusCode
 	}
+	in.noteSend(to.VM, report.Evidence)
 	report.BodyUsed = in.body.used()
 	report.Latency = in.relay.Node.Clock.Now().Sub(sentAt)
 	in.relay.Node.Metrics.CountDetour(report.Result.String(), report.Latency)
@@ -189,7 +190,7 @@
 }
 
 // readRefusal reads the problem document with which another VM refused a request.
-func readRefusal(response *http.Response) relay.DetourResult {
+func readRefusal(response *http.Response, vm string) relay.DetourResult {
 	defer response.Body.Close()
 	var document problem.Problem
 	if err := json.NewDecoder(io.LimitReader(response.Body, maxProblemBytes)).Decode(&document); err != nil {
@@ -201,6 +202,7 @@
 		Detail:     document.Detail,
 		Run:        relay.RunState(document.Run),
 		RetryAfter: parseRetryAfter(response.Header.Get("Retry-After")),
+		DecidedBy:  vm,
 	}
 	evidence := relay.EvidenceAnswered
 	if refusal.Run == relay.RunNo {
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -110,6 +110,8 @@
 	domain      string      // of that server
 	status      int         // answered to the caller
 	anySend     bool        // the request was sent to a server
+	sends       []endedSend // to servers and other VMs
+	decided     decider     // whose decision the answer is
 	detour      *detourInfo // nil for a request that the caller sent to this VM
 	caller      callerWatch
 	shares      []*intake.Share // of what the request holds, until its end
@@ -130,6 +132,7 @@
 		view:       l.Node.View(),
 		receivedAt: l.Node.Clock.Now(),
 		detour:     d,
+		decided:    decidedHere,
 	}
 	defer in.releaseShares()
 	in.assignID()
@@ -420,6 +423,9 @@
 		return
 	}
 	in.outcome = p.Reason
+	if p.DecidedBy != "" {
+		in.decided = decidedByVM
+	}
 	problem.Write(in.writer, problem.Problem{
 		Status:               p.Status,
 		Reason:               p.Reason,
@@ -450,6 +456,7 @@
 	if in.view != nil {
 		fields = append(fields, reducer.Field{Name: "document", Value: int64(in.view.Position.Index)})
 	}
+	fields = append(fields, in.promiseFields()...)
 	outcome := in.outcome
 	if outcome == "" {
 		outcome = "answered"
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -32,6 +32,7 @@
 	if !sentAt.Before(in.deadline) {
 		// The process stood still since the slot was granted: the grant, and the lease
 		// of a claim, may have ended.
+		in.noteSend(grant.Server, relay.EvidenceNothingWritten)
 		step, err := in.exchange.ReportSend(context.WithoutCancel(ctx), reducer.RequestSent{Result: routing.ResultUnused, Evidence: relay.EvidenceNothingWritten, Cause: "the deadline passed before the send"})
 		return step, err, false
 	}
@@ -62,6 +63,10 @@
 		}
 	}
 	in.relay.Node.Metrics.CountSend(string(sent.Evidence))
+	in.noteSend(grant.Server, sent.Evidence)
+	if result != routing.ResultOK || relay.StatusMeansNotRun(sent.Status) {
+		sent.Conn = sent.connect.localAddress()
+	}
 	latency := in.relay.Node.Clock.Now().Sub(sentAt)
 	sent.Result, sent.Latency = result, latency
 	in.exchange.OnAbandon(nil)
@@ -297,7 +302,7 @@
 	header.Set(in.relay.Dialect.answerIDHeader(), in.id)
 	in.markAnswer(problem.DetourAnswerServer)
 	in.caller.enter(stageAnswer)
-	in.status = response.StatusCode
+	in.status, in.decided = response.StatusCode, decidedByServer
 	in.writer.WriteHeader(response.StatusCode)
 	record := &bodyRecorder{limit: ledger.MaxOutcomeBytes, enabled: in.rule.Once}
 	length, err := in.copyBody(response, record)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -166,6 +166,9 @@
 		return describeLeave(left)
 	case ended.numberField("status") < 400 && ended.numberField("status") > 0:
 		return r.describeAnswer(ended, placed, sendFailed)
+	case ended.stringField("decided") == "other-vm":
+		return fmt.Sprintf("another VM refused it (%s), and its caller was told with status %.0f that it did not run; it had been sent to %s",
+			ended.Outcome, ended.numberField("status"), ended.stringField("sends"))
 	case notPlaced != nil && sendFailed != nil:
 		return fmt.Sprintf("the send to server %s ended %s after %.0f ms (%s); then %s",
 			sendFailed.stringField("server"), sendFailed.Outcome, sendFailed.numberField("took_ms"), describeEvidence(sendFailed), describeRefusal(notPlaced))
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -53,6 +53,11 @@
 			requestLine("HW1030", "03.000", `"server":"s1","took_ms":30,"why":"","evidence":"answered","answer":429,"next":"refuse","outcome":"ok"`) + ended("502", "run-unstated"),
 			"the send to server s1 ended ok after 30 ms (no cause given; the server answered 429 and did not state that it had not run it); then: refuse",
 		},
+		"refused by another VM": {
+			requestLine("HW1048", "03.000", `"to":"e2","took_ms":3,"why":"","evidence":"stated","reason":"queue-full","next":"refuse","outcome":"shed"`) +
+				requestLine("HW1031", "04.000", `"status":503,"took_ms":9,"server":"","decided":"other-vm","evidence":"stated","sends":"s1:no-connection e2:stated","outcome":"queue-full"`),
+			"another VM refused it (queue-full), and its caller was told with status 503 that it did not run; it had been sent to s1:no-connection e2:stated",
+		},
 		"answered by the second send": {placed + sendFailed + placed + ended("200", "answered"), "the send before it, to server s1, had ended broken"},
 	}
 	for name, test := range tests {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -93,6 +93,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_sends_total{evidence=%q}`, evidence)).Inc()
 }
 
+// CountPromise counts an answer that callers take to mean that their request did not run, by whose
+// decision it was and the weakest evidence of the sends before it.
+func (m *Metrics) CountPromise(status int, decided, evidence string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_promises_total{status="%d",decided=%q,evidence=%q}`, status, decided, evidence)).Inc()
+}
+
 // CountDetour counts a request that was passed on to another VM, by its result and the time
 // until the header of the answer.
 func (m *Metrics) CountDetour(result string, took time.Duration) {
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -128,6 +128,7 @@
 	Cause          string         // of a failed send, for the log
 	Evidence       relay.Evidence // of whether the request ran
 	Status         int            // of the server's answer, 0 without one
+	Conn           string         // this VM's end of the connection, for the log; empty without one
 	routing.Notice                // of the server about itself
 }
 
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -289,6 +289,7 @@
 		{"why", e.Cause},
 		{"evidence", string(e.Evidence)},
 		{"answer", int64(e.Status)},
+		{"conn", e.Conn},
 		{"next", nextAction(step)},
 	}, fields...)})
 }
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -134,7 +134,9 @@
 	if refusal.Run != RunNo {
 		r.mayHaveRun = true
 	}
-	return r.refuse(refusal.Status, refusal.Reason, refusal.Detail, refusal.RetryAfter)
+	step := r.refuse(refusal.Status, refusal.Reason, refusal.Detail, refusal.RetryAfter)
+	step.Refuse.DecidedBy = refusal.DecidedBy
+	return step
 }
 
 // proceed continues a request that is not on its way: with its claim, if it needs one and has
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -68,6 +68,12 @@
 	EvidenceWritten        Evidence = "written"         // a part was written, and no whole answer to it came
 )
 
+// EvidenceUnsent is that of a request that was never sent.
+const EvidenceUnsent Evidence = "unsent"
+
+// EvidenceByStrength lists all evidence, that which best shows that nothing ran first.
+var EvidenceByStrength = []Evidence{EvidenceUnsent, EvidenceNoConnection, EvidenceNothingWritten, EvidenceStated, EvidenceAnswered, EvidenceWritten}
+
 // Step is what the code that performs the I/O does next. Exactly one field is
 // set, except that Settle or Release may accompany Refuse.
 type Step struct {
@@ -90,6 +96,7 @@
 	Detail     string
 	Run        RunState
 	RetryAfter time.Duration
+	DecidedBy  string // VM that refused, empty for this one
 }
 
 // Limits on retries, and their delays.
