Send no request again over a connection on which it was refused

What callers saw: 503 for a request that ran, or a request that ran twice. Cause: an entry sent a request to a server that had been replaced at its address, got its 421, and sent the request to the successor there over the same connection. A second, late copy of the 421 named the request's id and counted as the answer of the successor, which ran it; with tries left it went to a third server, without the caller was told that it had not run. A caller that uses an id twice meets the same.

The id tells which request an answer is about, not which send of it. A connection now remembers the requests that were refused on it last and takes none of them again (nothing is written, the request goes elsewhere), and the connection on which a server says that the address is another's is closed, so that the successor gets the request over a new one. Ruled out: leaving out the address from the retry, which keeps a request from the successor, perhaps the only server; closing each connection with a refusal, which costs a new one for each refusal of a full server.

--- a/internal/callerhttp/connecttimeout.go
+++ b/internal/callerhttp/connecttimeout.go
@@ -56,6 +56,7 @@
 // connectAttempt is one send while it waits for a connection. The transport may
 // dial in another goroutine, and use a connection that became idle meanwhile.
 type connectAttempt struct {
+	id            string // of the request
 	now           func() time.Time
 	timeout       *ConnectTimeout
 	limit         time.Duration // timeout of this attempt
@@ -65,7 +66,7 @@
 	connected     atomic.Bool  // a connection came before the timeout
 	onConnected   func()       // called once the request has a connection; may be nil
 	mayWrite      func() bool  // asked before the first byte is written; nil for always
-	refused       atomic.Bool  // nothing was written: the request has timed out, or mayWrite returned false
+	refused       atomic.Bool  // nothing was written; see check
 	dialStarted   atomic.Int64 // nanoseconds since 1970; 0 without a dial
 	dialTook      atomic.Int64 // nanoseconds; 0 without a new connection
 
@@ -92,12 +93,28 @@
 	return ""
 }
 
-// passes reports whether the first byte of the request may be written. Where a connection comes
-// at the moment of its timeout, as on a VM that lacked the processor, only one of the two counts.
-func (c *connectAttempt) passes() bool {
-	passes := c.connected.Load() && (c.mayWrite == nil || c.mayWrite())
-	c.refused.Store(!passes)
-	return passes
+// check returns why the first byte of the request may not be written to the connection, or nil.
+// Where a connection comes at the moment of its timeout, as on a VM that lacked the processor,
+// only one of the two counts.
+func (c *connectAttempt) check(conn *serverConn) error {
+	var err error
+	switch {
+	case conn.hasRefused(c.id):
+		err = errRefusedBefore
+	case !c.connected.Load() || c.mayWrite != nil && !c.mayWrite():
+		err = errNotSent
+	}
+	c.refused.Store(err != nil)
+	return err
+}
+
+// noteRefusal notes that the request was refused on the connection that it was sent on.
+func (c *connectAttempt) noteRefusal() {
+	if conn := c.conn.Load(); conn != nil {
+		if conn, ok := (*conn).(*serverConn); ok {
+			conn.noteRefusal(c.id)
+		}
+	}
 }
 
 // roundTrip sends the request, and cancels it when no connection comes within the
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -52,6 +52,11 @@
 	if response != nil && in.reportedNotRun(response) {
 		result, sent.Evidence = routing.ResultShed, relay.EvidenceStated
 		sent.AddressReused = response.StatusCode == http.StatusMisdirectedRequest
+		sent.connect.noteRefusal()
+		if sent.AddressReused {
+			// The request may go to the successor at the address next, over another connection.
+			sent.connect.closeConn()
+		}
 		go drain(response)
 		response = nil
 	}
@@ -148,7 +153,7 @@
 		return sendResult{RequestSent: reducer.RequestSent{Result: routing.ResultUnused, Evidence: relay.EvidenceNothingWritten, Cause: err.Error()}}
 	}
 	request.Body = body
-	connect := &connectAttempt{now: in.relay.Node.Clock.Now, timeout: timeout, onConnected: func() { in.caller.enter(stageServer) }, mayWrite: in.mayWrite}
+	connect := &connectAttempt{id: in.id, now: in.relay.Node.Clock.Now, timeout: timeout, onConnected: func() { in.caller.enter(stageServer) }, mayWrite: in.mayWrite}
 	in.caller.enter(stageConnect)
 	response, err := connect.roundTrip(transport, request)
 	sent := sendResult{response: response, connect: connect}
--- a/internal/callerhttp/serverconn.go
+++ b/internal/callerhttp/serverconn.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"net"
+	"slices"
+	"sync"
 	"sync/atomic"
 )
 
@@ -13,6 +15,26 @@
 	net.Conn
 	attempt    atomic.Pointer[connectAttempt] // whose first byte is not written yet; nil for none
 	unanswered atomic.Bool                    // a request was given to it, and no byte of its answer has come
+
+	mutex   sync.Mutex
+	refused []string // ids of the requests that were refused on it last, at most maxRefused
+}
+
+const maxRefused = 16 // a copy of a refusal comes soon after it, if any comes
+
+// noteRefusal keeps the request from being sent on the connection again: the other end may repeat
+// its refusal there, which would look like that of the later send.
+func (c *serverConn) noteRefusal(id string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.refused = append(c.refused, id)
+	c.refused = c.refused[max(0, len(c.refused)-maxRefused):]
+}
+
+func (c *serverConn) hasRefused(id string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return slices.Contains(c.refused, id)
 }
 
 // begin gives a request to the connection.
@@ -21,7 +43,10 @@
 	c.unanswered.Store(true)
 }
 
-var errNotSent = errors.New("the request was given up before it was sent")
+var (
+	errNotSent       = errors.New("the request was given up before it was sent")
+	errRefusedBefore = errors.New("the request was refused on this connection before")
+)
 
 // newServerConn wraps what a dial returned.
 func newServerConn(conn net.Conn, err error) (net.Conn, error) {
@@ -33,8 +58,10 @@
 
 // Write implements net.Conn.
 func (c *serverConn) Write(b []byte) (int, error) {
-	if a := c.attempt.Swap(nil); a != nil && !a.passes() {
-		return 0, errNotSent
+	if a := c.attempt.Swap(nil); a != nil {
+		if err := a.check(c); err != nil {
+			return 0, err
+		}
 	}
 	return c.Conn.Write(b)
 }
