Repeat no request once the document in force forbids it

What callers saw: a request ran twice on a route whose requests may run once at most, or got a server's own 503, which they take for not run, after it had run. Cause: whether a request may be repeated was read from the document of its arrival. A change of the route to the kind attempt, acknowledged and in force at the entry while a server ran the request, did not count for it. The document in force is now asked when a send did not succeed, here and where another VM serves the request; a request that arrived under the stricter kind keeps that. Ruled out: matching all open requests again at each change, which costs a walk over thousands of routes for each.

--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -259,6 +259,8 @@
 		Holder:       in.relay.Node.Settings.ID,
 		Replayable:   in.body.complete(),
 		Route:        in.route,
+		Host:         in.request.Host,
+		Path:         in.request.URL.Path,
 		TargetTime:   in.targetTime,
 	}
 	if in.detour != nil {
--- a/internal/reducer/detour.go
+++ b/internal/reducer/detour.go
@@ -94,6 +94,7 @@
 	if r == nil {
 		return
 	}
+	s.followRoute(r, e.Result, e.Status)
 	step := r.HandleDetourResult(e.DetourResult, s.now, s.retryBudget(r))
 	if !step.Stream {
 		reason := ""
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -195,6 +195,7 @@
 		return
 	}
 	s.noteWay(r.Grant, e)
+	s.followRoute(r, e.Result, e.Status)
 	if r.PlacedLocally {
 		s.handlePlacedSent(e, r)
 		return
@@ -217,6 +218,18 @@
 	s.runStep(e.Call, r, step)
 }
 
+// followRoute forbids to repeat a request whose send did not succeed if the document in force does,
+// which may be newer than that of the request's arrival.
+func (s *State) followRoute(r *relay.Request, result routing.Result, status int) {
+	succeeded := result == routing.ResultOK && !relay.StatusMeansNotRun(status)
+	if succeeded || r.Route == nil || s.document == nil {
+		return
+	}
+	if route := s.document.Routes.Match(r.Host, r.Path); route != nil && route.Kind != document.KindRepeat {
+		r.ForbidRepeat()
+	}
+}
+
 // noteToOwner tells the owner of the service what a server said about itself, ahead of
 // the end of the grant, unless it said no more than the owner knew.
 func (s *State) noteToOwner(r *relay.Request, e RequestSent) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,6 +37,7 @@
 	Replayable   bool          // the whole body is in memory, so that a retry can send it
 
 	Route         *document.Route // nil for a request found by the hosts of a service
+	Host, Path    string          // by which it matched the route
 	Object        string          // a server that ran requests for the same object lately runs them faster
 	TargetTime    time.Time       // after it, an answer has lost most of its value
 	PlacedLocally bool            // this VM chooses the server, without asking a slot owner
@@ -54,6 +55,7 @@
 	wayLost        bool     // a send was given up because its way was lost
 	triedHelpers   []string // VMs that were asked to serve the request
 	mayHaveRun     bool     // this request, or an earlier one with its key
+	runsOnce       bool     // a newer document forbids to repeat it
 }
 
 // Evidence is what is known of whether a request ran, once a send of it has ended.
@@ -361,9 +363,13 @@
 
 // repeatable reports whether the request may run a second time.
 func (r *Request) repeatable() bool {
-	return !r.Once && (r.Route == nil || r.Route.Kind == document.KindRepeat)
+	return !r.Once && !r.runsOnce && (r.Route == nil || r.Route.Kind == document.KindRepeat)
 }
 
+// ForbidRepeat keeps the request from being sent again once it may have run, as the document of its
+// arrival allowed.
+func (r *Request) ForbidRepeat() { r.runsOnce = true }
+
 func (r *Request) mayRetry(now time.Time) bool {
 	maxSends, maxRuns := maxTries, maxTries
 	if r.Route != nil {
