--- a/cmd/heatherwood/serve.go
+++ b/cmd/heatherwood/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -66,6 +67,8 @@
 	if err := n.Start(); err != nil {
 		return err
 	}
+	log.SetFlags(0)
+	log.SetOutput(n.LibraryLog())
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve() }()
 	select {
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -54,6 +54,7 @@
 	CodeWayChanged            Code = 1047
 	CodeDetour                Code = 1048
 	CodeCallerLeft            Code = 1049
+	CodeLibraryMessage        Code = 1050
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -114,6 +115,7 @@
 	{CodeWayChanged, "info", "way of this VM to the backend servers of a failure domain changed"},
 	{CodeDetour, "info", "request passed on to another VM, or taken over for one, for want of a way to the servers"},
 	{CodeCallerLeft, "info", "caller left before its request was answered"},
+	{CodeLibraryMessage, "info", "HTTP library reports a fault of a connection"},
 }
 
 // Info returns the catalogue entry of a code.
