Run no request again by a newer document for the VM that passed it on

A VM may repeat a request by its document, pass it on after a send that may have run, and the VM that takes it over may have a newer document by which the request runs once only. That VM counted the earlier send against the tries alone, and ran the request a second time. It ends it as unknown now. Same class as: what one document allows taken for what the other one does.

Measured: TestTakenOverRequestIsNotRepeatedWhereItsRouteForbidsIt failed before in 'once at most, may have run before' and passes; package relay passes.

--- a/internal/relay/detour_test.go
+++ b/internal/relay/detour_test.go
@@ -10,6 +10,7 @@
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/routing"
+	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
 // A request that was passed on and may have run is never sent again unless it may run twice,
@@ -169,3 +170,31 @@
 		t.Errorf("step %+v, want another slot request", step)
 	}
 }
+
+// A VM with a newer document ran a request again that its route lets run once, after the VM that
+// passed it on had sent it by an older one.
+func TestTakenOverRequestIsNotRepeatedWhereItsRouteForbidsIt(t *testing.T) {
+	tests := map[string]struct {
+		kind        document.Kind
+		earlierRuns int
+		serves      bool
+	}{
+		"may be repeated":                   {document.KindRepeat, 1, true},
+		"once at most, not sent before":     {document.KindAttempt, 0, true},
+		"once at most, may have run before": {document.KindAttempt, 1, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRequest(false)
+			r.Route = &document.Route{Name: "web", Kind: test.kind, Tries: 3}
+			r.TakenOver, r.EarlierRuns = true, test.earlierRuns
+			step := r.Start(start, &RetryBudget{})
+			if serves := step.SlotRequest != nil; serves != test.serves {
+				t.Fatalf("step %+v, want the request served: %v", step, test.serves)
+			}
+			if !test.serves && (step.Refuse.Status != http.StatusBadGateway || step.Refuse.Run != RunUnknown) {
+				t.Errorf("refused with %+v", step.Refuse)
+			}
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -120,6 +120,10 @@
 	if !now.Before(r.Deadline) {
 		return r.refuse(http.StatusGatewayTimeout, "deadline", "the deadline had passed on arrival", 0)
 	}
+	if r.runs > 0 && !r.repeatable() && !r.Once {
+		r.mayHaveRun = true
+		return r.endUnknown(http.StatusBadGateway, "connection-lost", "it may have run for the VM that passed it on, and may run once only")
+	}
 	if r.Once {
 		return r.claim(now)
 	}
