Log and count on whose word a server counts as cold at each send

Cause: HW1028 did not tell whether a server was believed cold, since when and on whose word, nor the share of its rate that this VM took among how many entries, so that logs could not tell the hypotheses of flooded cold servers apart. Change: the roster keeps the source and time of its word on each server; HW1028 has cold, cold_word, cold_word_age_ms, cold_share and entries; heatherwood_sends_by_belief_total counts sends. No decision changes. Measured: tests of roster, placing, reducer and explain pass.

--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -68,6 +68,7 @@
 		}
 	}
 	in.relay.Node.Metrics.CountSend(string(sent.Evidence))
+	in.relay.Node.Metrics.CountBelief(grant.Cold, grant.Word)
 	in.noteSend(grant.Server, sent.Evidence)
 	if result != routing.ResultOK || relay.StatusMeansNotRun(sent.Status) {
 		sent.Conn = sent.connect.localAddress()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -93,6 +93,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_sends_total{evidence=%q}`, evidence)).Inc()
 }
 
+// CountBelief counts a send to a server by whether it counted as cold, and on whose word.
+func (m *Metrics) CountBelief(cold bool, word string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_sends_by_belief_total{cold="%v",word=%q}`, cold, word)).Inc()
+}
+
 // CountPromise counts an answer that callers take to mean that their request did not run, by whose
 // decision it was and the weakest evidence of the sends before it.
 func (m *Metrics) CountPromise(status int, decided, evidence string) {
--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -80,7 +80,7 @@
 // announcement may not have arrived yet.
 func (p *Pool) paceReturned(s *Server, now time.Time) {
 	if s.refusedDial && p.Policy.ColdRate > 0 {
-		s.presumedColdUntil = now.Add(PresumedColdTime)
+		s.presumedColdUntil, s.presumedColdAt = now.Add(PresumedColdTime), now
 		p.markCold(s)
 		s.paceCold(p.Policy.ColdRate, now)
 	}
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -182,7 +182,7 @@
 			clear(s.objectAnsweredAt)
 		}
 		s.ID, s.Address, s.Start, s.Slots = si.ID, si.Address, si.Start, max(1, si.Slots)
-		s.ColdUntil, s.Closed, s.Site = si.ColdUntil, si.Closed, si.Site
+		s.ColdUntil, s.Word, s.Closed, s.Site = si.ColdUntil, si.Word, si.Closed, si.Site
 		s.cut = slices.Contains(p.cut, si.Domain)
 		s.setLimit(si.Limit)
 		s.inOwnRegion = si.Region == p.Own.Region
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/heatherwood/heatherwood/internal/roster"
 	"github.com/heatherwood/heatherwood/internal/routing"
 )
 
@@ -15,7 +16,8 @@
 	Start     int64 // time of its start in milliseconds since 1970; 0 if unknown
 	Slots     int
 	ColdUntil time.Time // end of the time in which its caches count as cold
-	Closed    bool      // gets no new requests
+	Word      roster.Word
+	Closed    bool // gets no new requests
 	Site
 	routing.Ejection
 	routing.Notices
@@ -38,6 +40,7 @@
 	failureRate       float64              // moving average of the share of failed answers
 	refusedDial       bool                 // it refused a connection since its last good answer
 	presumedColdUntil time.Time            // end of the time in which it counts as cold after a refused connection
+	presumedColdAt    time.Time            // since when it does
 	nextColdSend      time.Time            // earliest next request while it is cold
 	coldPaced         bool                 // nextColdSend is set for the present cold period
 	objectAnsweredAt  map[string]time.Time // time of the last good answer, by object
@@ -50,6 +53,7 @@
 	Start     int64
 	Slots     int
 	ColdUntil time.Time
+	Word      roster.Word // of ColdUntil
 	Closed    bool
 	Limit     routing.Limit
 	Site
@@ -115,6 +119,15 @@
 	return now.Before(s.ColdUntil) || now.Before(s.presumedColdUntil)
 }
 
+// Cold reports whether the server counts as cold, and on whose word and since when it is known
+// that it does or does not.
+func (s *Server) Cold(now time.Time) (bool, roster.Word) {
+	if !now.Before(s.ColdUntil) && now.Before(s.presumedColdUntil) {
+		return true, roster.Word{Source: roster.FromConnection, At: s.presumedColdAt}
+	}
+	return now.Before(s.ColdUntil), s.Word
+}
+
 // delayFirstCold delays the first request to a server that became cold, so that
 // the first requests of many entries are spread over the interval in which each
 // may send one.
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -129,6 +129,7 @@
 		pool.BeginPartial(choice.Server, s.now)
 	}
 	s.placedRuns[s.lastTicket] = placedRun{pool: pool, server: choice.Server, unqueued: choice.Server.Load(s.now) <= float64(choice.Server.Slots), sentAt: s.now, expected: choice.Expected}
+	cold, word := choice.Server.Cold(s.now)
 	s.emit(Decision{Code: CodePlaced, Request: r.ID, Outcome: "sent", Fields: []Field{
 		{"route", r.Route.Name},
 		{"service", r.Service},
@@ -141,6 +142,11 @@
 		{"left", r.Deadline.Sub(s.now)},
 		{"candidates", int64(choice.Candidates)},
 		{"document", int64(s.documentAt.Index)},
+		{"cold", cold},
+		{"cold_word", string(word.Source)},
+		{"cold_word_age", s.now.Sub(word.At)},
+		{"cold_share", pool.Policy.ColdRate},
+		{"entries", int64(pool.Policy.Entries)},
 	}})
 	return dispatch.Answer{Grant: &dispatch.Grant{
 		Ticket:  s.lastTicket,
@@ -150,6 +156,8 @@
 		Shifted: choice.Server.Domain != s.Settings.Domain,
 
 		OpenOnly: choice.Server.Cut(),
+		Cold:     cold,
+		Word:     string(word.Source),
 	}}, helper{}
 }
 
--- a/internal/reducer/placing_pools.go
+++ b/internal/reducer/placing_pools.go
@@ -43,7 +43,7 @@
 			openedLately = !slices.Contains(s.document.Closures.Reopened, reopened)
 		}
 		if openedLately {
-			s.roster.PresumeCold(reopened.Name, s.now.Add(placing.PresumedColdTime))
+			s.roster.PresumeCold(reopened.Name, s.now.Add(placing.PresumedColdTime), s.now)
 		}
 	}
 }
@@ -127,6 +127,7 @@
 			Start:     entry.Start,
 			Slots:     entry.Slots,
 			ColdUntil: entry.ColdUntil,
+			Word:      entry.Word,
 			Closed:    s.isClosed(entry),
 			Limit:     entry.Limit,
 			Site:      placing.Site{Domain: entry.Domain, Region: region},
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -34,6 +34,7 @@
 type Entry struct {
 	Record
 	ColdUntil   time.Time // from then on it is warm
+	Word        Word      // of ColdUntil
 	hash        uint64    // of the fields that VMs compare
 	announcedAt time.Time // last announcement that reached this VM itself; zero for none; set to now by Restore and ResetTimeouts
 	goneAt      time.Time // when this VM learned that it ended; zero otherwise
@@ -113,7 +114,8 @@
 	if !s.store(r, now) {
 		return false
 	}
-	s.Find(r.ID).announcedAt = now
+	e := s.Find(r.ID)
+	e.announcedAt, e.Word = now, Word{FromServer, now}
 	return true
 }
 
@@ -131,9 +133,9 @@
 
 // amend changes the record of an entry by something else than an announcement.
 func (s *State) amend(held *Entry, r Record, now time.Time) {
-	announcedAt := held.announcedAt
+	announcedAt, word := held.announcedAt, held.Word
 	s.store(r, now)
-	held.announcedAt = announcedAt
+	held.announcedAt, held.Word = announcedAt, word
 }
 
 // End marks a server as gone.
@@ -198,7 +200,7 @@
 			r.Limit, r.LimitVersion = before.Limit, before.LimitVersion
 		}
 	}
-	e.Record, e.restored = r, false
+	e.Record, e.restored, e.Word = r, false, Word{FromVM, now}
 	e.hash = e.contentHash()
 	if r.Cold > 0 {
 		e.ColdUntil = now.Add(r.Cold)
@@ -268,9 +270,10 @@
 		if e.Silent || e.Gone || e.announcedAt.IsZero() || now.Sub(e.announcedAt) < SilentAfter {
 			continue
 		}
-		r := e.Record
+		r, word := e.Record, e.Word
 		r.Silent = true
 		s.store(r, now)
+		e.Word = word
 	}
 	s.Entries = slices.DeleteFunc(s.Entries, func(e *Entry) bool {
 		return e.Gone && !e.goneAt.IsZero() && now.Sub(e.goneAt) > forgetGoneAfter
@@ -358,10 +361,10 @@
 
 // PresumeCold makes the servers of a failure domain count as cold until the
 // given time, except those that are cold for longer.
-func (s *State) PresumeCold(domain string, until time.Time) {
+func (s *State) PresumeCold(domain string, until, now time.Time) {
 	for _, e := range s.Entries {
 		if e.Domain == domain && e.ColdUntil.Before(until) {
-			e.ColdUntil = until
+			e.ColdUntil, e.Word = until, Word{FromOrder, now}
 			s.Changed = true
 		}
 	}
@@ -387,7 +390,7 @@
 			continue
 		}
 		e := s.Find(r.ID)
-		e.restored = true
+		e.restored, e.Word.Source = true, FromDisk
 		if r.Domain == domain {
 			e.announcedAt = now
 		}
