Take servers of a reopened failure domain for cold for their whole cold time

Callers saw nothing; a cold server got up to 34 requests in one second, 10.1 allowed. Cause: the servers of a failure domain that is opened again may have turned cold, and say so in their next heartbeat, which may come seconds late. VMs presumed them cold for 2 s, whatever the cold time of their service; a later heartbeat found them taken for warm (HW1028 cold=false, cold_word=order). The bound relied on word that need not come in time. Change: they are presumed cold for the cold time of their service, after which they are warm in any case.

--- a/internal/reducer/document.go
+++ b/internal/reducer/document.go
@@ -294,7 +294,7 @@
 		return
 	}
 	s.documentAt = e.Position
-	s.presumeCold(e.Document.Closures)
+	s.presumeCold(e.Document)
 	s.document, s.blocks = e.Document, e.Blocks
 	s.members.Self.Document = e.Position.Index
 	s.log(CodeDocumentInForce, "", int64(e.Position.Index))
--- a/internal/reducer/placing_pools.go
+++ b/internal/reducer/placing_pools.go
@@ -33,17 +33,26 @@
 // cold; they report it only with their next announcement.
 const reopenedWithin = 8 * time.Second
 
+// coldTimeOf returns how long a server of a service counts as cold when it may have turned cold
+// just now: word of it may be on its way for as long as it is cold.
+func coldTimeOf(d *document.Document, service string) time.Duration {
+	if service := d.Services.ByName(service); service != nil {
+		return max(service.Cold.Std(), placing.PresumedColdTime)
+	}
+	return placing.PresumedColdTime
+}
+
 // presumeCold limits servers of failure domains that a new document reopens to
 // the rate of cold servers. A VM that starts has no previous document to
 // compare with and goes by the time of the reopening.
-func (s *State) presumeCold(closures document.Closures) {
-	for _, reopened := range closures.Reopened {
+func (s *State) presumeCold(next *document.Document) {
+	for _, reopened := range next.Closures.Reopened {
 		openedLately := s.document == nil && s.now.Sub(time.UnixMilli(reopened.At)).Abs() < reopenedWithin
 		if s.document != nil {
 			openedLately = !slices.Contains(s.document.Closures.Reopened, reopened)
 		}
 		if openedLately {
-			s.roster.PresumeCold(reopened.Name, s.now.Add(placing.PresumedColdTime), s.now)
+			s.roster.PresumeCold(reopened.Name, func(service string) time.Duration { return coldTimeOf(next, service) }, s.now)
 		}
 	}
 }
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -137,6 +137,7 @@
 // they announce themselves, also on a VM that started after the reopening.
 func TestReopenedDomainIsPresumedCold(t *testing.T) {
 	record := roster.Record{ID: "s1", Service: "web", Address: "10.0.0.1:80", Domain: "b", Slots: 4, Start: 5, Sequence: 1}
+	const coldTime = 5 * time.Second
 	reopened := document.Closures{Reopened: []document.Reopened{{Name: "b", At: testStart.UnixMilli()}}}
 	tests := map[string]struct {
 		before *document.Document
@@ -155,10 +156,13 @@
 			s.roster.Announce(record, testStart)
 			s.document = test.before
 			s.now = testStart.Add(test.age)
-			s.presumeCold(reopened)
+			s.presumeCold(&document.Document{Closures: reopened, Services: document.Services{Services: []document.Service{{Name: "web", Cold: document.Duration(coldTime)}}}})
 			if cold := s.now.Before(s.roster.Find("s1").ColdUntil); cold != test.cold {
 				t.Errorf("cold %v, want %v", cold, test.cold)
 			}
+			if left := s.roster.Find("s1").ColdUntil.Sub(s.now); test.cold && left != coldTime {
+				t.Errorf("cold for %v, want %v as any server of the service after a start", left, coldTime)
+			}
 		})
 	}
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -359,10 +359,11 @@
 	return differing
 }
 
-// PresumeCold makes the servers of a failure domain count as cold until the
-// given time, except those that are cold for longer.
-func (s *State) PresumeCold(domain string, until, now time.Time) {
+// PresumeCold makes the servers of a failure domain count as cold from now on for the time of their
+// service, except those that are cold for longer.
+func (s *State) PresumeCold(domain string, timeOf func(service string) time.Duration, now time.Time) {
 	for _, e := range s.Entries {
+		until := now.Add(timeOf(e.Service))
 		if e.Domain == domain && e.ColdUntil.Before(until) {
 			e.ColdUntil, e.Word = until, Word{FromOrder, now}
 			s.Changed = true
