--- a/internal/callerhttp/connecttimeout.go
+++ b/internal/callerhttp/connecttimeout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"net"
 	"net/http"
@@ -67,6 +68,8 @@
 	onConnected   func()       // called once the request has a connection; may be nil
 	mayWrite      func() bool  // asked before the first byte is written; nil for always
 	refused       atomic.Bool  // nothing was written; see check
+	chosen        choice       // of the server; the zero value for another VM
+	withheld      atomic.Bool  // refused, because of what became known of the server since it was chosen
 	dialStarted   atomic.Int64 // nanoseconds since 1970; 0 without a dial
 	dialTook      atomic.Int64 // nanoseconds; 0 without a new connection
 
@@ -103,7 +106,10 @@
 		err = errRefusedBefore
 	case !c.connected.Load() || c.mayWrite != nil && !c.mayWrite():
 		err = errNotSent
+	case conn.contacts != nil && conn.contacts.withholds(conn, c.chosen):
+		err = errWithheld
 	}
+	c.withheld.Store(errors.Is(err, errWithheld))
 	c.refused.Store(err != nil)
 	return err
 }
@@ -117,6 +123,15 @@
 	}
 }
 
+// noteAnswer tells the connection what the header of an answer says about it; nil for none.
+func (c *connectAttempt) noteAnswer(response *http.Response) {
+	if conn := c.conn.Load(); conn != nil && response != nil {
+		if conn, ok := (*conn).(*serverConn); ok {
+			conn.noteAnswer(response)
+		}
+	}
+}
+
 // roundTrip sends the request, and cancels it when no connection comes within the
 // timeout. The dial then goes on, so that its time is observed and later requests
 // can use the connection.
--- /dev/null
+++ b/internal/callerhttp/contact.go
@@ -0,0 +1,244 @@
+package callerhttp
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/heatherwood/heatherwood/internal/clock"
+	"github.com/heatherwood/heatherwood/internal/tcp"
+)
+
+// A server that starts again at its address is cold, and nobody may know yet. What a VM can
+// know by itself are its connections: a new process has none of those to the process before it.
+
+// contacts follows the connections of this VM to each server.
+type contacts struct {
+	clock clock.Clock
+
+	// onLost is told that no connection to an address is left, of which the last one ended
+	// without an explanation. Once it returns, requests are sent there with that in mind.
+	onLost func(address, why string)
+
+	mutex     sync.Mutex
+	byAddress map[string]*contact
+	pruneDue  time.Time
+}
+
+// contact holds the connections to one address.
+type contact struct {
+	address string
+	open    map[*serverConn]struct{} // that are not known to have ended
+	lostAt  time.Time                // when onLost last returned
+	telling int                      // calls of onLost that run
+
+	keepAlive time.Duration // for which the server keeps an idle connection; 0 if it did not say
+	usedAt    time.Time
+}
+
+const (
+	pruneInterval   = time.Minute             // between two looks for contacts that nobody uses
+	vouchAge        = 2 * time.Second         // age of the last bytes up to which a connection shows that the server lives
+	idleCloseMargin = time.Second             // by which a server may close an idle connection before the time that it states
+	maxChoiceAge    = 1200 * time.Millisecond // of a choice of a server; connecting takes a second at most
+	maxColdChoice   = 500 * time.Millisecond  // of the choice of a cold one, so that the sends of one VM keep their distance
+)
+
+// choice says when and as what a server was chosen for a request.
+type choice struct {
+	at   time.Time // zero where another VM has granted the slot
+	cold bool
+}
+
+func newContacts(clk clock.Clock, onLost func(address, why string)) *contacts {
+	return &contacts{clock: clk, onLost: onLost, byAddress: make(map[string]*contact)}
+}
+
+// add notes a new connection.
+func (c *contacts) add(address string, conn *serverConn) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.prune()
+	k := c.find(address)
+	k.usedAt = c.clock.Now()
+	k.open[conn] = struct{}{}
+	conn.contacts, conn.contact, conn.socket = c, k, tcp.SocketOf(conn.Conn)
+	conn.lastByteAt.Store(k.usedAt.UnixNano())
+}
+
+func (c *contacts) find(address string) *contact {
+	k := c.byAddress[address]
+	if k == nil {
+		k = &contact{address: address, open: make(map[*serverConn]struct{})}
+		c.byAddress[address] = k
+	}
+	return k
+}
+
+// prune forgets contacts without connections that were not used for long.
+func (c *contacts) prune() {
+	now := c.clock.Now()
+	if now.Before(c.pruneDue) {
+		return
+	}
+	c.pruneDue = now.Add(pruneInterval)
+	for address, k := range c.byAddress {
+		if len(k.open) == 0 && k.telling == 0 && now.Sub(k.usedAt) > pruneInterval && now.Sub(k.lostAt) > pruneInterval {
+			delete(c.byAddress, address)
+		}
+	}
+}
+
+// remove notes a connection that this VM has closed.
+func (c *contacts) remove(conn *serverConn) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(conn.contact.open, conn)
+}
+
+// ended notes a connection that the other end has closed or reset.
+func (c *contacts) ended(conn *serverConn, why string) {
+	c.mutex.Lock()
+	if _, open := conn.contact.open[conn]; !open {
+		c.mutex.Unlock()
+		return
+	}
+	delete(conn.contact.open, conn)
+	explained := conn.endExplained(c.clock.Now())
+	vouched, unexplained := c.look(conn.contact, nil)
+	c.tell(conn.contact, !vouched && (!explained || unexplained), why)
+}
+
+// failed notes that no connection to the address could be opened.
+func (c *contacts) failed(address, why string) {
+	c.mutex.Lock()
+	k := c.find(address)
+	k.usedAt = c.clock.Now()
+	vouched, _ := c.look(k, nil)
+	c.tell(k, !vouched, why)
+}
+
+// tell unlocks the mutex, and calls onLost if the contact is lost.
+func (c *contacts) tell(k *contact, lost bool, why string) {
+	if !lost {
+		c.mutex.Unlock()
+		return
+	}
+	k.telling++
+	c.mutex.Unlock()
+	c.onLost(k.address, why)
+	c.mutex.Lock()
+	k.telling--
+	k.lostAt = c.clock.Now()
+	c.mutex.Unlock()
+}
+
+// look drops connections that have ended, and reports whether any of these ended without an
+// explanation, and whether one of the others, besides that one, vouches for the server: it led to
+// the process that the ended ones led to, and still does. One that was not used yet may lead to
+// its successor.
+func (c *contacts) look(k *contact, besides *serverConn) (vouched, unexplained bool) {
+	now := c.clock.Now()
+	for conn := range k.open {
+		if conn == besides {
+			continue
+		}
+		if closed, err := conn.socket.PeerClosed(); closed || err != nil {
+			delete(k.open, conn)
+			unexplained = unexplained || !conn.endExplained(now)
+			continue
+		}
+		vouched = vouched || conn.used && now.Sub(conn.lastByte()) <= vouchAge
+	}
+	return vouched, unexplained
+}
+
+// withholds reports whether a request may not be sent on the connection as it was chosen,
+// because of what became known of the server since. It is asked before the first byte is written.
+func (c *contacts) withholds(conn *serverConn, chosen choice) bool {
+	c.mutex.Lock()
+	k := conn.contact
+	if !conn.used {
+		conn.used = true
+		vouched, unexplained := c.look(k, conn)
+		c.tell(k, !vouched && unexplained, "closed unnoticed")
+		c.mutex.Lock()
+	}
+	defer c.mutex.Unlock()
+	age := c.clock.Now().Sub(chosen.at)
+	switch {
+	case chosen.at.IsZero():
+		return false
+	case chosen.cold:
+		return age > maxColdChoice
+	default:
+		return k.telling > 0 || k.lostAt.After(chosen.at) || age > maxChoiceAge
+	}
+}
+
+// alive returns the addresses to which a connection is open.
+func (c *contacts) alive() []string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var addresses []string
+	for address, k := range c.byAddress {
+		for conn := range k.open {
+			if closed, err := conn.socket.PeerClosed(); err == nil && !closed {
+				addresses = append(addresses, address)
+				break
+			}
+		}
+	}
+	return addresses
+}
+
+// endExplained reports whether the server was expected to close the connection by now; the mutex
+// of the contacts is held.
+func (c *serverConn) endExplained(now time.Time) bool {
+	if c.closeStated.Load() {
+		return true
+	}
+	kept := c.contact.keepAlive
+	return !c.unanswered.Load() && kept > 0 && now.Sub(c.lastByte()) >= kept-idleCloseMargin
+}
+
+// noteAnswer keeps what the header of an answer says about the end of the connection.
+func (c *serverConn) noteAnswer(response *http.Response) {
+	if c.contacts == nil {
+		return
+	}
+	if response.Close {
+		c.closeStated.Store(true)
+	}
+	if kept := parseKeepAlive(response.Header.Get("Keep-Alive")); kept > 0 {
+		c.contacts.mutex.Lock()
+		defer c.contacts.mutex.Unlock()
+		c.contact.keepAlive = kept
+	}
+}
+
+// parseKeepAlive returns the timeout of a Keep-Alive header, or 0 if it has none.
+func parseKeepAlive(text string) time.Duration {
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		if strings.EqualFold(strings.TrimSpace(name), "timeout") && err == nil && seconds > 0 {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
+
+// lastByte returns when the other end last sent something, as far as this VM has read it.
+func (c *serverConn) lastByte() time.Time { return time.Unix(0, c.lastByteAt.Load()) }
+
+// failedToConnect tells the contacts of a connection that was refused.
+func (c *contacts) failedToConnect(address string, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+		c.failed(address, "refused")
+	}
+}
--- /dev/null
+++ b/internal/callerhttp/contact_test.go
@@ -0,0 +1,219 @@
+package callerhttp
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/heatherwood/heatherwood/internal/clock"
+)
+
+// contactServer is a server process that can end and start again at its address.
+type contactServer struct {
+	t        *testing.T
+	address  string
+	listener net.Listener
+	accepted chan net.Conn
+	conns    []net.Conn
+}
+
+func startContactServer(t *testing.T) *contactServer {
+	s := &contactServer{t: t, address: "127.0.0.1:0"}
+	s.listen()
+	s.address = s.listener.Addr().String()
+	t.Cleanup(s.end)
+	return s
+}
+
+func (s *contactServer) listen() {
+	listener, err := net.Listen("tcp", s.address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	accepted := make(chan net.Conn, 16)
+	s.listener, s.accepted = listener, accepted
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+}
+
+func (s *contactServer) end() {
+	s.listener.Close()
+	for _, conn := range s.conns {
+		conn.Close()
+	}
+	s.conns = nil
+}
+
+func (s *contactServer) restart() {
+	s.end()
+	s.listen()
+}
+
+// contactVM follows the connections of a VM to a server.
+type contactVM struct {
+	*contacts
+	server *contactServer
+	losses chan string
+}
+
+func newContactVM(t *testing.T) *contactVM {
+	v := &contactVM{server: startContactServer(t), losses: make(chan string, 16)}
+	v.contacts = newContacts(clock.System{}, func(_, why string) { v.losses <- why })
+	return v
+}
+
+// dial opens a connection; reading says whether its end is noticed at once.
+func (v *contactVM) dial(t *testing.T, reading bool) *serverConn {
+	t.Helper()
+	conn, err := net.Dial("tcp", v.server.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v.server.conns = append(v.server.conns, <-v.server.accepted)
+	c := &serverConn{Conn: conn}
+	v.add(v.server.address, c)
+	t.Cleanup(func() { c.Close() })
+	if reading {
+		go io.Copy(io.Discard, c)
+	}
+	return c
+}
+
+func (v *contactVM) wantLosses(t *testing.T, want int) {
+	t.Helper()
+	time.Sleep(50 * time.Millisecond)
+	if got := len(v.losses); got != want {
+		t.Errorf("%d losses of contact, want %d", got, want)
+	}
+}
+
+func TestLossOfContact(t *testing.T) {
+	tests := map[string]struct {
+		play func(*testing.T, *contactVM)
+		want int
+	}{
+		"only connection ends": {func(t *testing.T, v *contactVM) {
+			v.withholds(v.dial(t, true), choice{})
+			v.server.restart()
+		}, 1},
+		"all of three end": {func(t *testing.T, v *contactVM) {
+			for range 3 {
+				v.withholds(v.dial(t, true), choice{})
+			}
+			v.server.restart()
+		}, 1},
+		"one of two ends": {func(t *testing.T, v *contactVM) {
+			v.withholds(v.dial(t, true), choice{})
+			v.withholds(v.dial(t, true), choice{})
+			v.server.conns[0].Close()
+		}, 0},
+		"both end, one after the other": {func(t *testing.T, v *contactVM) {
+			v.withholds(v.dial(t, true), choice{})
+			v.withholds(v.dial(t, true), choice{})
+			v.server.conns[0].Close()
+			time.Sleep(20 * time.Millisecond)
+			v.server.conns[1].Close()
+		}, 1},
+		"the server said that it closes": {func(t *testing.T, v *contactVM) {
+			c := v.dial(t, true)
+			c.noteAnswer(&http.Response{Close: true})
+			v.server.conns[0].Close()
+		}, 0},
+		"it was idle for as long as the server keeps it": {func(t *testing.T, v *contactVM) {
+			c := v.dial(t, true)
+			c.noteAnswer(&http.Response{Header: http.Header{"Keep-Alive": {"timeout=5, max=100"}}})
+			c.lastByteAt.Store(time.Now().Add(-5 * time.Second).UnixNano())
+			v.server.conns[0].Close()
+		}, 0},
+		"it was idle for less": {func(t *testing.T, v *contactVM) {
+			c := v.dial(t, true)
+			c.noteAnswer(&http.Response{Header: http.Header{"Keep-Alive": {"timeout=5"}}})
+			v.server.conns[0].Close()
+		}, 1},
+		"this VM closes it": {func(t *testing.T, v *contactVM) { v.dial(t, true).Close() }, 0},
+		"one is refused":    {func(_ *testing.T, v *contactVM) { v.failed(v.server.address, "refused") }, 1},
+		"one is refused while another is open": {func(t *testing.T, v *contactVM) {
+			v.withholds(v.dial(t, true), choice{})
+			v.failed(v.server.address, "refused")
+		}, 0},
+		"the other one is new and not used yet": {func(t *testing.T, v *contactVM) {
+			v.withholds(v.dial(t, true), choice{})
+			v.server.restart()
+			v.dial(t, false)
+		}, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := newContactVM(t)
+			test.play(t, v)
+			v.wantLosses(t, test.want)
+		})
+	}
+}
+
+func TestRequestIsWithheldFromASuccessorOfTheChosenServer(t *testing.T) {
+	tests := map[string]struct {
+		chosen func() choice
+		play   func(*testing.T, *contactVM) *serverConn // that the request is sent on
+		want   bool
+	}{
+		"nothing happened": {play: func(t *testing.T, v *contactVM) *serverConn { return v.dial(t, true) }},
+		"the server started again, its end is known": {play: func(t *testing.T, v *contactVM) *serverConn {
+			v.withholds(v.dial(t, true), choice{})
+			v.server.restart()
+			<-v.losses
+			time.Sleep(20 * time.Millisecond)
+			return v.dial(t, true)
+		}, want: true},
+		"the server started again, its end is not read yet": {play: func(t *testing.T, v *contactVM) *serverConn {
+			v.withholds(v.dial(t, false), choice{})
+			v.server.restart()
+			return v.dial(t, false)
+		}, want: true},
+		"one of its connections ended, another is open": {play: func(t *testing.T, v *contactVM) *serverConn {
+			v.withholds(v.dial(t, false), choice{})
+			v.withholds(v.dial(t, false), choice{})
+			v.server.conns[0].Close()
+			return v.dial(t, false)
+		}},
+		"chosen long ago": {
+			chosen: func() choice { return choice{at: time.Now().Add(-2 * time.Second)} },
+			play:   func(t *testing.T, v *contactVM) *serverConn { return v.dial(t, true) },
+			want:   true,
+		},
+		"a cold one, chosen a while ago": {
+			chosen: func() choice { return choice{at: time.Now().Add(-time.Second), cold: true} },
+			play:   func(t *testing.T, v *contactVM) *serverConn { return v.dial(t, true) },
+			want:   true,
+		},
+		"granted by an owner": {
+			chosen: func() choice { return choice{} },
+			play: func(t *testing.T, v *contactVM) *serverConn {
+				v.withholds(v.dial(t, false), choice{})
+				v.server.restart()
+				return v.dial(t, false)
+			},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := newContactVM(t)
+			chosen := choice{at: time.Now()}
+			if test.chosen != nil {
+				chosen = test.chosen()
+			}
+			if got := v.withholds(test.play(t, v), chosen); got != test.want {
+				t.Errorf("withheld: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/callerhttp/detour.go
+++ b/internal/callerhttp/detour.go
@@ -149,7 +149,7 @@
 	request.Header.Set(problem.HeaderDetourFrom, in.relay.Node.Settings.ID)
 	request.Header.Set(problem.HeaderDetourRuns, strconv.Itoa(to.Runs))
 	request.Header.Set(problem.HeaderDetourDocument, strconv.FormatUint(in.view.Position.Index, 10))
-	sent := in.roundTrip(ctx, in.relay.peers, &in.relay.peerConnectTimeout, request)
+	sent := in.roundTrip(ctx, in.relay.peers, &in.relay.peerConnectTimeout, choice{}, request)
 	report := reducer.RequestDetoured{Cause: sent.Cause}
 	report.Result, report.Evidence = sent.Result, sent.Evidence
 	response := sent.response
--- a/internal/callerhttp/dialect.go
+++ b/internal/callerhttp/dialect.go
@@ -31,6 +31,9 @@
 	// NotRun reports whether a server states that it did not run the request; if
 	// nil, the statuses that the service lists mean so.
 	NotRun func(*http.Response) bool
+	// ParseHealth returns the id of the server that answered a health check, and how long it stays
+	// cold, or an error if the answer does not say so; nil if servers never do.
+	ParseHealth func(*http.Response) (id string, coldFor time.Duration, err error)
 	// ParseLoad returns the load that a server reports; nil if servers report none.
 	ParseLoad func(http.Header) placing.Load
 }
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -53,6 +53,7 @@
 	peers              *http.Transport // to other VMs that serve requests for this one
 	peerConnectTimeout ConnectTimeout
 	watcher            watcher
+	contacts           *contacts      // to servers
 	bodies, answers    *intake.Budget // bytes that all requests hold of theirs
 	serving            atomic.Int64   // requests
 }
@@ -63,17 +64,13 @@
 		idlePerHost     = 64
 		maxAnswerHeader = 64 << 10 // bytes; a faulty server may send a header without end
 	)
-	l := &Relay{
+	var l *Relay
+	l = &Relay{
 		Node:    n,
 		Dialect: dialect,
 		Transport: &http.Transport{
 			DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-				if isOpenOnly(ctx) {
-					return nil, errOpenOnly
-				}
-				ctx, cancel := context.WithTimeout(ctx, maxConnectTimeout)
-				defer cancel()
-				return newServerConn(n.DialServer(ctx, address))
+				return l.dialServer(ctx, address)
 			},
 			MaxIdleConnsPerHost:    idlePerHost,
 			IdleConnTimeout:        90 * time.Second,
@@ -85,7 +82,8 @@
 		peers:   newPeerTransport(n, idlePerHost, maxAnswerHeader),
 		watcher: watcher{clock: n.Clock, callers: make(map[*callerWatch]struct{})},
 	}
-	n.ProbeServer = l.probeServer
+	l.contacts = newContacts(n.Clock, func(address, why string) { n.Apply(reducer.ContactLost{Address: address, Why: why}) })
+	n.ProbeServer, n.AskServer, n.OpenContacts = l.probeServer, l.askServer, l.contacts.alive
 	return l
 }
 
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -39,7 +39,8 @@
 	sendCtx, abandon := context.WithCancelCause(withOpenOnly(ctx, grant.OpenOnly))
 	defer abandon(nil)
 	in.exchange.OnAbandon(func() { abandon(errAbandoned) })
-	sent := in.roundTrip(sendCtx, in.relay.Transport, &in.relay.ConnectTimeout, in.outbound(sendCtx, grant.Address, grant.Server))
+	chosen := choice{at: grant.ChosenAt, cold: grant.Cold}
+	sent := in.roundTrip(sendCtx, in.relay.Transport, &in.relay.ConnectTimeout, chosen, in.outbound(sendCtx, grant.Address, grant.Server))
 	response, result := sent.response, sent.Result
 	if response != nil && in.relay.Dialect.isForeign(response, in.id) {
 		// Not even a refusal counts: it says nothing about this request.
@@ -148,17 +149,18 @@
 // roundTrip sends the request and waits for the header of the answer. The result says
 // whether anything reached the other end: once a byte of the request's header may have
 // been written, it is never ResultDialFailed or ResultDialTimeout.
-func (in *inbound) roundTrip(ctx context.Context, transport http.RoundTripper, timeout *ConnectTimeout, request *http.Request) sendResult {
+func (in *inbound) roundTrip(ctx context.Context, transport http.RoundTripper, timeout *ConnectTimeout, chosen choice, request *http.Request) sendResult {
 	body, err := in.body.open()
 	if err != nil {
 		return sendResult{RequestSent: reducer.RequestSent{Result: routing.ResultUnused, Evidence: relay.EvidenceNothingWritten, Cause: err.Error()}}
 	}
 	request.Body = body
-	connect := &connectAttempt{id: in.id, now: in.relay.Node.Clock.Now, timeout: timeout, onConnected: func() { in.caller.enter(stageServer) }, mayWrite: in.mayWrite}
+	connect := &connectAttempt{id: in.id, now: in.relay.Node.Clock.Now, timeout: timeout, onConnected: func() { in.caller.enter(stageServer) }, mayWrite: in.mayWrite, chosen: chosen}
 	in.caller.enter(stageConnect)
 	response, err := connect.roundTrip(transport, request)
 	sent := sendResult{response: response, connect: connect}
 	sent.ConnectTime = time.Duration(connect.dialTook.Load())
+	connect.noteAnswer(response)
 	if err != nil {
 		sent.Cause = err.Error()
 	}
@@ -178,6 +180,8 @@
 		sent.Result = routing.ResultError
 	case err == nil:
 		sent.Result = routing.ResultOK
+	case !headerWritten && connect.withheld.Load():
+		sent.Result = routing.ResultWithheld
 	case !headerWritten && in.baseContext.Err() == nil && ctx.Err() == nil && connect.timedOut.Load():
 		sent.Result, sent.Cause = routing.ResultDialTimeout, fmt.Sprintf("no connection within %v", connect.limit)
 	case !headerWritten && in.baseContext.Err() == nil && ctx.Err() == nil:
--- a/internal/callerhttp/serverconn.go
+++ b/internal/callerhttp/serverconn.go
@@ -2,10 +2,13 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
+
+	"github.com/heatherwood/heatherwood/internal/tcp"
 )
 
 // serverConn is a connection to a server or another VM. It asks the request that it was given to
@@ -16,6 +19,13 @@
 	attempt    atomic.Pointer[connectAttempt] // whose first byte is not written yet; nil for none
 	unanswered atomic.Bool                    // a request was given to it, and no byte of its answer has come
 
+	contacts    *contacts // that follow it; nil for a connection to another VM
+	contact     *contact
+	socket      tcp.Socket
+	used        bool         // a request was given to it; guarded by contacts
+	lastByteAt  atomic.Int64 // nanoseconds since 1970; the opening counts
+	closeStated atomic.Bool  // the other end said that it closes the connection
+
 	mutex   sync.Mutex
 	refused []string // ids of the requests that were refused on it last, at most maxRefused
 }
@@ -46,6 +56,7 @@
 var (
 	errNotSent       = errors.New("the request was given up before it was sent")
 	errRefusedBefore = errors.New("the request was refused on this connection before")
+	errWithheld      = errors.New("the server may have started again since it was chosen")
 )
 
 // newServerConn wraps what a dial returned.
@@ -63,12 +74,41 @@
 			return 0, err
 		}
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.noteEnd(err)
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *serverConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 && c.contacts != nil {
+		c.lastByteAt.Store(c.contacts.clock.Now().UnixNano())
+	}
+	c.noteEnd(err)
+	return n, err
+}
+
+// noteEnd tells the contacts if the error shows that the other end has ended the connection.
+func (c *serverConn) noteEnd(err error) {
+	if err != nil && c.contacts != nil && !errors.Is(err, net.ErrClosed) {
+		c.contacts.ended(c, endOf(err))
+	}
+}
+
+func endOf(err error) string {
+	if errors.Is(err, io.EOF) {
+		return "closed"
+	}
+	return "reset"
 }
 
 // Close implements net.Conn. An orderly close would let the request arrive first, however long
 // it still waits on the way, and a server would run it for nobody.
 func (c *serverConn) Close() error {
+	if c.contacts != nil {
+		c.contacts.remove(c)
+	}
 	if socket, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok && c.unanswered.Load() {
 		if err := socket.SetLinger(0); err != nil {
 			return errors.Join(err, c.Conn.Close())
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -27,8 +27,9 @@
 
 	OpenOnly bool // send on an open connection only: no new one can be opened
 
-	Cold bool   // the server counts as cold
-	Word string // on whose word it counts as cold or warm
+	ChosenAt time.Time // by the entry itself; zero for a slot of an owner
+	Cold     bool      // the server counts as cold
+	Word     string    // on whose word it counts as cold or warm
 
 	Limit routing.Limit // of the server, as the owner knows it
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -93,6 +93,20 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_sends_total{evidence=%q}`, evidence)).Inc()
 }
 
+// CountQuestion counts a health check that asked a server whether it is cold, by the answer.
+func (m *Metrics) CountQuestion(a reducer.ServerAnswered) {
+	answer := "warm"
+	switch {
+	case a.Why != "":
+		answer = "none"
+	case a.ID != a.Question.Server:
+		answer = "another-server"
+	case a.ColdFor > 0:
+		answer = "cold"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_server_questions_total{answer=%q}`, answer)).Inc()
+}
+
 // CountBelief counts a send to a server by whether it counted as cold, and on whose word.
 func (m *Metrics) CountBelief(cold bool, word string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_sends_by_belief_total{cold="%v",word=%q}`, cold, word)).Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,13 @@
 	// returns how that failed, or "". It is set before Start.
 	ProbeServer func(address string) reach.Failure
 
+	// AskServer asks a backend server by a health check whether it is cold. It is set before Start.
+	AskServer func(reducer.ServerQuestion) reducer.ServerAnswered
+
+	// OpenContacts returns the addresses of the backend servers to which a connection is open. It
+	// is set before Start.
+	OpenContacts func() []string
+
 	mutex         sync.Mutex // guards state and keeps its effects in order
 	state         *reducer.State
 	view          atomic.Pointer[reducer.View]
@@ -334,6 +341,10 @@
 		n.rosterFile.setPending(e)
 	case reducer.ProbeServer:
 		n.probe(e.Probe)
+	case reducer.AskServer:
+		n.ask(e.Question)
+	case reducer.CheckContacts:
+		n.checkContacts(e.At)
 	case reducer.AbandonSend:
 		n.calls.abandon(e.Call)
 	case reducer.Log:
@@ -355,6 +366,26 @@
 	})
 }
 
+// ask asks a server in the background and reports the answer.
+func (n *Node) ask(q reducer.ServerQuestion) {
+	if n.AskServer == nil {
+		return
+	}
+	n.startGoroutine(func() {
+		answer := n.AskServer(q)
+		n.Metrics.CountQuestion(answer)
+		n.Apply(answer)
+	})
+}
+
+// checkContacts looks in the background to which servers connections are open.
+func (n *Node) checkContacts(at time.Time) {
+	if n.OpenContacts == nil {
+		return
+	}
+	n.startGoroutine(func() { n.Apply(reducer.ContactsOpen{At: at, Addresses: n.OpenContacts()}) })
+}
+
 func (n *Node) logEvent(e reducer.Log) {
 	info := e.Code.Info()
 	level, err := zerolog.ParseLevel(info.Level)
--- a/internal/placing/cache.go
+++ b/internal/placing/cache.go
@@ -16,7 +16,7 @@
 // caches spares a decision from looking at all servers. They hold only what follows from
 // the servers of the pool.
 type caches struct {
-	cold    []*Server               // those that may be cold
+	cold    []*Server               // those that are or may be cold
 	orders  map[orderKey]topServers // first servers in the order of an object; emptied when a server is replaced, closed, or turns cold or warm
 	runners map[string][]*Server    // those that may have run an object recently
 }
@@ -31,32 +31,43 @@
 	clear(p.orders)
 	p.cold = p.cold[:0]
 	for _, s := range p.Servers {
-		if !s.ColdUntil.IsZero() || !s.presumedColdUntil.IsZero() {
+		s.inColdOrder = !s.ColdUntil.IsZero() || !s.heardColdUntil.IsZero()
+		if s.inColdOrder || s.doubt.open {
 			p.cold = append(p.cold, s)
 		}
 	}
 }
 
-// refreshCold staggers the first requests to servers that became cold, and drops those
-// that are warm again.
+// refreshCold staggers the first requests to servers that became or may be cold, and drops
+// those that are warm.
 func (p *Pool) refreshCold(now time.Time) {
-	warm := func(s *Server) bool {
-		cold := s.isCold(now)
-		s.delayFirstCold(p.Policy, cold, now)
-		return !cold
-	}
-	before := len(p.cold)
-	if p.cold = slices.DeleteFunc(p.cold, warm); len(p.cold) != before {
+	warmed := false
+	p.cold = slices.DeleteFunc(p.cold, func(s *Server) bool {
+		if s.inColdOrder && !s.isCold(now) {
+			s.inColdOrder, warmed = false, true
+		}
+		paced := s.isPaced(now)
+		s.delayFirstCold(p.Policy, paced, now)
+		return !paced
+	})
+	if warmed {
 		clear(p.orders)
 	}
 }
 
-// markCold adds a server that counts as cold from now on.
+// markCold notes that a server counts as cold from now on.
 func (p *Pool) markCold(s *Server) {
+	p.markPaced(s)
+	s.inColdOrder = true
+	clear(p.orders)
+}
+
+// markPaced notes that a server gets only the rate of a cold one from now on. One that only may be
+// cold keeps its place in the orders of objects.
+func (p *Pool) markPaced(s *Server) {
 	if !slices.Contains(p.cold, s) {
 		p.cold = append(p.cold, s)
 	}
-	clear(p.orders)
 }
 
 // orderOf returns the first servers in the order of an object, within a region unless
--- a/internal/placing/cut.go
+++ b/internal/placing/cut.go
@@ -14,7 +14,10 @@
 		cut := slices.Contains(p.cut, s.Domain)
 		if s.cut && !cut {
 			s.Clear()
-			s.refusedDial, s.failureRate, s.slowness = false, 0, 1
+			s.failureRate, s.slowness = 0, 1
+			if !s.CanAsk {
+				s.doubt = doubt{} // it would last for the whole cold time
+			}
 		}
 		s.cut = cut
 	}
--- /dev/null
+++ b/internal/placing/doubt.go
@@ -0,0 +1,154 @@
+package placing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// doubt is that a server may have started again, and be cold, without word of it: the
+// connections of this VM to it broke or were refused, or the VM stood still.
+type doubt struct {
+	open     bool
+	since    time.Time
+	until    time.Time
+	answered bool // a good answer has come since then, which bounds the start
+	wanted   bool // a request would have gone there since the last question
+	asked    int  // questions since the doubt began
+	askDue   time.Time
+}
+
+// maxDoubt is the time after which word of a new start has come in any case; the server's next one
+// would be another matter.
+const maxDoubt = 30 * time.Second
+
+// maxAnswerAge is the age up to which an answer shows that the server has not started again, on a
+// VM that hears nothing from others.
+const maxAnswerAge = 2 * time.Second
+
+// Times of the questions to one server.
+const (
+	askTurn       = 5 * time.Millisecond   // between the first questions of two VMs: the answer to one may reach the others
+	firstAskAgain = 250 * time.Millisecond // after a question without a good answer; doubled each time
+	maxAskAgain   = 2 * time.Second
+)
+
+func (d *doubt) lasts(now time.Time) bool {
+	return d.open && now.Before(d.until)
+}
+
+// noteAnswer notes a good answer: the server started before it, and is cold for no longer than the
+// cold time.
+func (d *doubt) noteAnswer(coldTime time.Duration, now time.Time) {
+	if d.open && !d.answered {
+		d.answered, d.until = true, now.Add(coldTime)
+	}
+}
+
+// doubt limits the server to the rate of a cold one until it is known whether it started again. It
+// returns whether that is new.
+func (p *Pool) doubt(s *Server, now time.Time) bool {
+	if p.Policy.ColdRate <= 0 {
+		return false
+	}
+	if s.doubt.lasts(now) && !s.doubt.answered {
+		s.doubt.since, s.doubt.until = now, now.Add(maxDoubt)
+		return false
+	}
+	if !s.isPaced(now) {
+		s.coldPaced = false
+	}
+	s.doubt = doubt{open: true, since: now, until: now.Add(maxDoubt), askDue: now.Add(askTurn * time.Duration(p.Policy.ColdEntryIndex))}
+	p.markPaced(s)
+	s.delayFirstCold(p.Policy, true, now)
+	return true
+}
+
+// LoseContact takes the server at an address for one that may have started again, and returns
+// it, or nil if there is none, it was taken for that before, or its rate is not limited while it is cold.
+func (p *Pool) LoseContact(address string, now time.Time) *Server {
+	i := slices.IndexFunc(p.Servers, func(s *Server) bool { return s.Address == address })
+	if i < 0 || !p.doubt(p.Servers[i], now) {
+		return nil
+	}
+	return p.Servers[i]
+}
+
+// DoubtAll does so for all servers that are not taken for one already, if they have started again
+// before now.
+func (p *Pool) DoubtAll(now time.Time) {
+	for _, s := range p.Servers {
+		if !s.doubt.lasts(now) && p.doubt(s, now) {
+			s.doubt.noteAnswer(p.coldTime(), now)
+		}
+	}
+}
+
+// coldTime returns how long a server that started just now may be cold.
+func (p *Pool) coldTime() time.Duration { return max(p.Policy.ColdTime, PresumedColdTime) }
+
+// KeepContacts ends the doubts of a DoubtAll for servers to which connections are open.
+func (p *Pool) KeepContacts(addresses []string, since time.Time) {
+	open := make(map[string]bool, len(addresses))
+	for _, address := range addresses {
+		open[address] = true
+	}
+	for _, s := range p.Servers {
+		if s.doubt.since.Equal(since) && open[s.Address] {
+			s.doubt = doubt{}
+		}
+	}
+}
+
+// noteWanted notes that the request might go to the server if it were known to be warm. While no
+// word reaches this VM, that is known only from the server's own answers.
+func (p *Pool) noteWanted(s *Server, req Request, now time.Time) {
+	if s.cut || !s.eligible(req) {
+		return
+	}
+	if p.Policy.Isolated && !s.doubt.lasts(now) && now.Sub(s.answeredAt) > maxAnswerAge {
+		p.doubt(s, now)
+	}
+	s.doubt.wanted = s.doubt.lasts(now)
+}
+
+// Questions returns at most so many servers that are to be asked now whether they are cold.
+func (p *Pool) Questions(limit int, now time.Time) []*Server {
+	var due []*Server
+	for _, s := range p.cold {
+		if s.doubt.lasts(now) && s.doubt.wanted && !now.Before(s.doubt.askDue) {
+			due = append(due, s)
+		}
+	}
+	if len(due) > limit {
+		slices.SortStableFunc(due, func(a, b *Server) int { return cmp.Compare(a.doubt.asked, b.doubt.asked) })
+		due = due[:limit]
+	}
+	for _, s := range due {
+		s.doubt.wanted = false
+		s.doubt.askDue = now.Add(min(firstAskAgain<<min(s.doubt.asked, 8), maxAskAgain))
+		s.doubt.asked++
+	}
+	return due
+}
+
+// TakeAnswer takes the server's answer to a question of a time: how long it stays cold. It returns
+// false if the answer says nothing, because contact was lost again since then.
+func (p *Pool) TakeAnswer(s *Server, askedAt time.Time, coldFor time.Duration, now time.Time) bool {
+	if !s.doubt.open || askedAt.Before(s.doubt.since) {
+		return false
+	}
+	s.doubt, s.answeredAt = doubt{}, now
+	if coldFor > 0 {
+		s.heardColdUntil, s.heardColdAt = now.Add(coldFor), now
+		p.markCold(s)
+	}
+	return true
+}
+
+// keepPace keeps the pace of the record that a newer one replaces: both may be of one process.
+func (s *Server) keepPace(replaced *Server) {
+	if replaced != nil && replaced.coldPaced {
+		s.nextColdSend, s.coldPaced = replaced.nextColdSend, true
+	}
+}
--- /dev/null
+++ b/internal/placing/doubt_test.go
@@ -0,0 +1,160 @@
+package placing
+
+import (
+	"testing"
+	"time"
+
+	"github.com/heatherwood/heatherwood/internal/roster"
+	"github.com/heatherwood/heatherwood/internal/routing"
+)
+
+// doubtPool returns a pool of one server, which stays cold for three seconds after a start.
+func doubtPool(policy Policy) (*Pool, ServerInfo) {
+	policy.Service, policy.ColdTime = "web", 3*time.Second
+	p := NewPool(policy, site(0))
+	info := ServerInfo{ID: "s1", Address: "a", Start: 1, Slots: 9, Site: site(0)}
+	p.Update([]ServerInfo{info})
+	return p, info
+}
+
+// serve sends a request if one may be sent, and returns whether it was.
+func serve(p *Pool, now time.Time) bool {
+	choice := p.Choose(Request{Class: "page", Object: "o", Remaining: 10 * time.Second, Target: 10 * time.Second}, now)
+	if choice.Server == nil {
+		return false
+	}
+	p.Begin(choice.Server, now)
+	p.End(choice.Server, Outcome{Class: "page", Result: routing.ResultOK}, now)
+	return true
+}
+
+// sentWithin counts the requests that a VM sends in a time if callers want one each 10 ms.
+func sentWithin(p *Pool, from time.Time, length time.Duration) int {
+	sent := 0
+	for at := time.Duration(0); at < length; at += 10 * time.Millisecond {
+		if serve(p, from.Add(at)) {
+			sent++
+		}
+	}
+	return sent
+}
+
+func TestServerThatMayHaveStartedAgainGetsTheRateOfAColdOne(t *testing.T) {
+	tests := map[string]struct {
+		event func(*Pool, ServerInfo, time.Time)
+		most  int // requests in the second that follows
+		least int
+	}{
+		"nothing happened":                 {event: func(*Pool, ServerInfo, time.Time) {}, most: 100, least: 100},
+		"contact lost":                     {event: func(p *Pool, _ ServerInfo, now time.Time) { p.LoseContact("a", now) }, most: 1, least: 1},
+		"contact with another server lost": {event: func(p *Pool, _ ServerInfo, now time.Time) { p.LoseContact("b", now) }, most: 100, least: 100},
+		"VM stood still":                   {event: func(p *Pool, _ ServerInfo, now time.Time) { p.DoubtAll(now) }, most: 1, least: 1},
+		"VM stood still, connection open": {event: func(p *Pool, _ ServerInfo, now time.Time) {
+			p.DoubtAll(now)
+			p.KeepContacts([]string{"a"}, now)
+		}, most: 100, least: 100},
+		"contact lost after a connection was found open": {event: func(p *Pool, _ ServerInfo, now time.Time) {
+			p.DoubtAll(now.Add(-time.Second))
+			p.LoseContact("a", now)
+			p.KeepContacts([]string{"a"}, now.Add(-time.Second))
+		}, most: 1, least: 1},
+		"says that it is warm": {event: func(p *Pool, _ ServerInfo, now time.Time) {
+			p.LoseContact("a", now)
+			p.TakeAnswer(p.Servers[0], now, 0, now)
+		}, most: 100, least: 100},
+		"says that it is cold": {event: func(p *Pool, _ ServerInfo, now time.Time) {
+			p.LoseContact("a", now)
+			p.TakeAnswer(p.Servers[0], now, 3*time.Second, now)
+		}, most: 1, least: 1},
+		"said that it is warm before contact was lost again": {event: func(p *Pool, _ ServerInfo, now time.Time) {
+			p.LoseContact("a", now.Add(-time.Second))
+			p.LoseContact("a", now)
+			p.TakeAnswer(p.Servers[0], now.Add(-time.Second), 0, now)
+		}, most: 1, least: 1},
+		"its start is announced while it is paced": {event: func(p *Pool, info ServerInfo, now time.Time) {
+			p.LoseContact("a", now)
+			serve(p, now)
+			info.Start, info.ColdUntil = 2, now.Add(3*time.Second)
+			p.Update([]ServerInfo{info})
+		}, most: 0, least: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, info := doubtPool(Policy{ColdRate: 1 / 1.02})
+			serve(p, start)
+			now := start.Add(5 * time.Second)
+			test.event(p, info, now)
+			if sent := sentWithin(p, now, time.Second); sent < test.least || sent > test.most {
+				t.Errorf("%d requests in a second, want %d to %d", sent, test.least, test.most)
+			}
+		})
+	}
+}
+
+func TestDoubtEndsOnceTheServerIsWarmInAnyCase(t *testing.T) {
+	p, _ := doubtPool(Policy{ColdRate: 1 / 1.02})
+	p.LoseContact("a", start)
+	if !serve(p, start.Add(10*time.Second)) {
+		t.Fatal("nothing was sent after ten seconds")
+	}
+	answered := start.Add(10 * time.Second)
+	if sent := sentWithin(p, answered.Add(10*time.Millisecond), 2900*time.Millisecond); sent > 3 {
+		t.Errorf("%d requests in the cold time after its first answer, want at most 3", sent)
+	}
+	if sent := sentWithin(p, answered.Add(3*time.Second), 100*time.Millisecond); sent != 10 {
+		t.Errorf("%d of 10 requests after it", sent)
+	}
+}
+
+func TestManyVMsStaggerRequestsToAServerThatMayHaveStartedAgain(t *testing.T) {
+	const vms, rate = 84, 10.1
+	arrivals := make(map[int]int) // by tenth of a second
+	for i := range vms {
+		p, _ := doubtPool(Policy{ColdRate: rate / vms * 0.4, ColdEntries: vms, ColdEntryIndex: i, Entries: vms})
+		serve(p, start)
+		p.LoseContact("a", start.Add(time.Second))
+		for at := range 50 {
+			if serve(p, start.Add(time.Second+time.Duration(at)*100*time.Millisecond)) {
+				arrivals[at]++
+			}
+		}
+	}
+	const coldTenths = 30
+	for first := range coldTenths - 9 {
+		sum := 0
+		for at := first; at < first+10; at++ {
+			sum += arrivals[at]
+		}
+		if float64(sum) > rate {
+			t.Errorf("%d requests in the second from %d00 ms on, %v allowed", sum, first, rate)
+		}
+	}
+}
+
+func TestServersAreAskedOnlyAsFarAsRequestsWantThem(t *testing.T) {
+	p, _ := doubtPool(Policy{ColdRate: 1, Entries: 10, ColdEntryIndex: 9})
+	p.LoseContact("a", start)
+	if asked := p.Questions(16, start.Add(time.Second)); len(asked) != 0 {
+		t.Error("asked though no request wants it")
+	}
+	serve(p, start)
+	if asked := p.Questions(16, start); len(asked) != 0 {
+		t.Error("the last of ten VMs asks at once")
+	}
+	if asked := p.Questions(0, start.Add(time.Second)); len(asked) != 0 {
+		t.Error("more servers asked than allowed")
+	}
+	count := 0
+	for i := range 100 {
+		now := start.Add(time.Second + time.Duration(i)*50*time.Millisecond)
+		p.Choose(Request{Class: "page", Remaining: time.Second, Target: time.Second}, now)
+		count += len(p.Questions(16, now))
+		p.LoseContact("a", now) // as a question that is refused does
+	}
+	if count < 3 || count > 6 {
+		t.Errorf("asked %d times in 5 s without an answer, want 3 to 6", count)
+	}
+	if cold, word := p.Servers[0].Cold(start.Add(6 * time.Second)); !cold || word.Source != roster.FromConnection {
+		t.Errorf("counts as cold: %v, on the word of %q", cold, word.Source)
+	}
+}
--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -15,7 +15,7 @@
 	if s.Limit.Named {
 		s.quota.use(now)
 	}
-	if s.isCold(now) && p.Policy.ColdRate > 0 {
+	if s.isPaced(now) && p.Policy.ColdRate > 0 {
 		s.paceCold(p.Policy.ColdRate, now)
 	}
 }
@@ -54,7 +54,8 @@
 	case routing.ResultOK:
 		p.learnRunTimes(s, e, now)
 		s.ResetFailures()
-		p.paceReturned(s, now)
+		s.answeredAt = now
+		s.doubt.noteAnswer(p.coldTime(), now)
 		s.failureRate -= failureWeight * s.failureRate
 	case routing.ResultError, routing.ResultBroken:
 		s.failureRate += failureWeight * (1 - s.failureRate)
@@ -65,28 +66,18 @@
 		s.othersLoad, s.othersReportedAt = max(s.othersLoad, float64(s.Slots)*(1+maxQueuePerSlot)), now
 		s.EndProbe()
 	case routing.ResultDialFailed:
-		s.refusedDial = true
+		p.doubt(s, now)
 		s.countFailure(now, 1)
 	case routing.ResultDialTimeout:
-		s.countFailure(now, dialTimeoutsToEject)
+		if s.countFailure(now, dialTimeoutsToEject); s.Ejected(now) {
+			p.doubt(s, now)
+		}
 	case routing.ResultTimeout:
 		s.countFailure(now, failuresToEject)
 		s.slowness += slownessWeight * (maxSlowness - s.slowness)
 	}
 }
 
-// paceReturned limits a server that answers again after it refused connections
-// to the rate of a cold one for PresumedColdTime: it may have restarted, and its
-// announcement may not have arrived yet.
-func (p *Pool) paceReturned(s *Server, now time.Time) {
-	if s.refusedDial && p.Policy.ColdRate > 0 {
-		s.presumedColdUntil, s.presumedColdAt = now.Add(PresumedColdTime), now
-		p.markCold(s)
-		s.paceCold(p.Policy.ColdRate, now)
-	}
-	s.refusedDial = false
-}
-
 // recordLoad stores the load of other entries: what the server reported less the
 // requests of this entry.
 func (s *Server) recordLoad(load Load, now time.Time) {
@@ -110,7 +101,7 @@
 			s.evictOldestObject()
 		}
 	}
-	if !e.Unqueued || s.isCold(now) {
+	if !e.Unqueued || s.isPaced(now) {
 		return
 	}
 	run := max(e.Latency.Seconds()-2*p.oneWay(s), 0.001)
--- a/internal/placing/load_test.go
+++ b/internal/placing/load_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/heatherwood/heatherwood/internal/roster"
 	"github.com/heatherwood/heatherwood/internal/routing"
 )
 
@@ -288,8 +289,8 @@
 }
 
 // One connection that times out may be due to a full link of this VM; a server
-// whose connections time out several times in a row is ejected. Neither counts as
-// a restart of the server.
+// whose connections time out several times in a row is ejected, and may have started again
+// when it is back, unless it says that it is warm.
 func TestDialTimeouts(t *testing.T) {
 	p := NewPool(Policy{Service: "s", ColdRate: 5}, site(0))
 	p.Update([]ServerInfo{{ID: "s1", Address: "a", Start: 1, Slots: 9, Site: site(0)}})
@@ -307,7 +308,22 @@
 	if choice := p.Choose(req, start); choice.Server != nil {
 		t.Error("chosen after two connections in a row timed out")
 	}
-	if s.refusedDial {
-		t.Error("a connection that timed out counts as refused")
+	back := start.Add(backoff.Max)
+	if cold, word := s.Cold(back); !cold || word.Source != roster.FromConnection {
+		t.Errorf("counts as cold: %v, on the word of %q", cold, word.Source)
+	}
+	if asked := p.Questions(1, back); len(asked) != 1 || !p.TakeAnswer(s, back, 0, back) || s.isPaced(back) {
+		t.Errorf("%d servers asked; warm as it says: %v", len(asked), !s.isPaced(back))
+	}
+}
+
+// A single connection that times out is no sign of a restart.
+func TestOneDialTimeoutRaisesNoDoubt(t *testing.T) {
+	p := NewPool(Policy{Service: "s", ColdRate: 5}, site(0))
+	p.Update([]ServerInfo{{ID: "s1", Address: "a", Start: 1, Slots: 9, Site: site(0)}})
+	p.Begin(p.Servers[0], start)
+	p.End(p.Servers[0], Outcome{Class: "page", Result: routing.ResultDialTimeout}, start)
+	if p.Servers[0].isPaced(start) {
+		t.Error("the server is limited after one connection timed out")
 	}
 }
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -14,10 +14,13 @@
 // Policy holds what the steering document says about one service.
 type Policy struct {
 	Service  string
-	ColdRate float64 // requests per second that this entry may send to a cold server; 0 means no limit
+	ColdRate float64       // requests per second that this entry may send to a cold server; 0 means no limit
+	ColdTime time.Duration // for which a server is cold after its start
 
 	Demand map[string]float64 // by region, in any unit; nil where objects have no homes
 
+	Isolated bool // no other VM is heard, so that word of servers does not come
+
 	Entries int // VMs that send to the servers; 0 if unknown
 
 	ColdEntries    int // entries among which first requests to a cold server are staggered; 0 where each may start at once
@@ -176,13 +179,18 @@
 	for _, si := range infos {
 		s := p.Find(si.ID)
 		if s == nil || s.Start != si.Start || s.Address != si.Address {
+			replaced := s
 			s = &Server{idHash: xxhash.Sum64String(si.ID), slowness: 1, meanRunRatio: 1, objectAnsweredAt: make(map[string]time.Time)}
+			s.keepPace(replaced)
+		}
+		if si.ColdUntil.After(s.ColdUntil) && si.Word.At.After(s.doubt.since) {
+			s.doubt = doubt{}
 		}
 		if si.ColdUntil.After(s.ColdUntil) && !s.ColdUntil.IsZero() {
 			clear(s.objectAnsweredAt)
 		}
 		s.ID, s.Address, s.Start, s.Slots = si.ID, si.Address, si.Start, max(1, si.Slots)
-		s.ColdUntil, s.Word, s.Closed, s.Site = si.ColdUntil, si.Word, si.Closed, si.Site
+		s.ColdUntil, s.Word, s.Closed, s.CanAsk, s.Site = si.ColdUntil, si.Word, si.Closed, si.CanAsk, si.Site
 		s.cut = slices.Contains(p.cut, si.Domain)
 		s.setLimit(si.Limit)
 		s.inOwnRegion = si.Region == p.Own.Region
@@ -303,6 +311,7 @@
 		if stay := s.StayAway(now); stay > 0 && s.eligible(req) {
 			result.wait(stay)
 		}
+		p.noteWanted(s, req, now)
 		if !s.usable(req, now) || s.unresponsive(usual, req, now) || s.Probing() && !s.cut && p.probeBudget < 1 && !p.allProbing(now) {
 			continue
 		}
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -18,32 +18,35 @@
 	ColdUntil time.Time // end of the time in which its caches count as cold
 	Word      roster.Word
 	Closed    bool // gets no new requests
+	CanAsk    bool // it can be asked whether it is cold
 	Site
 	routing.Ejection
 	routing.Notices
 	Limit    routing.Limit // of the requests of all VMs
 	BadLimit string        // text in its last answer to this VM that is no limit
 
-	cut               bool    // this VM cannot connect to its failure domain, while others can
-	limitWeight       float64 // in the orders of objects, while it names a limit; otherwise 0
-	quota             quota
-	idHash            uint64
-	inOwnRegion       bool                 // in the region of the entry
-	running           int                  // requests sent by this entry that have not ended
-	partial           int                  // of these, requests whose callers still send their bodies
-	othersLoad        float64              // requests of other entries, as last reported
-	othersReportedAt  time.Time            // of othersLoad
-	meanOthersLoad    float64              // moving average of othersLoad
-	slowness          float64              // moving average of the ratio of warm runs to the usual warm run
-	meanRunRatio      float64              // moving average of the ratio of all runs, warm or cold, to the usual warm run; a queued request waits for such runs
-	silentSince       time.Time            // time of the last answer, or of the first send to an idle server
-	failureRate       float64              // moving average of the share of failed answers
-	refusedDial       bool                 // it refused a connection since its last good answer
-	presumedColdUntil time.Time            // end of the time in which it counts as cold after a refused connection
-	presumedColdAt    time.Time            // since when it does
-	nextColdSend      time.Time            // earliest next request while it is cold
-	coldPaced         bool                 // nextColdSend is set for the present cold period
-	objectAnsweredAt  map[string]time.Time // time of the last good answer, by object
+	cut              bool    // this VM cannot connect to its failure domain, while others can
+	limitWeight      float64 // in the orders of objects, while it names a limit; otherwise 0
+	quota            quota
+	idHash           uint64
+	inOwnRegion      bool      // in the region of the entry
+	running          int       // requests sent by this entry that have not ended
+	partial          int       // of these, requests whose callers still send their bodies
+	othersLoad       float64   // requests of other entries, as last reported
+	othersReportedAt time.Time // of othersLoad
+	meanOthersLoad   float64   // moving average of othersLoad
+	slowness         float64   // moving average of the ratio of warm runs to the usual warm run
+	meanRunRatio     float64   // moving average of the ratio of all runs, warm or cold, to the usual warm run; a queued request waits for such runs
+	silentSince      time.Time // time of the last answer, or of the first send to an idle server
+	failureRate      float64   // moving average of the share of failed answers
+	doubt            doubt
+	answeredAt       time.Time            // last good answer, or answer to a question
+	heardColdUntil   time.Time            // end of its cold time by its answer to a question
+	heardColdAt      time.Time            // of that answer
+	inColdOrder      bool                 // it is left out of the orders of objects because it is cold
+	nextColdSend     time.Time            // earliest next request while it is cold
+	coldPaced        bool                 // nextColdSend is set for the present cold period or doubt
+	objectAnsweredAt map[string]time.Time // time of the last good answer, by object
 }
 
 // ServerInfo describes a server to Pool.Update; its fields are as in Server.
@@ -56,6 +59,7 @@
 	Word      roster.Word // of ColdUntil
 	Closed    bool
 	Limit     routing.Limit
+	CanAsk    bool // it can be asked whether it is cold
 	Site
 }
 
@@ -75,7 +79,7 @@
 		s.StayAway(now) == 0 &&
 		!s.Ejected(now) &&
 		!(s.Probing() && s.running > 0) &&
-		!(s.isCold(now) && now.Before(s.nextColdSend))
+		s.MayPace(now)
 }
 
 // unresponsive reports whether the server has running requests, sent to it whole, and answered
@@ -114,21 +118,35 @@
 	return now.Sub(s.othersReportedAt)
 }
 
-// isCold reports whether the server announced that it is cold, or is presumed to be.
+// isCold reports whether the server said that it is cold.
 func (s *Server) isCold(now time.Time) bool {
-	return now.Before(s.ColdUntil) || now.Before(s.presumedColdUntil)
+	return now.Before(s.ColdUntil) || now.Before(s.heardColdUntil)
+}
+
+// isPaced reports whether the server gets only the rate of a cold one: it is or may be cold.
+func (s *Server) isPaced(now time.Time) bool { return s.isCold(now) || s.doubt.lasts(now) }
+
+// MayPace reports whether the rate of a cold server, if it applies, allows a request now.
+func (s *Server) MayPace(now time.Time) bool {
+	return !s.isPaced(now) || !now.Before(s.nextColdSend)
 }
 
 // Cold reports whether the server counts as cold, and on whose word and since when it is known
 // that it does or does not.
 func (s *Server) Cold(now time.Time) (bool, roster.Word) {
-	if !now.Before(s.ColdUntil) && now.Before(s.presumedColdUntil) {
-		return true, roster.Word{Source: roster.FromConnection, At: s.presumedColdAt}
+	switch {
+	case now.Before(s.ColdUntil):
+		return true, s.Word
+	case now.Before(s.heardColdUntil):
+		return true, roster.Word{Source: roster.FromAnswer, At: s.heardColdAt}
+	case s.doubt.lasts(now):
+		return true, roster.Word{Source: roster.FromConnection, At: s.doubt.since}
+	default:
+		return false, s.Word
 	}
-	return now.Before(s.ColdUntil), s.Word
 }
 
-// delayFirstCold delays the first request to a server that became cold, so that
+// delayFirstCold delays the first request to a server that became or may be cold, so that
 // the first requests of many entries are spread over the interval in which each
 // may send one.
 func (s *Server) delayFirstCold(policy Policy, cold bool, now time.Time) {
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -55,6 +55,7 @@
 	CodeDetour                Code = 1048
 	CodeCallerLeft            Code = 1049
 	CodeLibraryMessage        Code = 1050
+	CodeContact               Code = 1051
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -116,6 +117,7 @@
 	{CodeDetour, "info", "request passed on to another VM, or taken over for one, for want of a way to the servers"},
 	{CodeCallerLeft, "info", "caller left before its request was answered"},
 	{CodeLibraryMessage, "info", "HTTP library reports a fault of a connection"},
+	{CodeContact, "info", "backend server may have started again, or what it says about that"},
 }
 
 // Info returns the catalogue entry of a code.
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -61,6 +61,23 @@
 // ProbeServer opens a connection to a server, closes it, and reports ServerProbed.
 type ProbeServer struct{ Probe reach.Probe }
 
+// AskServer asks a server by a health check which one it is and how long it stays cold, and
+// reports ServerAnswered.
+type AskServer struct{ Question ServerQuestion }
+
+// ServerQuestion is a health check of a server.
+type ServerQuestion struct {
+	Server  string // id
+	Service string
+	Start   int64  // milliseconds since 1970, as far as known
+	Address string // host:port
+	Path    string
+	AskedAt time.Time
+}
+
+// CheckContacts looks to which servers connections are open, and reports ContactsOpen.
+type CheckContacts struct{ At time.Time }
+
 // AbandonSend gives up the send of a request to a server; the failed send is reported as
 // RequestSent.
 type AbandonSend struct{ Call uint64 }
@@ -81,17 +98,19 @@
 	Value any
 }
 
-func (SaveRoster) reducerEffect()   {}
-func (Decision) reducerEffect()     {}
-func (ProbeServer) reducerEffect()  {}
-func (AbandonSend) reducerEffect()  {}
-func (Transmit) reducerEffect()     {}
-func (SaveLog) reducerEffect()      {}
-func (Answer) reducerEffect()       {}
-func (LoadDocument) reducerEffect() {}
-func (PublishView) reducerEffect()  {}
-func (RecordAudit) reducerEffect()  {}
-func (Log) reducerEffect()          {}
+func (SaveRoster) reducerEffect()    {}
+func (Decision) reducerEffect()      {}
+func (ProbeServer) reducerEffect()   {}
+func (AskServer) reducerEffect()     {}
+func (CheckContacts) reducerEffect() {}
+func (AbandonSend) reducerEffect()   {}
+func (Transmit) reducerEffect()      {}
+func (SaveLog) reducerEffect()       {}
+func (Answer) reducerEffect()        {}
+func (LoadDocument) reducerEffect()  {}
+func (PublishView) reducerEffect()   {}
+func (RecordAudit) reducerEffect()   {}
+func (Log) reducerEffect()           {}
 
 // View is an immutable snapshot that package node reads without a lock: the
 // document, the plan and the entries of each failure domain.
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -147,6 +147,28 @@
 	Failure reach.Failure
 }
 
+// ContactLost reports that this VM has no connection to an address left, of which the last one
+// ended for no reason that the server stated, or that one was refused: the server may have started again.
+type ContactLost struct {
+	Address string
+	Why     string
+}
+
+// ContactsOpen reports the addresses of the servers to which connections are open, in answer
+// to the CheckContacts of a time.
+type ContactsOpen struct {
+	At        time.Time
+	Addresses []string
+}
+
+// ServerAnswered reports the result of AskServer; Why is empty unless there was no answer.
+type ServerAnswered struct {
+	Question ServerQuestion
+	ID       string        // of the server that answered
+	ColdFor  time.Duration // for which it stays cold
+	Why      string
+}
+
 // RequestEnded reports that package node has finished a request; after a
 // Stream step Result tells how the body ended.
 type RequestEnded struct {
@@ -201,6 +223,9 @@
 func (RequestWaited) reducerEvent()         {}
 func (RequestSlotAnswered) reducerEvent()   {}
 func (RequestSent) reducerEvent()           {}
+func (ContactLost) reducerEvent()           {}
+func (ContactsOpen) reducerEvent()          {}
+func (ServerAnswered) reducerEvent()        {}
 func (RequestEnded) reducerEvent()          {}
 func (RequestDetoured) reducerEvent()       {}
 func (ServerProbed) reducerEvent()          {}
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -156,6 +156,7 @@
 		Shifted: choice.Server.Domain != s.Settings.Domain,
 
 		OpenOnly: choice.Server.Cut(),
+		ChosenAt: s.now,
 		Cold:     cold,
 		Word:     string(word.Source),
 	}}, helper{}
@@ -178,9 +179,10 @@
 }
 
 // usesOpenConnections reports whether a request is sent to a server to which no new
-// connection can be opened: the first time, in case an open one is idle.
+// connection can be opened: the first time, in case an open one is idle. A cold one gets no more
+// than its rate on these either; another VM keeps to a share of its own.
 func (s *State) usesOpenConnections(r *relay.Request, server *placing.Server) bool {
-	return s.ways.Way(server.Domain) == reach.Kept && !r.AnyUnconnected()
+	return s.ways.Way(server.Domain) == reach.Kept && !r.AnyUnconnected() && server.MayPace(s.now)
 }
 
 // regionFilter returns the check of a route's allowed regions; nil, for a route
--- a/internal/reducer/placing_pools.go
+++ b/internal/reducer/placing_pools.go
@@ -75,6 +75,7 @@
 			s.placingPools[service.Name] = pool
 		}
 		s.limitColdRate(&pool.Policy, service.ColdRate)
+		pool.Policy.ColdTime = service.Cold.Std()
 		pool.Policy.Demand, pool.Policy.Entries = demand, s.entryCount
 		pool.Update(s.usableServers(service))
 	}
@@ -137,6 +138,7 @@
 			Slots:     entry.Slots,
 			ColdUntil: entry.ColdUntil,
 			Word:      entry.Word,
+			CanAsk:    entry.Health != "",
 			Closed:    s.isClosed(entry),
 			Limit:     entry.Limit,
 			Site:      placing.Site{Domain: entry.Domain, Region: region},
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -125,6 +125,7 @@
 
 	now           time.Time
 	startedAt     time.Time
+	heardAt       time.Time // last gossip of another VM; zero for none
 	lastTickAt    time.Time
 	planDue       time.Time
 	fetchTurn     int // selects the entry of a failure domain to ask for a document
@@ -247,6 +248,12 @@
 		s.handleSlotRequest(e)
 	case ServerProbed:
 		s.ways.Probed(e.Probe, e.Failure, now)
+	case ContactLost:
+		s.loseContact(e)
+	case ContactsOpen:
+		s.keepContacts(e)
+	case ServerAnswered:
+		s.takeAnswer(e)
 	case PeerUnreachable:
 		s.members.MarkUnreachable(e.Peer)
 	case LiftQuarantine:
@@ -319,6 +326,7 @@
 	s.tickRoster()
 	s.tickAllowances()
 	s.tickWays()
+	s.tickQuestions()
 	s.tickReplicaSet()
 	s.quarantine.RemoveExpired(s.now)
 	s.checkStale()
@@ -339,6 +347,7 @@
 	s.roster.ResetTimeouts(s.now)
 	s.allocator.Reset()
 	s.ways.Restart(s.now)
+	s.doubtAll()
 }
 
 func (s *State) receive(m Message) {
@@ -349,6 +358,7 @@
 			s.applyQuorumEffects(s.quorum.Receive(*m.Quorum, s.now))
 		}
 	case m.Gossip != nil:
+		s.heardAt = s.now
 		s.receiveGossip(*m.Gossip, m.Leader)
 		s.compareRoster(m)
 	case m.Servers != nil:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -304,6 +304,8 @@
 	case routing.ResultDialFailed, routing.ResultDialTimeout:
 		r.noConnection++
 		return r.retryUnsent(server, now)
+	case routing.ResultWithheld:
+		return r.retryWithheld(now)
 	case routing.ResultBroken:
 		r.mayHaveRun = true
 		r.runs++
@@ -375,11 +377,11 @@
 func (r *Request) ForbidRepeat() { r.runsOnce = true }
 
 func (r *Request) mayRetry(now time.Time) bool {
-	maxSends, maxRuns := maxTries, maxTries
+	maxRuns := maxTries
 	if r.Route != nil {
-		maxSends, maxRuns = r.Route.Tries+extraSends, r.Route.Tries
+		maxRuns = r.Route.Tries
 	}
-	return r.sends < maxSends && r.runs < maxRuns && r.Replayable && now.Before(r.Deadline)
+	return r.sends < r.maxSends() && r.runs < maxRuns && r.Replayable && now.Before(r.Deadline)
 }
 
 // retryElsewhere retries on another server within the deadline and the budget; a
@@ -396,17 +398,29 @@
 // reached a server, so the retry adds no load to the service and needs no budget, and the
 // body was not read.
 func (r *Request) retryUnsent(server string, now time.Time) Step {
-	maxSends := maxTries
-	if r.Route != nil {
-		maxSends = r.Route.Tries + extraSends
-	}
-	if r.sends < maxSends && now.Before(r.Deadline) {
+	if r.sends < r.maxSends() && now.Before(r.Deadline) {
 		r.excluded = append(r.excluded, server)
 		return r.requestSlot(now)
 	}
 	return r.endUnserved()
 }
 
+// retryWithheld chooses a server again, perhaps the same one, by what is known now.
+func (r *Request) retryWithheld(now time.Time) Step {
+	if r.sends < r.maxSends() && now.Before(r.Deadline) {
+		return r.requestSlot(now)
+	}
+	return r.endUnserved()
+}
+
+// maxSends returns how often the request may be sent, also if it certainly did not run.
+func (r *Request) maxSends() int {
+	if r.Route != nil {
+		return r.Route.Tries + extraSends
+	}
+	return maxTries
+}
+
 // endUnserved refuses a request that no server took.
 func (r *Request) endUnserved() Step {
 	if r.mayHaveRun {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -26,6 +26,8 @@
 	Silent   bool // it stopped announcing itself
 	Gone     bool // it ended; permanent for this start
 
+	Health string // path of its health checks, without a host; empty if unknown
+
 	Limit        routing.Limit // that it names in its answers
 	LimitVersion uint64        // rises with each change of Limit since the start; 0 if none was ever named
 }
--- a/internal/roster/word.go
+++ b/internal/roster/word.go
@@ -12,7 +12,8 @@
 	FromDisk   Source = "disk"   // saved before this VM started
 	FromOrder  Source = "order"  // its failure domain was opened again
 
-	FromConnection Source = "connection" // one of this VM was refused
+	FromConnection Source = "connection" // those of this VM broke or were refused, or it stood still
+	FromAnswer     Source = "answer"     // its answer to a health check of this VM
 )
 
 // Word tells from where and since when a VM knows the cold time of a server.
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -44,11 +44,12 @@
 	ResultCancelled                     // the caller closed the connection
 	ResultUnused                        // the grant was returned; nothing was sent
 	ResultDialTimeout                   // the connection timed out, perhaps because the link of this VM is full; nothing was sent
+	ResultWithheld                      // the server may have started again since it was chosen; nothing was sent
 )
 
 // String returns the name of the result in logs and the audit trail.
 func (r Result) String() string {
-	names := [...]string{"none", "ok", "error", "shed", "no-dial", "broken", "late", "cancelled", "unused", "dial-late"}
+	names := [...]string{"none", "ok", "error", "shed", "no-dial", "broken", "late", "cancelled", "unused", "dial-late", "withheld"}
 	if int(r) >= len(names) {
 		return "none"
 	}
@@ -57,7 +58,7 @@
 
 // MayHaveRun reports whether the request may have run on the server.
 func (r Result) MayHaveRun() bool {
-	return r != ResultShed && r != ResultDialFailed && r != ResultDialTimeout && r != ResultUnused
+	return r != ResultShed && r != ResultDialFailed && r != ResultDialTimeout && r != ResultUnused && r != ResultWithheld
 }
 
 // Server is an own backend server, or the slots borrowed from one of another
