A change of a limit or mark keeps the cold time of a server

Callers saw: a server counted as cold on all VMs, for as long as its last announcement of a cold time had said, whenever it named another limit, said that it leaves or turned silent, however long ago that announcement was. Cause: the record held keeps the cold time left as of its arrival; changes of other fields stored it again as of their own time, and sent it. Change: they store the cold time that is left. Measured: TestChangeOfAnotherFieldKeepsTheColdTime fails before (cold for 1m3s in place of 3s in all four cases) and passes now; go test ./internal/roster ./internal/reducer passes.

--- a/internal/roster/limit.go
+++ b/internal/roster/limit.go
@@ -23,7 +23,7 @@
 	if !fallsFar(held.Limit, limit) && now.Sub(held.limitedAt) < limitInterval {
 		return false
 	}
-	r := held.Record
+	r := held.outgoing(now)
 	r.Limit = limit
 	r.LimitVersion++
 	held.limitedAt = now
@@ -41,7 +41,7 @@
 	if r.Start != held.Start || held.Gone || !newerLimit(r, held.Record) {
 		return
 	}
-	merged := held.Record
+	merged := held.outgoing(now)
 	merged.Limit, merged.LimitVersion = r.Limit, r.LimitVersion
 	s.amend(held, merged, now)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -128,12 +128,12 @@
 	if held == nil || held.Start != start || held.Leaving || held.Gone {
 		return
 	}
-	r := held.Record
+	r := held.outgoing(now)
 	r.Leaving = true
 	s.amend(held, r, now)
 }
 
-// amend changes the record of an entry by something else than an announcement.
+// amend changes the record of an entry, as of now, by something else than an announcement.
 func (s *State) amend(held *Entry, r Record, now time.Time) {
 	announcedAt, word := held.announcedAt, held.Word
 	s.store(r, now)
@@ -146,7 +146,7 @@
 	if held == nil || held.Gone {
 		return
 	}
-	r := held.Record
+	r := held.outgoing(now)
 	r.Gone, r.Leaving = true, true
 	s.store(r, now)
 }
@@ -272,7 +272,7 @@
 		if e.Silent || e.Gone || e.announcedAt.IsZero() || now.Sub(e.announcedAt) < SilentAfter {
 			continue
 		}
-		r, word := e.Record, e.Word
+		r, word := e.outgoing(now), e.Word
 		r.Silent = true
 		s.store(r, now)
 		e.Word = word
