VMs that missed that a server turned cold learn it by comparing rosters

Callers saw: a cold server got more requests than its rate from VMs that took it for warm. Cause: word that a server turned cold within one start was sent once, and the digests by which VMs compare rosters left it out, so that a VM that missed it never learned of it. What a server says in its answer to a health check was known to the VM that asked only. An announcement of a new cold time while the last one, or a presumed one, still ran was not sent to other VMs at all. Change: Record.ColdVersion rises each time that a start turns cold, by an announcement or by TurnCold; it is part of the digest when above 0, and of two records the higher version holds. A record of a lower version, as earlier builds send, can't shorten the cold time. Word that another VM has told since the last tick is not sent again.

--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -240,6 +240,7 @@
 // domains.
 func (s *State) receiveServers(update ServerUpdate) {
 	s.recordsForAll = append(s.recordsForAll, s.roster.TakeUpdates()...)
+	s.dropCovered(update.Records)
 	s.roster.Merge(update.Records, s.now)
 	for _, r := range s.roster.TakeUpdates() {
 		switch entry := s.roster.Find(r.ID); {
@@ -252,6 +253,14 @@
 	s.markRosterChange()
 }
 
+// dropCovered drops what another VM has told since the last tick: all VMs that ask a server at
+// about the same time learn that it turned cold.
+func (s *State) dropCovered(told []roster.Record) {
+	s.recordsForAll = slices.DeleteFunc(s.recordsForAll, func(own roster.Record) bool {
+		return own.ColdVersion > 0 && slices.ContainsFunc(told, func(r roster.Record) bool { return r.ID == own.ID && r.Covers(own) })
+	})
+}
+
 // rosterLearnTime is the time after its start in which a VM compares its roster
 // with others for all failure domains at once, to learn all servers.
 const rosterLearnTime = 5 * time.Second
--- a/internal/reducer/session_test.go
+++ b/internal/reducer/session_test.go
@@ -31,6 +31,8 @@
 	servers      map[string]*sessionServer
 	warningsOnly bool
 	slowSync     time.Duration // beyond syncTime
+
+	passing func(from, to string, m Message) Message // changes what is sent; may be nil
 }
 
 type sessionVM struct {
@@ -266,6 +268,9 @@
 	if to == nil || s.cuts[from.settings.VM+">"+peer] {
 		return
 	}
+	if s.passing != nil {
+		message = s.passing(from.settings.VM, peer, message)
+	}
 	s.after(delay(from, to), func() {
 		if !s.cuts[from.settings.VM+">"+peer] {
 			s.apply(to, Received{Message: message})
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -30,6 +30,8 @@
 
 	Limit        routing.Limit // that it names in its answers
 	LimitVersion uint64        // rises with each change of Limit since the start; 0 if none was ever named
+
+	ColdVersion uint64 // rises each time that this start is known to have turned cold again
 }
 
 // Entry is a record with the local state of this VM about it.
@@ -113,6 +115,12 @@
 	if held != nil && !newer(r, held.Record) {
 		return false
 	}
+	if held != nil && held.Start == r.Start {
+		r.ColdVersion = held.ColdVersion
+		if held.turnsCold(r.Cold, now) {
+			r.ColdVersion++
+		}
+	}
 	if !s.store(r, now) {
 		return false
 	}
@@ -165,6 +173,7 @@
 			s.MarkLeaving(r.ID, r.Start, now)
 		}
 		s.mergeLimit(held, r, now)
+		s.mergeCold(held, r, now)
 		refuted := r.Silent && !held.Silent && held.Sequence > r.Sequence
 		if refuted && !held.announcedAt.IsZero() {
 			s.updates = append(s.updates, held.outgoing(now))
@@ -194,9 +203,15 @@
 	// no longer checks its silence, until the server announces itself here
 	// again.
 	e.announcedAt = time.Time{}
+	coldUntil := now.Add(r.Cold)
 	if before.Start != r.Start {
 		e.ColdUntil = time.Time{}
 	} else if found {
+		if r.ColdVersion < before.ColdVersion {
+			// The sender, perhaps of an earlier build, missed that the server turned cold again.
+			r.ColdVersion = before.ColdVersion
+			coldUntil = later(coldUntil, coldBefore)
+		}
 		r.Leaving = r.Leaving || before.Leaving
 		if !newerLimit(r, before) {
 			r.Limit, r.LimitVersion = before.Limit, before.LimitVersion
@@ -205,7 +220,7 @@
 	e.Record, e.restored, e.Word = r, false, Word{FromVM, now}
 	e.hash = e.contentHash()
 	if r.Cold > 0 {
-		e.ColdUntil = now.Add(r.Cold)
+		e.ColdUntil = coldUntil
 	}
 	if r.Gone && e.goneAt.IsZero() {
 		e.goneAt = now
@@ -221,6 +236,13 @@
 	return true
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // differs reports whether two records differ in more than sequence and cold
 // time.
 func differs(a, b Record) bool {
@@ -330,6 +352,9 @@
 	if e.LimitVersion > 0 {
 		hash ^= xxhash.Sum64String(fmt.Sprint(e.ID, e.Limit, e.LimitVersion))
 	}
+	if e.ColdVersion > 0 {
+		hash ^= xxhash.Sum64String(fmt.Sprint("cold", e.ID, e.ColdVersion))
+	}
 	return hash
 }
 
