Control VMs tell the path of health checks with the records of servers

Cause: a VM that takes a server for cold, because its connections broke, can ask it only at the path of its health checks, which stands in the operators' configuration and is not part of the steering document. A new key there would be refused by earlier builds. The path is not part of the digests. A record without one leaves that known before for the id and service. A changed path is sent once to each VM, for at most ten servers a second by each control VM. Where no path is known, because an earlier build relayed the record, that of another server of the service is taken.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/heatherwood/heatherwood/internal/clock"
 	"github.com/heatherwood/heatherwood/internal/disk"
 	"github.com/heatherwood/heatherwood/internal/intake"
+	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/pause"
 	"github.com/heatherwood/heatherwood/internal/peerrpc"
 	"github.com/heatherwood/heatherwood/internal/quorum"
@@ -312,6 +313,13 @@
 // View returns the current view of the state, or nil before the first is published.
 func (n *Node) View() *reducer.View { return n.view.Load() }
 
+// Edition returns the newest edition if this VM holds it, as reducer.State.Edition does.
+func (n *Node) Edition() ledger.Edition {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.state.Edition()
+}
+
 // Apply passes an event to the reducer and executes the effects it returns. Under
 // the lock, effects are only queued, so they keep their order and none blocks.
 func (n *Node) Apply(event reducer.Event) {
--- a/internal/reducer/coldword_test.go
+++ b/internal/reducer/coldword_test.go
@@ -46,7 +46,7 @@
 		update := *m.Servers
 		update.Records = slices.Clone(update.Records)
 		for i := range update.Records {
-			update.Records[i].ColdVersion = 0
+			update.Records[i].ColdVersion, update.Records[i].Health = 0, ""
 		}
 		return Message{Servers: &update}
 	}
@@ -175,3 +175,40 @@
 		})
 	}
 }
+
+// A VM asks a server only if it knows the path of its health checks.
+func TestVMsKnowThePathOfHealthChecks(t *testing.T) {
+	second := roster.Record{ID: "s2", Service: "web", Address: "10.0.0.2:80", Domain: "b", Slots: 4, Start: 5, Sequence: 1, Health: "/health"}
+	tests := map[string]struct {
+		older   []string
+		second  bool     // another server announces itself to b2
+		unaware []string // VMs that don't know the path
+	}{
+		"present builds":                    {},
+		"older relay":                       {older: []string{"b0", "b1"}, unaware: []string{"b0", "b1", "b2", "b3"}},
+		"older relay, a server of domain b": {older: []string{"b0", "b1"}, second: true, unaware: []string{"b0", "b1"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newColdWords(4, test.older...)
+			w.server.Health = "/health"
+			for range 3 {
+				w.heartbeat(0)
+				w.run(300 * time.Millisecond)
+			}
+			if w.sent > 2*len(w.vms) {
+				t.Errorf("%d messages for one path", w.sent)
+			}
+			if test.second {
+				w.apply(w.findVM("b2"), ServerRecordAnnounced{Record: second})
+				w.run(300 * time.Millisecond)
+			}
+			for _, vm := range w.vms {
+				known := vm.state.roster.HealthPath("s1") == "/health"
+				if known == slices.Contains(test.unaware, vm.settings.VM) {
+					t.Errorf("%s knows the path: %v", vm.settings.VM, known)
+				}
+			}
+		})
+	}
+}
--- a/internal/reducer/contact.go
+++ b/internal/reducer/contact.go
@@ -50,12 +50,12 @@
 		pool.Policy.Isolated = s.isIsolated()
 		for _, server := range pool.Questions(left, s.now) {
 			left--
-			entry := s.roster.Find(server.ID)
-			if entry == nil || entry.Health == "" {
+			path := s.roster.HealthPath(server.ID)
+			if path == "" {
 				continue
 			}
 			s.emit(AskServer{Question: ServerQuestion{
-				Server: server.ID, Service: pool.Policy.Service, Start: server.Start, Address: server.Address, Path: entry.Health, AskedAt: s.now,
+				Server: server.ID, Service: pool.Policy.Service, Start: server.Start, Address: server.Address, Path: path, AskedAt: s.now,
 			}})
 		}
 	}
--- a/internal/reducer/edition.go
+++ b/internal/reducer/edition.go
@@ -12,6 +12,16 @@
 	ledger.EditionOlder:        "older",
 }
 
+// Edition returns the newest edition, without its parts. Its number is 0 if there is none or if this
+// VM may not hold it: without a ledger, or with one that is behind, as after it left the replica set.
+// The source must not be changed.
+func (s *State) Edition() ledger.Edition {
+	if s.ledger == nil || s.sectionsAt.After(s.ledger.Document) {
+		return ledger.Edition{}
+	}
+	return s.ledger.Edition
+}
+
 // recordEdition records an applied edition and marks all of its sections as
 // changed in one step.
 func (s *State) recordEdition(edition *ledger.Edition, result *ledger.EditionResult, position ledger.Position) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -67,6 +67,8 @@
 	updates []Record  // to send to other VMs
 	syncDue time.Time // when DifferingDomains may next return domains
 	digests []Digest  // cached; nil after a record changed
+
+	healthDue time.Time // when the path of health checks of a start may next change
 }
 
 func compareEntry(e *Entry, id string) int { return strings.Compare(e.ID, id) }
@@ -115,6 +117,7 @@
 	if held != nil && !newer(r, held.Record) {
 		return false
 	}
+	r.Health = s.paceHealth(held, r, now)
 	if held != nil && held.Start == r.Start {
 		r.ColdVersion = held.ColdVersion
 		if held.turnsCold(r.Cold, now) {
@@ -174,6 +177,9 @@
 		}
 		s.mergeLimit(held, r, now)
 		s.mergeCold(held, r, now)
+		if r.Start == held.Start && held.Health == "" {
+			held.Health = keepHealth(r, held.Record)
+		}
 		refuted := r.Silent && !held.Silent && held.Sequence > r.Sequence
 		if refuted && !held.announcedAt.IsZero() {
 			s.updates = append(s.updates, held.outgoing(now))
@@ -203,6 +209,7 @@
 	// no longer checks its silence, until the server announces itself here
 	// again.
 	e.announcedAt = time.Time{}
+	r.Health = keepHealth(r, before)
 	coldUntil := now.Add(r.Cold)
 	if before.Start != r.Start {
 		e.ColdUntil = time.Time{}
