Count entries that are out of sight among those that share a cold server's rate

Cause: the share of an entry is the rate divided by the entries that it took for alive. One that was cut off, or whose peers had just died, counted few, and took a large share or one request a second while the others still sent; a relay that had just started told other failure domains a count of one; VMs that a summary does not name counted as entries though they take no callers. Change: member.CountEntries counts VMs of the own failure domain for as long as it remembers them (10 minutes; those that stopped as planned leave at once), silent domains as before, and takes the number from the summary (EntryVMs), which relays count the same way. In its first 10 minutes a VM counts no fewer in its own domain than other VMs' summaries of it; a domain that restarts counts as before for 10 minutes. The weights of limited servers still go by the entries that are heard.

--- a/internal/member/domain.go
+++ b/internal/member/domain.go
@@ -105,6 +105,7 @@
 		}
 		own.Services = append(own.Services, vm.Services...)
 	}
+	own.EntryVMs, _ = s.ownEntries(now)
 	own.Roster = hashEntries(own.Entries)
 	slices.SortFunc(own.Services, func(a, b dispatch.Summary) int { return strings.Compare(a.Service, b.Service) })
 	entriesChangedAt := s.domains[at].entriesChangedAt
@@ -141,6 +142,7 @@
 func (s *State) mergeDomain(d Domain, now time.Time) {
 	if d.Name == s.Self.Domain {
 		s.queueUnknownEntries(d.Entries)
+		s.noteToldEntries(d)
 	}
 	if d.Name == s.Self.Domain && s.IsRelay() {
 		s.raiseOwnVersion(d)
@@ -172,8 +174,10 @@
 		d.Entries = held.Entries
 	}
 	replaced := domainRecord{Domain: d, summaryAt: now, entriesChangedAt: entriesChangedAt, heardVersion: held.heardVersion, heardAt: held.heardAt}
+	replaced.formerEntries, replaced.formerUntil = held.formerEntries, held.formerUntil
 	if restarted {
 		replaced.heardVersion = 0
+		replaced.formerEntries, replaced.formerUntil = held.entries(now), now.Add(forgetAfter)
 	}
 	replaced.heard(d.Version, now)
 	s.domains[at] = replaced
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -56,6 +56,7 @@
 	Region   string
 	Version  uint64 // higher is newer
 	VMs      int
+	EntryVMs int        // VMs that take callers, among them those lost within forgetAfter; 0 from earlier releases
 	Roster   uint64     // hash of Entries, also where these are left out
 	Entries  []EntryRef // left out of most messages; Roster tells whether they changed
 	Services []dispatch.Summary
@@ -140,6 +141,8 @@
 	timesSent        int       // since this version arrived
 	heardVersion     uint64    // highest version known to exist; Version may be older
 	heardAt          time.Time // when heardVersion became known
+	formerEntries    int       // entry VMs before all VMs of the domain restarted
+	formerUntil      time.Time // until which formerEntries counts
 }
 
 // State is the membership known to one VM.
@@ -157,6 +160,8 @@
 	toGreet         []string // peer addresses of VMs of the own domain to greet
 	lastDomainIndex int      // in domains; the one that this VM, as a relay, sent to last
 	announcedStatus status   // the one last sent to all VMs of the domain
+	startedAt       time.Time
+	toldEntries     int // entry VMs of the own domain, the most that another VM's summary counted
 }
 
 // New returns the membership of a VM that knows only its seeds.
@@ -175,6 +180,9 @@
 // Tick returns the gossip that is due and marks VMs dead whose heartbeats are
 // overdue.
 func (s *State) Tick(now time.Time) []Outgoing {
+	if s.startedAt.IsZero() {
+		s.startedAt = now
+	}
 	s.updateLiveness(now)
 	var sends []Outgoing
 	if !now.Before(s.gossipDue) {
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -146,7 +146,7 @@
 		{"cold_word", string(word.Source)},
 		{"cold_word_age", s.now.Sub(word.At)},
 		{"cold_share", pool.Policy.ColdRate},
-		{"entries", int64(pool.Policy.Entries)},
+		{"entries", int64(s.entryCount)},
 	}})
 	return dispatch.Answer{Grant: &dispatch.Grant{
 		Ticket:  s.lastTicket,
--- a/internal/reducer/placing_pools.go
+++ b/internal/reducer/placing_pools.go
@@ -76,7 +76,7 @@
 		}
 		s.limitColdRate(&pool.Policy, service.ColdRate)
 		pool.Policy.ColdTime = service.Cold.Std()
-		pool.Policy.Demand, pool.Policy.Entries = demand, s.entryCount
+		pool.Policy.Demand, pool.Policy.Entries = demand, s.liveEntries
 		pool.Update(s.usableServers(service))
 	}
 }
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -105,8 +105,9 @@
 	rosterSaveDue     time.Time            // next save of the roster
 	savedRosterHash   uint64               // of the roster and peers saved last
 	joinDue           time.Time            // next join request, or next check of the replica set
-	entryCount        int                  // entries known alive, this VM included
-	entryIndex        int                  // number of them that precede this VM by id
+	liveEntries       int                  // entries known alive, this VM included
+	entryCount        int                  // entries that may send, heard or not, this VM included
+	entryIndex        int                  // number of these that precede this VM by failure domain and id
 
 	pendingProposals map[uint64]pendingProposal // by log index
 	pendingReads     map[uint64]pendingRead     // by call
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -140,8 +140,9 @@
 	s.roster.Tick(s.now)
 	s.sendServerUpdates()
 	s.saveRoster()
-	if entries, before := s.countEntries(); entries != s.entryCount || before != s.entryIndex {
-		s.entryCount, s.entryIndex = entries, before
+	live := s.countLiveEntries()
+	if entries, before := s.members.CountEntries(s.now); live != s.liveEntries || entries != s.entryCount || before != s.entryIndex {
+		s.liveEntries, s.entryCount, s.entryIndex = live, entries, before
 		s.placingPoolsStale = true
 	}
 	if s.placingPoolsStale {
@@ -178,35 +179,27 @@
 	s.emit(SaveRoster{Records: s.roster.Live(s.now), Peers: peers})
 }
 
-// countEntries counts the VMs that may send requests to servers, and those of
-// them that precede this VM by failure domain and id. The summary of a large domain
-// names only some of its VMs; the others count as entries.
-func (s *State) countEntries() (all, before int) {
+// countLiveEntries counts the VMs that send requests to servers as far as they are heard. The
+// summary of a large domain names only some of its VMs; the others count as entries.
+func (s *State) countLiveEntries() int {
+	all := 0
 	for _, domain := range s.members.Domains(s.now) {
 		if domain.Name == s.Settings.Domain {
 			for _, vm := range s.members.Alive() {
-				if vm.Entry == "" {
-					continue
-				}
-				all++
-				if vm.ID < s.Settings.VM {
-					before++
+				if vm.Entry != "" {
+					all++
 				}
 			}
 			continue
 		}
-		entries := max(0, domain.VMs-len(domain.Entries))
+		all += max(0, domain.VMs-len(domain.Entries))
 		for _, entry := range domain.Entries {
 			if entry.Entry != "" {
-				entries++
+				all++
 			}
 		}
-		all += entries
-		if domain.Name < s.Settings.Domain {
-			before += entries
-		}
 	}
-	return max(1, all), before
+	return max(1, all)
 }
 
 // sendServerUpdates sends the records that changed since the last tick: to all
