Send nothing to a cold server before the entries of the fleet are known

Cause: an entry that has just started, or stood still for so long that it forgot the others, knows few VMs. It took a large share of a cold server's rate, or one request a second without a turn. Change: until it has heard of its own failure domain and of all those in the steering document, and the number has not risen for a second, an entry sends nothing to a cold server whose rate is limited (Policy.ColdHeld); after 4 s it goes on in any case. Warm servers are not concerned.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -155,13 +155,14 @@
 	random          *rand.Rand
 	gossipDue       time.Time
 	domainDue       time.Time
-	newlyDead       []string // ids of VMs for TakeDead
-	summaryMessages int      // number of messages with summaries sent
-	toGreet         []string // peer addresses of VMs of the own domain to greet
-	lastDomainIndex int      // in domains; the one that this VM, as a relay, sent to last
-	announcedStatus status   // the one last sent to all VMs of the domain
-	startedAt       time.Time
-	toldEntries     int // entry VMs of the own domain, the most that another VM's summary counted
+	newlyDead       []string  // ids of VMs for TakeDead
+	summaryMessages int       // number of messages with summaries sent
+	toGreet         []string  // peer addresses of VMs of the own domain to greet
+	lastDomainIndex int       // in domains; the one that this VM, as a relay, sent to last
+	announcedStatus status    // the one last sent to all VMs of the domain
+	startedAt       time.Time // of the VM, or the end of a pause in which it forgot the others
+	tickedAt        time.Time
+	toldEntries     int // entry VMs of the own domain, the most that another VM's summary counted since startedAt
 }
 
 // New returns the membership of a VM that knows only its seeds.
@@ -180,9 +181,13 @@
 // Tick returns the gossip that is due and marks VMs dead whose heartbeats are
 // overdue.
 func (s *State) Tick(now time.Time) []Outgoing {
-	if s.startedAt.IsZero() {
+	switch {
+	case s.startedAt.IsZero():
 		s.startedAt = now
+	case now.Sub(s.tickedAt) > forgetAfter:
+		s.startedAt, s.toldEntries = now, 0
 	}
+	s.tickedAt = now
 	s.updateLiveness(now)
 	var sends []Outgoing
 	if !now.Before(s.gossipDue) {
--- a/internal/placing/doubt_test.go
+++ b/internal/placing/doubt_test.go
@@ -158,3 +158,27 @@
 		t.Errorf("counts as cold: %v, on the word of %q", cold, word.Source)
 	}
 }
+
+func TestEntryThatDoesNotKnowItsShareSendsToWarmServersOnly(t *testing.T) {
+	tests := map[string]struct {
+		rate float64 // of a cold server
+		cold bool
+		most int
+	}{
+		"warm":                     {rate: 1 / 1.02, most: 100},
+		"cold":                     {rate: 1 / 1.02, cold: true, most: 0},
+		"cold, rate without limit": {cold: true, most: 100},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, info := doubtPool(Policy{ColdRate: test.rate, ColdHeld: true})
+			if test.cold {
+				info.ColdUntil = start.Add(3 * time.Second)
+				p.Update([]ServerInfo{info})
+			}
+			if sent := sentWithin(p, start, time.Second); sent != test.most {
+				t.Errorf("%d requests in a second, want %d", sent, test.most)
+			}
+		})
+	}
+}
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -16,6 +16,7 @@
 	Service  string
 	ColdRate float64       // requests per second that this entry may send to a cold server; 0 means no limit
 	ColdTime time.Duration // for which a server is cold after its start
+	ColdHeld bool          // nothing is sent to a cold server whose rate is limited: the share of this entry is not known yet
 
 	Demand map[string]float64 // by region, in any unit; nil where objects have no homes
 
@@ -180,7 +181,7 @@
 		s := p.Find(si.ID)
 		if s == nil || s.Start != si.Start || s.Address != si.Address {
 			replaced := s
-			s = &Server{idHash: xxhash.Sum64String(si.ID), slowness: 1, meanRunRatio: 1, objectAnsweredAt: make(map[string]time.Time)}
+			s = &Server{policy: &p.Policy, idHash: xxhash.Sum64String(si.ID), slowness: 1, meanRunRatio: 1, objectAnsweredAt: make(map[string]time.Time)}
 			s.keepPace(replaced)
 		}
 		if si.ColdUntil.After(s.ColdUntil) && si.Word.At.After(s.doubt.since) {
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -25,6 +25,7 @@
 	Limit    routing.Limit // of the requests of all VMs
 	BadLimit string        // text in its last answer to this VM that is no limit
 
+	policy           *Policy
 	cut              bool    // this VM cannot connect to its failure domain, while others can
 	limitWeight      float64 // in the orders of objects, while it names a limit; otherwise 0
 	quota            quota
@@ -128,7 +129,10 @@
 
 // MayPace reports whether the rate of a cold server, if it applies, allows a request now.
 func (s *Server) MayPace(now time.Time) bool {
-	return !s.isPaced(now) || !now.Before(s.nextColdSend)
+	if !s.isPaced(now) || s.policy.ColdRate <= 0 {
+		return true
+	}
+	return !s.policy.ColdHeld && !now.Before(s.nextColdSend)
 }
 
 // Cold reports whether the server counts as cold, and on whose word and since when it is known
--- a/internal/reducer/placing_pools.go
+++ b/internal/reducer/placing_pools.go
@@ -76,6 +76,7 @@
 		}
 		s.limitColdRate(&pool.Policy, service.ColdRate)
 		pool.Policy.ColdTime = service.Cold.Std()
+		pool.Policy.ColdHeld = !s.entriesKnown
 		pool.Policy.Demand, pool.Policy.Entries = demand, s.liveEntries
 		pool.Update(s.usableServers(service))
 	}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -107,6 +107,8 @@
 	joinDue           time.Time            // next join request, or next check of the replica set
 	liveEntries       int                  // entries known alive, this VM included
 	entryCount        int                  // entries that may send, heard or not, this VM included
+	entriesRoseAt     time.Time            // last rise of entryCount
+	entriesKnown      bool                 // entryCount is complete, or this VM has waited long enough for it
 	entryIndex        int                  // number of these that precede this VM by failure domain and id
 
 	pendingProposals map[uint64]pendingProposal // by log index
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -140,11 +140,7 @@
 	s.roster.Tick(s.now)
 	s.sendServerUpdates()
 	s.saveRoster()
-	live := s.countLiveEntries()
-	if entries, before := s.members.CountEntries(s.now); live != s.liveEntries || entries != s.entryCount || before != s.entryIndex {
-		s.liveEntries, s.entryCount, s.entryIndex = live, entries, before
-		s.placingPoolsStale = true
-	}
+	s.countEntries()
 	if s.placingPoolsStale {
 		s.placingPoolsStale = false
 		s.updatePlacingPools()
@@ -179,6 +175,34 @@
 	s.emit(SaveRoster{Records: s.roster.Live(s.now), Peers: peers})
 }
 
+// Times in which a VM that has just started learns how many entries share the rate of a cold
+// server; it sends nothing to one until then.
+const (
+	entriesSettle = time.Second     // in which the number has not risen, once all failure domains were heard
+	entriesWait   = 4 * time.Second // after its start, at most
+)
+
+// countEntries updates what the share of a cold server's rate depends on.
+func (s *State) countEntries() {
+	var domains []string
+	if s.document != nil {
+		for _, domain := range s.document.Places.Domains {
+			domains = append(domains, domain.Name)
+		}
+	}
+	live := s.countLiveEntries()
+	entries, before := s.members.CountEntries(domains, s.now)
+	if entries > s.entryCount {
+		s.entriesRoseAt = s.now
+	}
+	known := s.entriesKnown || s.now.Sub(s.startedAt) >= entriesWait ||
+		s.document != nil && s.members.HeardEntries(domains) && s.now.Sub(s.entriesRoseAt) >= entriesSettle
+	if live != s.liveEntries || entries != s.entryCount || before != s.entryIndex || known != s.entriesKnown {
+		s.liveEntries, s.entryCount, s.entryIndex, s.entriesKnown = live, entries, before, known
+		s.placingPoolsStale = true
+	}
+}
+
 // countLiveEntries counts the VMs that send requests to servers as far as they are heard. The
 // summary of a large domain names only some of its VMs; the others count as entries.
 func (s *State) countLiveEntries() int {
