Stagger anew once VMs that waited know their share of a cold server's rate

Cause: a VM that has just started sends nothing to cold servers until it knows how many entries share their rate. Its turn passes meanwhile, so VMs that started together all sent at the moment at which they knew: after a loss of all power up to 17 requests in one second from 24 entries, 10.1 allowed. Change: Pool.RestartTurns, called when the wait ends. Evidence: TestVMsThatWaitedForTheirShareDoNotSendAllAtOnce.

--- a/internal/placing/cache.go
+++ b/internal/placing/cache.go
@@ -55,6 +55,15 @@
 	}
 }
 
+// RestartTurns staggers the next requests to cold servers anew, after a time in which turns have
+// passed unused: all VMs may go on at the same moment.
+func (p *Pool) RestartTurns(now time.Time) {
+	for _, s := range p.cold {
+		s.coldPaced = false
+		s.delayFirstCold(p.Policy, s.isPaced(now), now)
+	}
+}
+
 // markCold notes that a server counts as cold from now on.
 func (p *Pool) markCold(s *Server) {
 	p.markPaced(s)
--- a/internal/placing/doubt_test.go
+++ b/internal/placing/doubt_test.go
@@ -182,3 +182,25 @@
 		})
 	}
 }
+
+// VMs that start together come to know their share of the rate at the same moment.
+func TestVMsThatWaitedForTheirShareDoNotSendAllAtOnce(t *testing.T) {
+	const vms, rate = 24, 10.1
+	sent := 0
+	for i := range vms {
+		p, info := doubtPool(Policy{ColdHeld: true})
+		info.ColdUntil = start.Add(10 * time.Second)
+		p.Update([]ServerInfo{info})
+		p.Policy.ColdRate, p.Policy.ColdEntries, p.Policy.ColdEntryIndex = rate/vms*0.4, vms, i
+		if serve(p, start) {
+			t.Fatal("sent to a cold server before its share was known")
+		}
+		known := start.Add(6 * time.Second)
+		p.Policy.ColdHeld = false
+		p.RestartTurns(known)
+		sent += sentWithin(p, known, time.Second)
+	}
+	if float64(sent) > rate {
+		t.Errorf("%d requests in the first second, %v allowed", sent, rate)
+	}
+}
--- a/internal/reducer/placing_pools.go
+++ b/internal/reducer/placing_pools.go
@@ -74,9 +74,13 @@
 			pool = placing.NewPool(placing.Policy{Service: service.Name}, own)
 			s.placingPools[service.Name] = pool
 		}
+		held := pool.Policy.ColdHeld
 		s.limitColdRate(&pool.Policy, service.ColdRate)
 		pool.Policy.ColdTime = service.Cold.Std()
 		pool.Policy.ColdHeld = !s.entriesKnown
+		if held && s.entriesKnown {
+			pool.RestartTurns(s.now)
+		}
 		pool.Policy.Demand, pool.Policy.Entries = demand, s.liveEntries
 		pool.Update(s.usableServers(service))
 	}
