Let VMs that have just started ask servers; tell all VMs what a server answers

Callers saw refusals of servers flooded by VMs that had just started: up to 71 requests in one second from 24 entries, 10.1 allowed, after a loss of all power. Cause: a VM that has just started has no connections whose end it could see, and word of a server's new start may be on its way. It sent to any server that its roster shows as warm. And the answer of a server to one VM was not told to the others. Change: for 5 s from its start a VM takes each server that did not answer it within 2 s for one that may be cold, and asks it, as on a VM that hears no other one; only where the path of the health checks is known. That a server says it is cold goes to all VMs as a new version of the word in its record. The path is saved with the roster, and that of any server of the service serves. Evidence: TestVMThatHasJustStartedAsksServers.

--- a/internal/placing/doubt.go
+++ b/internal/placing/doubt.go
@@ -23,7 +23,7 @@
 const maxDoubt = 30 * time.Second
 
 // maxAnswerAge is the age up to which an answer shows that the server has not started again, on a
-// VM that hears nothing from others.
+// VM that may lack word of it.
 const maxAnswerAge = 2 * time.Second
 
 // Times of the questions to one server.
@@ -100,13 +100,13 @@
 	}
 }
 
-// noteWanted notes that the request might go to the server if it were known to be warm. While no
-// word reaches this VM, that is known only from the server's own answers.
+// noteWanted notes that the request might go to the server if it were known to be warm. Where this VM
+// may lack word of it, that is known only from the server's own answers.
 func (p *Pool) noteWanted(s *Server, req Request, now time.Time) {
 	if s.cut || !s.eligible(req) {
 		return
 	}
-	if p.Policy.Isolated && !s.doubt.lasts(now) && now.Sub(s.answeredAt) > maxAnswerAge {
+	if p.Policy.Uninformed && s.CanAsk && !s.doubt.lasts(now) && now.Sub(s.answeredAt) > maxAnswerAge {
 		p.doubt(s, now)
 	}
 	s.doubt.wanted = s.doubt.lasts(now)
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -20,7 +20,7 @@
 
 	Demand map[string]float64 // by region, in any unit; nil where objects have no homes
 
-	Isolated bool // no other VM is heard, so that word of servers does not come
+	Uninformed bool // word of a server that started again may not have reached this VM
 
 	Entries int // VMs that send to the servers; 0 if unknown
 
--- a/internal/reducer/contact.go
+++ b/internal/reducer/contact.go
@@ -1,6 +1,8 @@
 package reducer
 
 import (
+	"time"
+
 	"github.com/heatherwood/heatherwood/internal/member"
 	"github.com/heatherwood/heatherwood/internal/placing"
 )
@@ -9,8 +11,11 @@
 // that are its connections, which break. It then takes the server for cold until a health check,
 // an announcement or time has shown whether it is.
 
-// maxQuestions limits the health checks that a VM begins in one tick.
-const maxQuestions = 16
+// Limits of the health checks that a VM begins.
+const (
+	maxQuestions          = 16 // in one tick
+	maxQuestionsOfRequest = 2  // when a server is chosen for a request
+)
 
 // loseContact limits a server that may have started again to the rate of a cold one.
 func (s *State) loseContact(e ContactLost) {
@@ -39,29 +44,42 @@
 // isolatedAfter is the time without gossip after which this VM counts as cut off from all others.
 const isolatedAfter = 8 * member.GossipInterval
 
-func (s *State) isIsolated() bool {
-	return !s.heardAt.IsZero() && s.now.Sub(s.heardAt) > isolatedAfter
+// informedAfter is the time after its start by which this VM has heard of servers that started
+// again shortly before it, or since then.
+const informedAfter = 5 * time.Second
+
+// isUninformed reports whether word of a server that started again may not have reached this VM.
+func (s *State) isUninformed() bool {
+	isolated := !s.heardAt.IsZero() && s.now.Sub(s.heardAt) > isolatedAfter
+	return isolated || s.now.Sub(s.startedAt) < informedAfter
 }
 
 // tickQuestions asks servers that may be cold, and that requests would go to, whether they are.
 func (s *State) tickQuestions() {
 	left := maxQuestions
 	for _, pool := range s.placingPools {
-		pool.Policy.Isolated = s.isIsolated()
-		for _, server := range pool.Questions(left, s.now) {
-			left--
-			path := s.roster.HealthPath(server.ID)
-			if path == "" {
-				continue
-			}
-			s.emit(AskServer{Question: ServerQuestion{
-				Server: server.ID, Service: pool.Policy.Service, Start: server.Start, Address: server.Address, Path: path, AskedAt: s.now,
-			}})
+		pool.Policy.Uninformed = s.isUninformed()
+		left -= s.askServers(pool, left)
+	}
+}
+
+// askServers asks at most so many servers of a pool, and returns how many it asked.
+func (s *State) askServers(pool *placing.Pool, limit int) int {
+	due := pool.Questions(limit, s.now)
+	for _, server := range due {
+		path := s.roster.HealthPath(server.ID)
+		if path == "" {
+			continue
 		}
+		s.emit(AskServer{Question: ServerQuestion{
+			Server: server.ID, Service: pool.Policy.Service, Start: server.Start, Address: server.Address, Path: path, AskedAt: s.now,
+		}})
 	}
+	return len(due)
 }
 
-// takeAnswer takes what a server itself says about its cold time.
+// takeAnswer takes what a server itself says about its cold time, and tells the other VMs that
+// it is cold.
 func (s *State) takeAnswer(e ServerAnswered) {
 	q := e.Question
 	pool := s.placingPools[q.Service]
@@ -82,6 +100,8 @@
 	outcome := "warm"
 	if e.ColdFor > 0 {
 		outcome = "cold"
+		s.roster.TurnCold(q.Server, q.Start, e.ColdFor, s.now)
+		s.markRosterChange()
 	}
 	s.logContact(server, outcome, Field{"cold_for", e.ColdFor})
 }
--- a/internal/reducer/contact_test.go
+++ b/internal/reducer/contact_test.go
@@ -22,6 +22,7 @@
 func newContactVM(t *testing.T) *contactVM {
 	t.Helper()
 	v := &contactVM{State: entryVM(t), now: testStart}
+	v.startedAt = testStart.Add(-time.Hour)
 	d := &document.Document{
 		Places: document.Places{Regions: []document.Region{{Name: "north"}}, Domains: []document.Domain{{Name: "a", Region: "north"}}},
 		Services: document.Services{Services: []document.Service{{
@@ -153,3 +154,18 @@
 		t.Error("s1 is not used though it says that it is warm")
 	}
 }
+
+func TestVMThatHasJustStartedAsksServers(t *testing.T) {
+	v := newContactVM(t)
+	v.startedAt = v.now
+	v.tick(contactTick)
+	v.want()
+	asked := questions(v.tick(contactTick))
+	if len(asked) != 1 || !v.isCold("s1") {
+		t.Fatalf("%d questions; s1 counts as cold: %v", len(asked), v.isCold("s1"))
+	}
+	v.Apply(v.now, ServerAnswered{Question: asked[0], ID: "s1"})
+	if v.isCold("s1") || v.want() == nil {
+		t.Error("s1 is not used though it says that it is warm")
+	}
+}
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -100,6 +100,7 @@
 		OwnWay:    ownWay,
 		Certain:   slotRequest.Remaining < r.Deadline.Sub(s.now),
 	}, s.now)
+	s.askServers(pool, maxQuestionsOfRequest)
 	if h := s.helperFor(r, choice); h.VM != "" {
 		return dispatch.Answer{}, h
 	}
--- a/internal/reducer/placing_pools.go
+++ b/internal/reducer/placing_pools.go
@@ -123,6 +123,7 @@
 }
 
 func (s *State) usableServers(service *document.Service) []placing.ServerInfo {
+	canAsk := s.roster.ServiceHealthPath(service.Name) != ""
 	var servers []placing.ServerInfo
 	for _, entry := range s.roster.Entries {
 		if entry.Service != service.Name || entry.Gone || entry.Leaving || entry.Silent {
@@ -143,7 +144,7 @@
 			Slots:     entry.Slots,
 			ColdUntil: entry.ColdUntil,
 			Word:      entry.Word,
-			CanAsk:    entry.Health != "",
+			CanAsk:    canAsk,
 			Closed:    s.isClosed(entry),
 			Limit:     entry.Limit,
 			Site:      placing.Site{Domain: entry.Domain, Region: region},
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -161,6 +161,7 @@
 	for _, digest := range s.roster.Digests() {
 		hash += digest.Hash
 	}
+	hash ^= s.roster.HealthHash()
 	var peers []string
 	for _, vm := range s.members.Alive() {
 		if vm.ID != s.Settings.VM {
--- a/internal/roster/health.go
+++ b/internal/roster/health.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Limits of the paths of health checks.
@@ -34,13 +36,16 @@
 	return path
 }
 
-// keepHealth returns the path of a record that replaces another one: VMs of earlier builds, and
-// control VMs without a ledger, don't know it.
-func keepHealth(r, before Record) string {
+// learnHealth returns the path of a record that replaces another one: VMs of earlier builds, and
+// control VMs without a ledger, don't know it. The first one of a service counts as a change.
+func (s *State) learnHealth(r, before Record) string {
 	path := validHealth(r.Health)
 	if path == "" && r.Service == before.Service {
 		return before.Health
 	}
+	if path != "" && before.Health == "" && s.ServiceHealthPath(r.Service) == "" {
+		s.Changed = true
+	}
 	return path
 }
 
@@ -54,10 +59,27 @@
 	if held.Health != "" {
 		return held.Health
 	}
+	return s.ServiceHealthPath(held.Service)
+}
+
+// ServiceHealthPath returns the path of the health checks of a server of the service, or "" if
+// none is known.
+func (s *State) ServiceHealthPath(service string) string {
 	for _, e := range s.Entries {
-		if e.Service == held.Service && e.Health != "" && !e.Gone {
+		if e.Service == service && e.Health != "" && !e.Gone {
 			return e.Health
 		}
 	}
 	return ""
 }
+
+// HealthHash returns a hash of the paths of health checks, which the digests leave out.
+func (s *State) HealthHash() uint64 {
+	hash := uint64(0)
+	for _, e := range s.Entries {
+		if e.Health != "" && !e.Gone {
+			hash += xxhash.Sum64String(e.ID + e.Health)
+		}
+	}
+	return hash
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -178,7 +178,7 @@
 		s.mergeLimit(held, r, now)
 		s.mergeCold(held, r, now)
 		if r.Start == held.Start && held.Health == "" {
-			held.Health = keepHealth(r, held.Record)
+			held.Health = s.learnHealth(r, held.Record)
 		}
 		refuted := r.Silent && !held.Silent && held.Sequence > r.Sequence
 		if refuted && !held.announcedAt.IsZero() {
@@ -209,7 +209,7 @@
 	// no longer checks its silence, until the server announces itself here
 	// again.
 	e.announcedAt = time.Time{}
-	r.Health = keepHealth(r, before)
+	r.Health = s.learnHealth(r, before)
 	coldUntil := now.Add(r.Cold)
 	if before.Start != r.Start {
 		e.ColdUntil = time.Time{}
