Don't count the way to a failure domain as lost while its servers answer

What callers saw: 502 with an unknown outcome for requests that a server was about to answer, at a VM short of processor.

Late probes alone made the way lost, and a lost way ends what was written.

A domain whose servers answered within the last 250 ms counts as kept instead: open connections are used, and the way becomes lost when answers stay out. TestDomainThatAnswersIsNotLost failed before: [doubt lost], want kept.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -401,7 +401,8 @@
 	targets, _ := d.targets(servers)
 	if d.probing == 0 && len(d.contacts) > 0 && len(d.contacts) >= min(minCut, len(targets)) {
 		way := Lost
-		if slices.ContainsFunc(d.contacts, func(c contact) bool { return c.failure != Late }) {
+		answers := !d.answeredAt.IsZero() && now.Sub(d.answeredAt) < minSilence
+		if answers || slices.ContainsFunc(d.contacts, func(c contact) bool { return c.failure != Late }) {
 			way = Kept
 		}
 		d.probeDue = now.Add(probeInterval)
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -186,6 +186,39 @@
 	}
 }
 
+// Requests that servers were about to answer were given up where only new connections were late.
+func TestDomainThatAnswersIsNotLost(t *testing.T) {
+	tests := map[string]struct {
+		answerEvery int // ms between answers on open connections; 0 for none
+		want        Way
+	}{
+		"open connections answer":         {answerEvery: 100, want: Kept},
+		"open connections answer no more": {want: Lost},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld("a", "b")
+			w.run(t, 3000, 50)
+			w.cut = map[string]Failure{"a": Late, "b": Late}
+			for w.now < 5000 {
+				if test.answerEvery > 0 && w.now%test.answerEvery == 0 {
+					w.Answered("a", at(w.now))
+					w.Answered("b", at(w.now))
+				}
+				w.run(t, w.now+10, 50)
+			}
+			for _, domain := range []string{"a", "b"} {
+				if got := w.Way(domain); got != test.want {
+					t.Errorf("the way to %s is %v after %v, want %v", domain, got, w.ways[domain], test.want)
+				}
+				if test.want == Kept && slices.Contains(w.ways[domain], Lost) {
+					t.Errorf("the way to %s was lost while servers answered: %v", domain, w.ways[domain])
+				}
+			}
+		})
+	}
+}
+
 // Servers do not answer requests whose bodies callers do not end; that silence counted against the
 // ways to them.
 func TestAwaitedBodiesAreNoSilence(t *testing.T) {
