Name the deadline where it passes before another VM is connected to

What callers saw: 502, or 503, with the reason cancelled and "the caller hung up", while they waited. It came in trials of TestOneEntryServesForNineWhoseConnectionsHang on one core: a request that was passed on met its deadline while it waited for the connection to the other VM, and was ended as if its caller had left.

A send to a server that comes too late names the deadline already; both ends now use the same function: 503 where nothing was sent, 504 where an earlier send may have run. TestDeadlineBeforeADetourIsNamed failed before.

--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -107,6 +107,8 @@
 	case routing.ResultTimeout:
 		r.mayHaveRun = true
 		return r.endUnknown(http.StatusGatewayTimeout, "deadline", "the deadline passed while another VM served the request")
+	case routing.ResultUnused:
+		return r.endUnused(now)
 	default:
 		return r.endCancelled(e.Result)
 	}
--- a/internal/relay/lapsed_test.go
+++ b/internal/relay/lapsed_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/heatherwood/heatherwood/internal/detour"
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/routing"
@@ -42,6 +43,33 @@
 	}
 }
 
+// Callers that waited were told that they had hung up, where the deadline passed before another
+// VM was connected to.
+func TestDeadlineBeforeADetourIsNamed(t *testing.T) {
+	tests := map[string]struct {
+		brokenBefore bool // an earlier send may have run
+		now          time.Time
+		reason       string
+		status       int
+		run          RunState
+	}{
+		"nothing was sent":     {now: start.Add(3 * time.Second), reason: "deadline", status: http.StatusServiceUnavailable, run: RunNo},
+		"a send broke earlier": {now: start.Add(3 * time.Second), brokenBefore: true, reason: "deadline", status: http.StatusGatewayTimeout, run: RunUnknown},
+		"time is left":         {now: start, reason: "cancelled", status: http.StatusServiceUnavailable, run: RunNo},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRequest(false)
+			r.PassOn(detour.Helper{VM: "other"}, r.Start(start, &RetryBudget{}))
+			r.mayHaveRun = test.brokenBefore
+			step := r.HandleDetourResult(DetourResult{Result: routing.ResultUnused}, test.now, &RetryBudget{})
+			if step.Refuse == nil || step.Refuse.Reason != test.reason || step.Refuse.Status != test.status || step.Refuse.Run != test.run {
+				t.Errorf("step %+v, problem %+v; want %s, status %d and run %s", step, step.Refuse, test.reason, test.status, test.run)
+			}
+		})
+	}
+}
+
 // Claims that took several tries leave the tries of the slot request as they are.
 func TestSlotRequestIsRetriedAfterManyClaims(t *testing.T) {
 	r := newRequest(true)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -318,13 +318,7 @@
 		r.mayHaveRun = true
 		return r.endUnknown(http.StatusGatewayTimeout, "deadline", "the deadline passed while the backend server worked")
 	case routing.ResultUnused:
-		if now.Before(r.Deadline) {
-			return r.endCancelled(result)
-		}
-		if r.mayHaveRun {
-			return r.endUnknown(http.StatusGatewayTimeout, "deadline", "the deadline passed before the next send")
-		}
-		return r.endNotRun(http.StatusServiceUnavailable, "deadline", "the deadline passed before the request was sent", 0)
+		return r.endUnused(now)
 	default:
 		return r.endCancelled(result)
 	}
@@ -344,6 +338,19 @@
 	return r.endUnknown(http.StatusBadGateway, "run-unstated", fmt.Sprintf("the backend server answered %d and did not state that it had not run the request", status))
 }
 
+// endUnused ends a request of which nothing was sent this time, and whose deadline has passed,
+// caller hung up or VM stops.
+func (r *Request) endUnused(now time.Time) Step {
+	switch {
+	case now.Before(r.Deadline):
+		return r.endCancelled(routing.ResultUnused)
+	case r.mayHaveRun:
+		return r.endUnknown(http.StatusGatewayTimeout, "deadline", "the deadline passed before the next send")
+	default:
+		return r.endNotRun(http.StatusServiceUnavailable, "deadline", "the deadline passed before the request was sent", 0)
+	}
+}
+
 // endCancelled ends a request whose caller hung up or whose VM stops.
 func (r *Request) endCancelled(result routing.Result) Step {
 	r.mayHaveRun = r.mayHaveRun || result.MayHaveRun()
