Test the keys that a message on an unknown key of routes allows

Change: a case of TestRoutesAreChecked. Measured: passes; fails with the condition of taken out ("allowed here: , limits, route").

--- a/pkg/document/routes_test.go
+++ b/pkg/document/routes_test.go
@@ -85,6 +85,7 @@
 		"relative path":      {`path = "/orders/"`, `path = "orders/"`, "is not absolute"},
 		"same host and path": {`path = "/orders/"`, `path = "/"`, "already has this host and path"},
 		"unknown rank":       {`rank = "paying"`, `rank = "some"`, `rank "some" does not exist`},
+		"unknown table":      {"[limits]", "[bounds]", "allowed here: limits, route\n"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
