Test the time from which a removed leader waits

Cause: stepDownIfRemoved passed the due time of a heartbeat as the present until, which had no test of its own. Change: TestRemovedLeaderWaitsOneElectionTimeout. Measured: passes; fails with the due time passed again (1h0m1.3s, 700ms to 1.4s wanted).

--- a/internal/quorum/commit_test.go
+++ b/internal/quorum/commit_test.go
@@ -65,3 +65,22 @@
 		t.Error("a leader without a quorum still leads")
 	}
 }
+
+// A removed leader that took the time of its next heartbeat for the present waited longer.
+func TestRemovedLeaderWaitsOneElectionTimeout(t *testing.T) {
+	s, now := leaderWithOldEntry(t, mutations{})
+	s.Saved(s.saveSequence, now)
+	s.Receive(Message{Kind: MessageAppendReply, From: "b", To: "a", Term: 3, Index: 3}, now)
+	s.ProposeChange(1, Change{Kind: ChangeRemove, Replica: Replica{ID: "a"}}, now)
+	s.Saved(s.saveSequence, now)
+	s.heartbeatDue = now.Add(time.Hour)
+	for _, voter := range []ID{"b", "c"} {
+		s.Receive(Message{Kind: MessageAppendReply, From: voter, To: "a", Term: 3, Index: 4}, now)
+	}
+	if s.Role != RoleFollower {
+		t.Fatalf("role %s after its removal, want follower", s.Role)
+	}
+	if wait := s.electionDue.Sub(now); wait < s.Settings.ElectionTimeout || wait >= 2*s.Settings.ElectionTimeout {
+		t.Errorf("next election in %v, want %v to %v", wait, s.Settings.ElectionTimeout, 2*s.Settings.ElectionTimeout)
+	}
+}
