--- a/internal/callerhttp/fingerprint_test.go
+++ b/internal/callerhttp/fingerprint_test.go
@@ -8,8 +8,7 @@
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
-// A request that crashes servers bars those like it. Requests for the same path of another
-// host are others; without a route the fingerprint is the digest, as in older versions.
+// A request that crashes servers barred those for the same path of other hosts.
 func TestFingerprintTellsHostsApart(t *testing.T) {
 	fingerprintOf := func(route *document.Route) uint64 {
 		in := inbound{route: route, request: &http.Request{Method: http.MethodPost, URL: &url.URL{Path: "/a"}}, service: &document.Service{Name: "web"}}
--- a/internal/callerhttp/serverconn_test.go
+++ b/internal/callerhttp/serverconn_test.go
@@ -79,8 +79,7 @@
 	return n, err
 }
 
-// A request that got its connection at the moment of its timeout was written and then cut off; one
-// whose body could not be sent again failed as if it might have run.
+// A request that got its connection at the moment of its timeout was written and then cut off.
 func TestNothingIsWrittenAfterTheConnectTimeout(t *testing.T) {
 	tests := map[string]struct {
 		timeoutFirst bool
--- a/internal/capacity/limit_test.go
+++ b/internal/capacity/limit_test.go
@@ -145,8 +145,7 @@
 	return most
 }
 
-// All VMs together keep the limit of a server from soon after it was named, whichever of
-// them are lost or cut off from each other, and use most of it.
+// All VMs together keep the limit of a server while some are lost or cut off from each other, and use most of it.
 func TestLimitHoldsOverTheFleet(t *testing.T) {
 	const (
 		perSecond = 6.0
--- a/internal/demo/cut_test.go
+++ b/internal/demo/cut_test.go
@@ -165,8 +165,7 @@
 	return float64(ok) / float64(max(n, 1)), n
 }
 
-// TestEntriesWithoutServersServeTheirCallers cuts the links of VMs to all backend servers,
-// while callers and the other VMs still reach them.
+// VMs that were cut off from all backend servers, while callers and other VMs reached them, served nobody.
 func TestEntriesWithoutServersServeTheirCallers(t *testing.T) {
 	checkCuts(t, map[string]cutCase{
 		"connections hang, half":         {standin.CutHang, 5},
--- a/internal/demo/largebody_test.go
+++ b/internal/demo/largebody_test.go
@@ -12,9 +12,7 @@
 	"github.com/heatherwood/heatherwood/internal/standin"
 )
 
-// A VM without a way to the servers passes long bodies on to others, which lose their way
-// meanwhile and refuse. No server may run such a request with a part of its body: in
-// chunks, nothing tells a server that the rest is missing.
+// A request with a long body went on to the next VM though a part of its body was gone.
 func TestLongBodiesAreRunWholeWhileHelpersRefuse(t *testing.T) {
 	const (
 		size    = 160 << 10 // beyond what is kept for another send
--- a/internal/demo/process_test.go
+++ b/internal/demo/process_test.go
@@ -221,8 +221,7 @@
 	return seen
 }
 
-// Disks of control VMs are lost one after the other, and all other VMs lose power at the same
-// moment: no key runs twice, and what was acknowledged stays.
+// Disks of control VMs are lost in turn, and all other VMs lose power at the same moment.
 func TestKeysRunOnceThroughLossOfDisksAndPower(t *testing.T) {
 	length := soakTimeOf(t)
 	p := startProcessesWith(t, true)
--- a/internal/dispatch/limit_test.go
+++ b/internal/dispatch/limit_test.go
@@ -47,8 +47,7 @@
 	return p
 }
 
-// The owner grants slots of a server no faster than the limit that the server names, and
-// nearly as fast.
+// The owner granted slots of a server faster than the limit that the server names.
 func TestOwnerKeepsLimits(t *testing.T) {
 	const idle, length, window = 20 * time.Second, 20 * time.Second, 4 * time.Second
 	for name, perSecond := range map[string]float64{"zero": 0, "below one": 0.5, "few": 2.4, "many": 30} {
--- a/internal/peerrpc/silence_test.go
+++ b/internal/peerrpc/silence_test.go
@@ -173,8 +173,7 @@
 	return took
 }
 
-// Connections that went silent before their handshake ended held up all messages for 3 s, and
-// those of a first connection were lost.
+// A connection that went silent before its handshake ended held up all messages for 3 s.
 func TestConnectionSilentFromTheStartIsNotWaitedFor(t *testing.T) {
 	const maxDelay = 2*raceInterval + silentAfter
 	tests := map[string]struct {
--- a/internal/placing/cut_test.go
+++ b/internal/placing/cut_test.go
@@ -7,8 +7,7 @@
 	"github.com/heatherwood/heatherwood/internal/routing"
 )
 
-// What fails on the way to a failure domain must leave no trace at its servers: they are chosen
-// as before, for others to send to, and at once when the way is back.
+// What failed on the way to a failure domain counted against its servers.
 func TestCutLeavesNoTraceAtServers(t *testing.T) {
 	now := time.Date(2026, 5, 1, 9, 0, 0, 0, time.UTC)
 	p := NewPool(Policy{Service: "s", ColdRate: 10, Entries: 1}, Site{Domain: "a", Region: "r"})
--- a/internal/placing/limitload_test.go
+++ b/internal/placing/limitload_test.go
@@ -35,8 +35,7 @@
 	}
 }
 
-// Where up to half of the servers are limited, the others take their load; where all are,
-// callers get what the limits allow.
+// While up to half of the servers are limited, the others take their load; while all are, limits are used.
 func TestLimitedServersLeaveTheirLoadToOthers(t *testing.T) {
 	const (
 		rate             = 214.0
--- a/internal/placing/quota_test.go
+++ b/internal/placing/quota_test.go
@@ -147,8 +147,7 @@
 	}
 }
 
-// However many entries send to a server that names a limit, and whatever becomes of the
-// messages between them, it gets what one token bucket gives out.
+// The sum over all entries keeps the limit of a server, whatever becomes of the messages between them.
 func TestLimitHoldsOverAllEntries(t *testing.T) {
 	const window, length, seeds = 4 * time.Second, 45 * time.Second, 2
 	for _, entries := range []int{1, 10, 81, 300} {
--- a/internal/quorum/addressee_test.go
+++ b/internal/quorum/addressee_test.go
@@ -2,8 +2,7 @@
 
 import "testing"
 
-// A replica that lost its disk is followed by another one at the same address, which gets
-// messages for the first: they must neither raise its term nor get its vote.
+// Messages for a replica that lost its disk reached its successor at the same address.
 func TestMessageForAnotherReplicaChangesNothing(t *testing.T) {
 	messages := map[string]Message{
 		"vote":           {Kind: MessageVote, Term: 7},
--- a/internal/quorum/slowdisk_test.go
+++ b/internal/quorum/slowdisk_test.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// Where a sync takes longer than the election timeout, a candidate that did not wait for its
-// votes to be synced would call one election after another, and none would end.
+// Where a sync takes longer than the election timeout, each election was followed by the next.
 func TestLeaderIsElectedOnSlowDisks(t *testing.T) {
 	tests := map[string]struct {
 		delays []time.Duration // of a sync, by replica
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -186,8 +186,7 @@
 	}
 }
 
-// Servers do not answer requests whose bodies callers do not end; that silence counted against the
-// ways to them.
+// The silence of servers that wait for the bodies of callers counted against the ways to them.
 func TestAwaitedBodiesAreNoSilence(t *testing.T) {
 	for name, partial := range map[string]bool{"whole bodies": false, "bodies that callers still send": true} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/reducer/fence_test.go
+++ b/internal/reducer/fence_test.go
@@ -8,8 +8,7 @@
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
-// A closure that a cut connection held back reaches the leader after later ones, or after
-// another leader took over. A later order counts also if it changed nothing.
+// A closure that a cut connection held back undid later orders, also after a change of leader.
 func TestClosureWithAnOlderFenceIsSuperseded(t *testing.T) {
 	readFence := func(s *lostDisks) ledger.Fence {
 		var fence ledger.Fence
--- a/internal/reducer/lostdisks_test.go
+++ b/internal/reducer/lostdisks_test.go
@@ -121,9 +121,7 @@
 	return read >= s.number
 }
 
-// Control VMs lose their disks in turn, right after a change was acknowledged, each time
-// once the last ones have been back for the time in which they must catch up. As many disks
-// are lost at once as the site must bear, and nothing acknowledged may be lost with them.
+// Control VMs that lost their disks in turn, each time once the last ones were back, ended the quorum.
 func TestDisksLostInTurnKeepTheQuorum(t *testing.T) {
 	const (
 		downTime    = 400 * time.Millisecond
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -216,8 +216,7 @@
 	}
 }
 
-// A VM that knows a server only from its data folder may know an earlier start of it. It
-// can't say which start a withdrawal means until it has compared its roster with others.
+// A VM that knows an earlier start of a server, or none, can't say which start a withdrawal means.
 func TestWithdrawalOfAnUnknownServerIsNotConfirmed(t *testing.T) {
 	record := roster.Record{ID: "w1", Service: "web", Address: "10.0.0.9:1", Domain: "a", Slots: 2, Start: 5, Sequence: 3}
 	later := record
--- a/internal/reducer/routesplit_test.go
+++ b/internal/reducer/routesplit_test.go
@@ -74,8 +74,7 @@
 	}
 }
 
-// A request is matched against the document in force when it arrives, and begins after a
-// newer one came into force. It must not bring the targets of the old one back.
+// A request that was matched against an older document brought its targets back.
 func TestRequestOfAnOlderDocumentKeepsNoTargets(t *testing.T) {
 	services := []string{"orders", "pages"}
 	s := splitVM(t, services...)
--- a/internal/relay/detour_test.go
+++ b/internal/relay/detour_test.go
@@ -13,8 +13,7 @@
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
-// A request that was passed on and may have run is never sent again unless it may run twice,
-// and never refused as not run.
+// What was passed on and may have run is sent again only if it may run twice, and not refused as not run.
 func TestDetourResults(t *testing.T) {
 	refusal := func(status int, reason string, run RunState) *Problem {
 		return &Problem{Status: status, Reason: reason, Run: run, RetryAfter: time.Second}
@@ -109,8 +108,7 @@
 	}
 }
 
-// A VM that stops released the claim of a request that it had taken over, while the VM that had
-// passed it on continued with that claim: the key was free for a second run.
+// A VM that stopped released the claim with which the VM that had passed the request on continued.
 func TestHelperThatStopsKeepsTheClaim(t *testing.T) {
 	denials := map[string]struct {
 		reason  dispatch.Reason
@@ -171,8 +169,7 @@
 	}
 }
 
-// A VM with a newer document ran a request again that its route lets run once, after the VM that
-// passed it on had sent it by an older one.
+// A VM with a newer document ran a request again that had been sent by an older one.
 func TestTakenOverRequestIsNotRepeatedWhereItsRouteForbidsIt(t *testing.T) {
 	tests := map[string]struct {
 		kind        document.Kind
--- a/internal/replicaset/replacement_test.go
+++ b/internal/replicaset/replacement_test.go
@@ -11,8 +11,7 @@
 
 var kindNames = map[quorum.ChangeKind]string{quorum.ChangeAdd: "add", quorum.ChangePromote: "promote", quorum.ChangeRemove: "remove"}
 
-// Replicas that lost their disks are replaced without a majority that is smaller than
-// before, and without one that needs a successor before it has caught up.
+// Replicas that lost their disks are replaced without a smaller majority, or one that needs a successor that lags.
 func TestReplacementsKeepTheMajority(t *testing.T) {
 	const catchUpTime = 300 * time.Millisecond
 	tests := map[string]struct {
@@ -83,9 +82,7 @@
 	}
 }
 
-// A join request that was sent before a VM lost its disk may arrive after its successor was
-// added: held up by a cut link, or passed on late. It must not remove the successor, nor
-// add the replica that is gone.
+// A join request that comes late neither removes the successor of its replica nor adds the one that is gone.
 func TestLateJoinRequestChangesNothing(t *testing.T) {
 	tests := map[string]struct {
 		late, present uint64 // starts of the VM
