Play limits of servers on fleets of 510 VMs by hand

Cause: the sum over all VMs was shown in virtual time with 10 and 81 VMs only. Change: four cases of TestLimitHoldsOverTheFleet with 510 VMs, which run with HEATHERWOOD_FLEET, since they take a minute each; make soak has them. No protection was removed to see them red.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 	HEATHERWOOD_SOAK=5m go test ./internal/demo -run TestKilledProcesses -v -timeout 20m
 	HEATHERWOOD_SOAK_SEEDS=10 go test ./platform -run TestSoak -v -timeout 20m
 	HEATHERWOOD_OPERATIONS=20s go test ./platform -run 'TestPromisesHold|TestOperationsRunOnce' -parallel 3 -v -timeout 20m
+	HEATHERWOOD_FLEET=1 go test ./internal/capacity -run TestLimitHoldsOverTheFleet/510 -parallel 1 -v -timeout 20m
 
 fuzz:
 	go test -run '^$$' -fuzz FuzzParse -fuzztime 30s ./pkg/document
--- a/internal/capacity/limit_test.go
+++ b/internal/capacity/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"testing"
 	"time"
 
@@ -14,6 +15,9 @@
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
+// fleetVariable is the environment variable with which TestLimitHoldsOverTheFleet plays fleets of 510 VMs as well.
+const fleetVariable = "HEATHERWOOD_FLEET"
+
 // limitPlay sends requests through all VMs of a fleet to servers that entries choose.
 type limitPlay struct {
 	*Fleet
@@ -160,6 +164,7 @@
 		oneDomain          bool // callers use the entries of the first failure domain only
 		trouble            func(*limitPlay)
 		loss               float64 // share of the messages that are lost
+		byHand             bool    // only with fleetVariable
 	}{
 		"10 VMs":                                 {domains: 5, perDomain: 2},
 		"10 VMs, all limited":                    {domains: 5, perDomain: 2, all: true},
@@ -172,10 +177,17 @@
 		"81 VMs, VMs lost":                       {domains: 9, perDomain: 9, all: true, trouble: loseAndReturn("d00-000", "d00-001", "d00-002", "d00-003")},
 		"10 VMs, divided domain":                 {domains: 5, perDomain: 2, all: true, trouble: divide(1)},
 		"81 VMs, divided domains":                {domains: 9, perDomain: 9, all: true, trouble: divide(4)},
+		"510 VMs, all limited":                   {domains: 10, perDomain: 51, all: true, byHand: true},
+		"510 VMs, callers in one domain":         {domains: 10, perDomain: 51, all: true, oneDomain: true, byHand: true},
+		"510 VMs, VMs lost":                      {domains: 10, perDomain: 51, all: true, trouble: loseAndReturn("d00-000", "d00-001", "d00-002", "d00-003"), byHand: true},
+		"510 VMs, divided domains":               {domains: 10, perDomain: 51, all: true, trouble: divide(25), byHand: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			if test.byHand && os.Getenv(fleetVariable) == "" {
+				t.Skipf("runs only with %s", fleetVariable)
+			}
 			p := newLimitPlay(t, test.domains, test.perDomain, 20*float64(2*test.domains))
 			if test.oneDomain {
 				p.entries = p.vms[:test.perDomain]
