--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -61,7 +61,7 @@
 	if got, _ := c.Choose(own, helpers, Need{}, now); got.VM != "far" {
 		t.Errorf("chose %q right after it could not help", got.VM)
 	}
-	if got, _ := c.Choose(own, helpers, Need{}, now.Add(avoidFor)); got.VM != "neighbour" {
+	if got, _ := c.Choose(own, helpers, Need{}, now.Add(time.Second)); got.VM != "neighbour" {
 		t.Errorf("chose %q, want the neighbour again", got.VM)
 	}
 }
