--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -186,7 +186,8 @@
 	}
 }
 
-// The silence of servers that wait for the bodies of callers counted against the ways to them.
+// Servers do not answer requests whose bodies callers do not end; that silence counted against the
+// ways to them.
 func TestAwaitedBodiesAreNoSilence(t *testing.T) {
 	for name, partial := range map[string]bool{"whole bodies": false, "bodies that callers still send": true} {
 		t.Run(name, func(t *testing.T) {
