Keep the turns of entries at a cold server apart whatever they know of each other

Cause: a turn was the earliest time of the next request, so that entries saved up turns which no request used, and sent together once requests came: 24 or 25 in a second where 10.1 are allowed, in a simulation of 24, 84 and 300 entries. The place in the interval was the index divided by the count, so that entries with other counts fell together. Entries that each may send once a second did so up to the last request of the rate, 1.02 s apart, where a delay of 50 ms or an entry that the others do not count is enough for 11 to 13. Change: a turn lasts 0.4 s and is then lost; its place follows from the index by the golden ratio, which spreads any range of indexes evenly whatever the count; it is computed from the policy at each request, so that a change of the rate applies at once. One request a second each needs a fifth of the rate to spare and is one each 1.25 s. Pools keep the pace of servers that leave, and the reducer for 10 minutes the pools of services that leave. The case "one each" of TestEntriesStaggerAtLowColdRate wanted no turns for 76 entries at a rate of 76, which leaves nothing for an entry that others do not count yet. It now wants turns there, and none at 95. A turn that passed while the share was not known is lost as well, so that Pool.RestartTurns has no use any more; its test stays and passes without it.

--- a/internal/placing/cache.go
+++ b/internal/placing/cache.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// refreshCold staggers the first requests to servers that became or may be cold, and drops
-// those that are warm.
+// refreshCold begins to pace servers that became or may be cold, and drops those that are
+// warm.
 func (p *Pool) refreshCold(now time.Time) {
 	warmed := false
 	p.cold = slices.DeleteFunc(p.cold, func(s *Server) bool {
@@ -47,7 +47,7 @@
 			s.inColdOrder, warmed = false, true
 		}
 		paced := s.isPaced(now)
-		s.delayFirstCold(p.Policy, paced, now)
+		s.pace.begin(paced, now)
 		return !paced
 	})
 	if warmed {
@@ -55,15 +55,6 @@
 	}
 }
 
-// RestartTurns staggers the next requests to cold servers anew, after a time in which turns have
-// passed unused: all VMs may go on at the same moment.
-func (p *Pool) RestartTurns(now time.Time) {
-	for _, s := range p.cold {
-		s.coldPaced = false
-		s.delayFirstCold(p.Policy, s.isPaced(now), now)
-	}
-}
-
 // markCold notes that a server counts as cold from now on.
 func (p *Pool) markCold(s *Server) {
 	p.markPaced(s)
--- a/internal/placing/doubt.go
+++ b/internal/placing/doubt.go
@@ -56,11 +56,11 @@
 		return false
 	}
 	if !s.isPaced(now) {
-		s.coldPaced = false
+		s.pace.begun = false
 	}
 	s.doubt = doubt{open: true, since: now, until: now.Add(maxDoubt), askDue: now.Add(askTurn * time.Duration(p.Policy.ColdEntryIndex))}
 	p.markPaced(s)
-	s.delayFirstCold(p.Policy, true, now)
+	s.pace.begin(true, now)
 	return true
 }
 
@@ -145,10 +145,3 @@
 	}
 	return true
 }
-
-// keepPace keeps the pace of the record that a newer one replaces: both may be of one process.
-func (s *Server) keepPace(replaced *Server) {
-	if replaced != nil && replaced.coldPaced {
-		s.nextColdSend, s.coldPaced = replaced.nextColdSend, true
-	}
-}
--- a/internal/placing/doubt_test.go
+++ b/internal/placing/doubt_test.go
@@ -197,7 +197,6 @@
 		}
 		known := start.Add(6 * time.Second)
 		p.Policy.ColdHeld = false
-		p.RestartTurns(known)
 		sent += sentWithin(p, known, time.Second)
 	}
 	if float64(sent) > rate {
--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -15,8 +15,9 @@
 	if s.Limit.Named {
 		s.quota.use(now)
 	}
-	if s.isPaced(now) && p.Policy.ColdRate > 0 {
-		s.paceCold(p.Policy.ColdRate, now)
+	if s.isPaced(now) {
+		s.pace.begin(true, now)
+		s.pace.sentAt = now
 	}
 }
 
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -24,7 +24,7 @@
 
 	Entries int // VMs that send to the servers; 0 if unknown
 
-	ColdEntries    int // entries among which first requests to a cold server are staggered; 0 where each may start at once
+	ColdEntries    int // entries that take turns at a cold server; 0 where each may send at any time
 	ColdEntryIndex int // index of this entry among them, from 0
 }
 
@@ -155,6 +155,7 @@
 	probeBudget float64              // requests that may go to servers on probation
 	classes     map[string]*runTimes // usual run times, by class of requests
 	oneWays     map[string]float64   // seconds one way, by failure domain
+	gonePaces   map[string]pace      // of servers that left the pool while they were paced, by id
 	cut         []string             // failure domains that this VM cannot connect to, while others can
 }
 
@@ -180,9 +181,10 @@
 	for _, si := range infos {
 		s := p.Find(si.ID)
 		if s == nil || s.Start != si.Start || s.Address != si.Address {
-			replaced := s
-			s = &Server{policy: &p.Policy, idHash: xxhash.Sum64String(si.ID), slowness: 1, meanRunRatio: 1, objectAnsweredAt: make(map[string]time.Time)}
-			s.keepPace(replaced)
+			s = &Server{
+				policy: &p.Policy, idHash: xxhash.Sum64String(si.ID), slowness: 1, meanRunRatio: 1,
+				objectAnsweredAt: make(map[string]time.Time), pace: p.takePace(si.ID, s),
+			}
 		}
 		if si.ColdUntil.After(s.ColdUntil) && si.Word.At.After(s.doubt.since) {
 			s.doubt = doubt{}
@@ -198,7 +200,9 @@
 		servers = append(servers, s)
 	}
 	slices.SortFunc(servers, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
+	before := p.Servers
 	p.Servers = servers
+	p.keepPaces(before)
 	p.updateHomes()
 	p.resetCaches()
 	p.weighLimited()
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -41,12 +41,11 @@
 	silentSince      time.Time // time of the last answer, or of the first send to an idle server
 	failureRate      float64   // moving average of the share of failed answers
 	doubt            doubt
-	answeredAt       time.Time            // last good answer, or answer to a question
-	heardColdUntil   time.Time            // end of its cold time by its answer to a question
-	heardColdAt      time.Time            // of that answer
-	inColdOrder      bool                 // it is left out of the orders of objects because it is cold
-	nextColdSend     time.Time            // earliest next request while it is cold
-	coldPaced        bool                 // nextColdSend is set for the present cold period or doubt
+	answeredAt       time.Time // last good answer, or answer to a question
+	heardColdUntil   time.Time // end of its cold time by its answer to a question
+	heardColdAt      time.Time // of that answer
+	inColdOrder      bool      // it is left out of the orders of objects because it is cold
+	pace             pace
 	objectAnsweredAt map[string]time.Time // time of the last good answer, by object
 }
 
@@ -129,10 +128,7 @@
 
 // MayPace reports whether the rate of a cold server, if it applies, allows a request now.
 func (s *Server) MayPace(now time.Time) bool {
-	if !s.isPaced(now) || s.policy.ColdRate <= 0 {
-		return true
-	}
-	return !s.policy.ColdHeld && !now.Before(s.nextColdSend)
+	return !s.isPaced(now) || s.pace.allows(s.policy, s.idHash, now)
 }
 
 // Cold reports whether the server counts as cold, and on whose word and since when it is known
@@ -150,27 +146,6 @@
 	}
 }
 
-// delayFirstCold delays the first request to a server that became or may be cold, so that
-// the first requests of many entries are spread over the interval in which each
-// may send one.
-func (s *Server) delayFirstCold(policy Policy, cold bool, now time.Time) {
-	if policy.ColdEntries == 0 {
-		return
-	}
-	if cold && !s.coldPaced {
-		turns := uint64(policy.ColdEntries)
-		turn := (uint64(policy.ColdEntryIndex) + s.idHash%turns) % turns
-		s.nextColdSend = now.Add(seconds(float64(turn) / float64(turns) / policy.ColdRate))
-	}
-	s.coldPaced = cold
-}
-
-// paceCold sets the time of the next request to a cold server from the rate, in
-// requests per second.
-func (s *Server) paceCold(rate float64, now time.Time) {
-	s.nextColdSend, s.coldPaced = now.Add(seconds(1/rate)), true
-}
-
 func (s *Server) evictOldestObject() {
 	oldest, at := "", time.Time{}
 	for object, used := range s.objectAnsweredAt {
--- a/internal/reducer/placing_pools.go
+++ b/internal/reducer/placing_pools.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -12,12 +13,14 @@
 // configurePlacingPools applies a new document to the pools from which this VM
 // chooses servers itself: services, weights and closures.
 func (s *State) configurePlacingPools() {
-	for name := range s.placingPools {
+	for name, pool := range s.placingPools {
 		service := s.document.Services.ByName(name)
 		if service == nil || service.Placing != document.PlacingEntry {
+			s.formerPools[name] = formerPool{pool, s.now}
 			delete(s.placingPools, name)
 		}
 	}
+	maps.DeleteFunc(s.formerPools, func(_ string, f formerPool) bool { return s.now.Sub(f.at) > formerPoolKept })
 	s.routeSplits = make(map[*document.Route]*placing.Split)
 	s.closures = make(map[document.Closure]bool, len(s.document.Closures.Closures))
 	for _, closure := range s.document.Closures.Closures {
@@ -70,22 +73,36 @@
 		}
 		pool := s.placingPools[service.Name]
 		if pool == nil {
-			own := placing.Site{Domain: s.Settings.Domain, Region: s.Settings.Region}
-			pool = placing.NewPool(placing.Policy{Service: service.Name}, own)
+			pool = s.openPool(service.Name)
 			s.placingPools[service.Name] = pool
 		}
-		held := pool.Policy.ColdHeld
 		s.limitColdRate(&pool.Policy, service.ColdRate)
 		pool.Policy.ColdTime = service.Cold.Std()
 		pool.Policy.ColdHeld = !s.entriesKnown
-		if held && s.entriesKnown {
-			pool.RestartTurns(s.now)
-		}
 		pool.Policy.Demand, pool.Policy.Entries = demand, s.liveEntries
 		pool.Update(s.usableServers(service))
 	}
 }
 
+// formerPool is the pool of a service that left the document. Its servers may still be cold, and
+// this entry has used its turns there, when the service returns.
+type formerPool struct {
+	pool *placing.Pool
+	at   time.Time
+}
+
+const formerPoolKept = 10 * time.Minute
+
+// openPool returns the pool of a service that is new in the document, or returned to it.
+func (s *State) openPool(service string) *placing.Pool {
+	if former, found := s.formerPools[service]; found {
+		delete(s.formerPools, service)
+		return former.pool
+	}
+	own := placing.Site{Domain: s.Settings.Domain, Region: s.Settings.Region}
+	return placing.NewPool(placing.Policy{Service: service}, own)
+}
+
 // demandByRegion returns the number of failure domains of each region: each has callers
 // and entries of its own. What is known of live VMs would change with every restart, and
 // the homes of objects with it.
@@ -101,25 +118,24 @@
 // requests of any second, so an entry that sends at most once a second adds at
 // most one.
 const (
-	coldSendSpacing = 1.02 // seconds, the shortest interval between two sends of one entry
-	coldRatePart    = 0.4  // share of the rate that entries use together where each gets less than one a second
+	coldSendSpacing = 1.25 // seconds between two sends of one entry, at least: the first may be delayed on its way, the second not
+	coldRateSpare   = 0.2  // share of the rate that must be left where each entry sends once a second, for those that others do not count yet
+	coldRatePart    = 0.4  // share of the rate that entries use together where they take turns
 )
 
 // limitColdRate sets this entry's share of the rate of a cold server. Where the
-// share is less than one request a second, the entries stagger their first
-// requests to the server by ColdEntryIndex.
+// share is about one request a second or less, the entries take turns by ColdEntryIndex.
 func (s *State) limitColdRate(policy *placing.Policy, rate float64) {
 	policy.ColdRate, policy.ColdEntries, policy.ColdEntryIndex = 0, 0, s.entryIndex
 	if rate <= 0 {
 		return
 	}
 	entries := max(1, s.entryCount)
-	perEntry := rate / float64(entries)
-	if perEntry >= 1 {
+	if float64(entries) <= rate*(1-coldRateSpare) {
 		policy.ColdRate = 1 / coldSendSpacing
 		return
 	}
-	policy.ColdRate, policy.ColdEntries = perEntry*coldRatePart, entries
+	policy.ColdRate, policy.ColdEntries = rate/float64(entries)*coldRatePart, entries
 }
 
 func (s *State) usableServers(service *document.Service) []placing.ServerInfo {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -80,6 +80,7 @@
 
 	roster       roster.State
 	placingPools map[string]*placing.Pool // by service
+	formerPools  map[string]formerPool    // the same, of services that left the document
 	routeSplits  map[*document.Route]*placing.Split
 
 	closures      map[document.Closure]bool // of the document in force
@@ -193,6 +194,7 @@
 		activeStops:      make(map[string]bool),
 		planMovedAt:      make(map[string]time.Time),
 		placingPools:     make(map[string]*placing.Pool),
+		formerPools:      make(map[string]formerPool),
 		routeSplits:      make(map[*document.Route]*placing.Split),
 		placedRuns:       make(map[uint64]placedRun),
 		detourRuns:       make(map[uint64]string),
--- a/internal/reducer/reducer_test.go
+++ b/internal/reducer/reducer_test.go
@@ -190,15 +190,16 @@
 	}
 }
 
-// Entries stagger their requests to cold servers only where the share of each is
-// less than one request a second.
+// Entries take turns at cold servers unless the rate allows each one request a second
+// and leaves some for those that others do not know yet.
 func TestEntriesStaggerAtLowColdRate(t *testing.T) {
 	tests := map[string]struct {
 		rate    float64
 		entries int // that stagger their requests
 	}{
 		"less than one each": {12.5, 76},
-		"one each":           {76, 0},
+		"one each, no spare": {76, 76},
+		"one each":           {95, 0},
 		"no limit":           {0, 0},
 	}
 	for name, test := range tests {
