Ask servers before the first callers come; doubt what happened before a start only until it is over

Cause: for 5 s a VM that had just started took each server for cold until it answered; the first requests went to other servers or were refused, objects lost their places, and servers full of requests do not answer health checks soon. Change: what started again before this VM did is warm one cold time after that, so the doubt ends then. At its start a VM asks up to 64 servers at once, those of its region where there are many, without waiting for requests. Evidence: TestVMThatHasJustStartedAsksServers.

--- a/internal/placing/doubt.go
+++ b/internal/placing/doubt.go
@@ -41,7 +41,10 @@
 // cold time.
 func (d *doubt) noteAnswer(coldTime time.Duration, now time.Time) {
 	if d.open && !d.answered {
-		d.answered, d.until = true, now.Add(coldTime)
+		d.answered = true
+		if until := now.Add(coldTime); until.Before(d.until) {
+			d.until = until
+		}
 	}
 }
 
@@ -79,13 +82,13 @@
 func (p *Pool) DoubtAll(now time.Time) {
 	for _, s := range p.Servers {
 		if !s.doubt.lasts(now) && p.doubt(s, now) {
-			s.doubt.noteAnswer(p.coldTime(), now)
+			s.doubt.noteAnswer(p.ColdTime(), now)
 		}
 	}
 }
 
-// coldTime returns how long a server that started just now may be cold.
-func (p *Pool) coldTime() time.Duration { return max(p.Policy.ColdTime, PresumedColdTime) }
+// ColdTime returns how long a server that started just now may be cold.
+func (p *Pool) ColdTime() time.Duration { return max(p.Policy.ColdTime, PresumedColdTime) }
 
 // KeepContacts ends the doubts of a DoubtAll for servers to which connections are open.
 func (p *Pool) KeepContacts(addresses []string, since time.Time) {
@@ -106,12 +109,34 @@
 	if s.cut || !s.eligible(req) {
 		return
 	}
-	if p.Policy.Uninformed && s.CanAsk && !s.doubt.lasts(now) && now.Sub(s.answeredAt) > maxAnswerAge {
-		p.doubt(s, now)
+	if now.Before(p.Policy.InformedAt) && s.CanAsk && !s.doubt.lasts(now) && now.Sub(s.answeredAt) > maxAnswerAge && p.doubt(s, now) {
+		s.doubt.until = p.Policy.InformedAt
 	}
 	s.doubt.wanted = s.doubt.lasts(now)
 }
 
+// maxEarlyQuestions limits the servers that are asked before a request wants them.
+const maxEarlyQuestions = 64
+
+// AskEarly has the servers asked that never answered this VM, before its callers come: requests
+// that went elsewhere meanwhile would run their objects on servers where they are cold. Of many, those
+// of the own region are asked.
+func (p *Pool) AskEarly(now time.Time) {
+	if !now.Before(p.Policy.InformedAt) {
+		return
+	}
+	for _, s := range p.Servers {
+		if p.askedEarly >= maxEarlyQuestions {
+			return
+		}
+		near := s.inOwnRegion || len(p.Servers) < minPooledServers
+		if near && s.CanAsk && !s.Closed && s.answeredAt.IsZero() && p.doubt(s, now) {
+			s.doubt.until, s.doubt.wanted = p.Policy.InformedAt, true
+			p.askedEarly++
+		}
+	}
+}
+
 // Questions returns at most so many servers that are to be asked now whether they are cold.
 func (p *Pool) Questions(limit int, now time.Time) []*Server {
 	var due []*Server
--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -56,7 +56,7 @@
 		p.learnRunTimes(s, e, now)
 		s.ResetFailures()
 		s.answeredAt = now
-		s.doubt.noteAnswer(p.coldTime(), now)
+		s.doubt.noteAnswer(p.ColdTime(), now)
 		s.failureRate -= failureWeight * s.failureRate
 	case routing.ResultError, routing.ResultBroken:
 		s.failureRate += failureWeight * (1 - s.failureRate)
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -20,7 +20,7 @@
 
 	Demand map[string]float64 // by region, in any unit; nil where objects have no homes
 
-	Uninformed bool // word of a server that started again may not have reached this VM
+	InformedAt time.Time // before it, word of a server that started again may not have reached this VM
 
 	Entries int // VMs that send to the servers; 0 if unknown
 
@@ -155,6 +155,7 @@
 	probeBudget float64              // requests that may go to servers on probation
 	classes     map[string]*runTimes // usual run times, by class of requests
 	oneWays     map[string]float64   // seconds one way, by failure domain
+	askedEarly  int                  // servers
 	gonePaces   map[string]pace      // of servers that left the pool while they were paced, by id
 	cut         []string             // failure domains that this VM cannot connect to, while others can
 }
--- a/internal/reducer/contact_test.go
+++ b/internal/reducer/contact_test.go
@@ -11,7 +11,10 @@
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
-const contactTick = 50 * time.Millisecond
+const (
+	contactTick       = 50 * time.Millisecond
+	coldTimeOfContact = 3 * time.Second
+)
 
 // contactVM is a VM that chooses among the servers of one service, s1 and s2.
 type contactVM struct {
@@ -26,7 +29,7 @@
 	d := &document.Document{
 		Places: document.Places{Regions: []document.Region{{Name: "north"}}, Domains: []document.Domain{{Name: "a", Region: "north"}}},
 		Services: document.Services{Services: []document.Service{{
-			Name: "web", Placing: document.PlacingEntry, Cold: document.Duration(3 * time.Second), ColdRate: 20,
+			Name: "web", Placing: document.PlacingEntry, Cold: document.Duration(coldTimeOfContact), ColdRate: 20,
 		}}},
 	}
 	v.Apply(v.now, DocumentLoaded{Position: ledger.Position{Term: 2, Index: 5}, Document: d})
@@ -158,14 +161,21 @@
 func TestVMThatHasJustStartedAsksServers(t *testing.T) {
 	v := newContactVM(t)
 	v.startedAt = v.now
-	v.tick(contactTick)
-	v.want()
-	asked := questions(v.tick(contactTick))
-	if len(asked) != 1 || !v.isCold("s1") {
-		t.Fatalf("%d questions; s1 counts as cold: %v", len(asked), v.isCold("s1"))
+	asked := questions(v.tick(2 * contactTick)) // before any request comes
+	if len(asked) != 2 || !v.isCold("s1") || !v.isCold("s2") {
+		t.Fatalf("%d questions; s1 counts as cold: %v, s2: %v", len(asked), v.isCold("s1"), v.isCold("s2"))
+	}
+	for _, q := range asked {
+		v.Apply(v.now, ServerAnswered{Question: q, ID: q.Server})
 	}
-	v.Apply(v.now, ServerAnswered{Question: asked[0], ID: "s1"})
 	if v.isCold("s1") || v.want() == nil {
 		t.Error("s1 is not used though it says that it is warm")
 	}
+	if asked := questions(v.tick(coldTimeOfContact - 3*contactTick)); len(asked) != 0 {
+		t.Error("asked again though no request wants them")
+	}
+	v.now = v.now.Add(3 * contactTick)
+	if v.want(); v.isCold("s1") {
+		t.Error("s1 counts as cold after the time in which word of earlier starts comes")
+	}
 }
