Take the end of a connection that was just used for a loss of contact where idle ones are kept for a second

Callers of a server that states Keep-Alive: timeout=1 and starts again: all its connections end, and none of them counts as a loss of contact, so that it gets the requests of a warm server. Cause: an end counts as explained from one second before the stated time on, which is at once. With timeout=2 it is so for each connection that was idle for a second.

The margin is a quarter of the stated time now, and a second at most. The new case of TestLossOfContact failed before (0 losses of contact, want 1) and passes.

--- a/internal/callerhttp/contact.go
+++ b/internal/callerhttp/contact.go
@@ -43,7 +43,8 @@
 const (
 	pruneInterval   = time.Minute             // between two looks for contacts that nobody uses
 	vouchAge        = 2 * time.Second         // age of the last bytes up to which a connection shows that the server lives
-	idleCloseMargin = time.Second             // by which a server may close an idle connection before the time that it states
+	idleCloseMargin = time.Second             // by which a server may close an idle connection before the time that it states, at most
+	idleClosePart   = 4                       // of the time that it states, which the margin is at most
 	maxChoiceAge    = 1200 * time.Millisecond // of a choice of a server; connecting takes a second at most
 	maxColdChoice   = 500 * time.Millisecond  // of the choice of a cold one, so that the sends of one VM keep their distance
 )
@@ -203,7 +204,8 @@
 		return true
 	}
 	kept := c.contact.keepAlive
-	return !c.unanswered.Load() && kept > 0 && now.Sub(c.lastByte()) >= kept-idleCloseMargin
+	margin := min(idleCloseMargin, kept/idleClosePart)
+	return !c.unanswered.Load() && kept > 0 && now.Sub(c.lastByte()) >= kept-margin
 }
 
 // noteAnswer keeps what the header of an answer says about the end of the connection.
--- a/internal/callerhttp/contact_test.go
+++ b/internal/callerhttp/contact_test.go
@@ -139,6 +139,17 @@
 			c.noteAnswer(&http.Response{Header: http.Header{"Keep-Alive": {"timeout=5"}}})
 			v.server.conns[0].Close()
 		}, 1},
+		"it was just used, and the server keeps idle ones for a second": {func(t *testing.T, v *contactVM) {
+			c := v.dial(t, true)
+			c.noteAnswer(&http.Response{Header: http.Header{"Keep-Alive": {"timeout=1"}}})
+			v.server.conns[0].Close()
+		}, 1},
+		"it was idle for a second, as long as the server keeps it": {func(t *testing.T, v *contactVM) {
+			c := v.dial(t, true)
+			c.noteAnswer(&http.Response{Header: http.Header{"Keep-Alive": {"timeout=1"}}})
+			c.lastByteAt.Store(time.Now().Add(-time.Second).UnixNano())
+			v.server.conns[0].Close()
+		}, 0},
 		"this VM closes it": {func(t *testing.T, v *contactVM) { v.dial(t, true).Close() }, 0},
 		"one is refused":    {func(_ *testing.T, v *contactVM) { v.failed(v.server.address, "refused") }, 1},
 		"one is refused while another is open": {func(t *testing.T, v *contactVM) {
