Let a second pause of a VM prolong its doubt of servers

Callers of a server that starts again while a VM stands still a second time, within a cold time of the first: the VM sends to it as to a warm server once the doubt of the first pause ends. Cause: DoubtAll passes over servers whose doubt lasts, also where it ends sooner than a start during the pause could be warm.

A doubt that lasts goes on for the cold time at least, and is no longer ended by an open connection, which may lead to the successor. Two cases of the new TestDoubtOfAServerLastsUntilItIsWarmInAnyCase failed before (201 requests in 3 s, want at most 3 in both) and pass; the third one passed before too.

--- a/internal/placing/doubt.go
+++ b/internal/placing/doubt.go
@@ -12,7 +12,8 @@
 	open     bool
 	since    time.Time
 	until    time.Time
-	answered bool // a good answer has come since then, which bounds the start
+	answered bool // a good answer has come since then, or the VM stood still before, which bounds the start
+	ofPause  bool // the VM stood still, and nothing else: an open connection ends the doubt
 	wanted   bool // a request would have gone there since the last question
 	asked    int  // questions since the doubt began
 	askDue   time.Time
@@ -77,11 +78,19 @@
 	return p.Servers[i]
 }
 
-// DoubtAll does so for all servers that are not taken for one already, if they have started again
-// before now.
+// DoubtAll does so for all servers, if they have started again before now. A doubt that lasts goes on
+// for the cold time at least.
 func (p *Pool) DoubtAll(now time.Time) {
 	for _, s := range p.Servers {
-		if !s.doubt.lasts(now) && p.doubt(s, now) {
+		if until := now.Add(p.ColdTime()); s.doubt.lasts(now) {
+			s.doubt.since, s.doubt.ofPause = now, false
+			if s.doubt.until.Before(until) {
+				s.doubt.until = until
+			}
+			continue
+		}
+		if p.doubt(s, now) {
+			s.doubt.ofPause = true
 			s.doubt.noteAnswer(p.ColdTime(), now)
 		}
 	}
@@ -97,7 +106,7 @@
 		open[address] = true
 	}
 	for _, s := range p.Servers {
-		if s.doubt.since.Equal(since) && open[s.Address] {
+		if s.doubt.ofPause && s.doubt.since.Equal(since) && open[s.Address] {
 			s.doubt = doubt{}
 		}
 	}
--- a/internal/placing/doubt_test.go
+++ b/internal/placing/doubt_test.go
@@ -91,6 +91,40 @@
 	}
 }
 
+func TestDoubtOfAServerLastsUntilItIsWarmInAnyCase(t *testing.T) {
+	const cold = 3 * time.Second // after the last moment at which the server may have started
+	tests := map[string]struct {
+		event func(*Pool, ServerInfo, time.Time)
+	}{
+		"VM stood still twice": {event: func(p *Pool, _ ServerInfo, now time.Time) {
+			p.DoubtAll(now.Add(-2 * time.Second))
+			p.DoubtAll(now)
+		}},
+		"VM stood still after an answer": {event: func(p *Pool, _ ServerInfo, now time.Time) {
+			p.LoseContact("a", now.Add(-3*time.Second))
+			serve(p, now.Add(-2*time.Second))
+			p.DoubtAll(now)
+		}},
+		"contact lost and answered, VM stood still, connection open": {event: func(p *Pool, _ ServerInfo, now time.Time) {
+			p.LoseContact("a", now.Add(-time.Second))
+			serve(p, now)
+			p.DoubtAll(now)
+			p.KeepContacts([]string{"a"}, now)
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, info := doubtPool(Policy{ColdRate: 1 / 1.02})
+			serve(p, start)
+			now := start.Add(10 * time.Second)
+			test.event(p, info, now)
+			if sent := sentWithin(p, now, cold); sent > 3 {
+				t.Errorf("%d requests in %v, want at most 3", sent, cold)
+			}
+		})
+	}
+}
+
 func TestDoubtEndsOnceTheServerIsWarmInAnyCase(t *testing.T) {
 	p, _ := doubtPool(Policy{ColdRate: 1 / 1.02})
 	p.LoseContact("a", start)
