Count only connections opened before a pause as contact with the servers before it

Callers of a server that starts again while a VM stands still: the VM sends to it as to a warm one, if it had no connection to the server before and opens one once it goes on, before it has looked to which servers connections are open. Cause: a connection that was opened after the pause ends the doubt, and leads to the successor.

CheckContacts names the last tick before the pause, and only connections that were opened before it count. The new TestConnectionOpenedAfterAPauseIsNoOldContact fails without the bound (open to the server, want none) and passes.

--- a/internal/callerhttp/contact.go
+++ b/internal/callerhttp/contact.go
@@ -68,6 +68,7 @@
 	k.usedAt = c.clock.Now()
 	k.open[conn] = struct{}{}
 	conn.contacts, conn.contact, conn.socket = c, k, tcp.SocketOf(conn.Conn)
+	conn.openedAt = k.usedAt
 	conn.lastByteAt.Store(k.usedAt.UnixNano())
 }
 
@@ -181,13 +182,16 @@
 	}
 }
 
-// alive returns the addresses to which a connection is open.
-func (c *contacts) alive() []string {
+// alive returns the addresses to which a connection is open that was opened before a time.
+func (c *contacts) alive(before time.Time) []string {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	var addresses []string
 	for address, k := range c.byAddress {
 		for conn := range k.open {
+			if !conn.openedAt.Before(before) {
+				continue
+			}
 			if closed, err := conn.socket.PeerClosed(); err == nil && !closed {
 				addresses = append(addresses, address)
 				break
--- a/internal/callerhttp/contact_test.go
+++ b/internal/callerhttp/contact_test.go
@@ -228,3 +228,17 @@
 		})
 	}
 }
+
+func TestConnectionOpenedAfterAPauseIsNoOldContact(t *testing.T) {
+	v := newContactVM(t)
+	v.dial(t, false)
+	paused := time.Now()
+	if open := v.alive(paused); len(open) != 1 {
+		t.Errorf("open to %v, want the server", open)
+	}
+	v.server.restart()
+	v.dial(t, false)
+	if open := v.alive(paused); len(open) != 0 {
+		t.Errorf("open to %v since before the pause, want none", open)
+	}
+}
--- a/internal/callerhttp/serverconn.go
+++ b/internal/callerhttp/serverconn.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/heatherwood/heatherwood/internal/tcp"
 )
@@ -22,6 +23,7 @@
 	contacts    *contacts // that follow it; nil for a connection to another VM
 	contact     *contact
 	socket      tcp.Socket
+	openedAt    time.Time
 	used        bool         // a request was given to it; guarded by contacts
 	lastByteAt  atomic.Int64 // nanoseconds since 1970; the opening counts
 	closeStated atomic.Bool  // the other end said that it closes the connection
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,9 +48,9 @@
 	// AskServer asks a backend server by a health check whether it is cold. It is set before Start.
 	AskServer func(reducer.ServerQuestion) reducer.ServerAnswered
 
-	// OpenContacts returns the addresses of the backend servers to which a connection is open. It
-	// is set before Start.
-	OpenContacts func() []string
+	// OpenContacts returns the addresses of the backend servers to which a connection is open that
+	// was opened before a time. It is set before Start.
+	OpenContacts func(before time.Time) []string
 
 	mutex         sync.Mutex // guards state and keeps its effects in order
 	state         *reducer.State
@@ -352,7 +352,7 @@
 	case reducer.AskServer:
 		n.ask(e.Question)
 	case reducer.CheckContacts:
-		n.checkContacts(e.At)
+		n.checkContacts(e)
 	case reducer.AbandonSend:
 		n.calls.abandon(e.Call)
 	case reducer.Log:
@@ -387,11 +387,11 @@
 }
 
 // checkContacts looks in the background to which servers connections are open.
-func (n *Node) checkContacts(at time.Time) {
+func (n *Node) checkContacts(c reducer.CheckContacts) {
 	if n.OpenContacts == nil {
 		return
 	}
-	n.startGoroutine(func() { n.Apply(reducer.ContactsOpen{At: at, Addresses: n.OpenContacts()}) })
+	n.startGoroutine(func() { n.Apply(reducer.ContactsOpen{At: c.At, Addresses: n.OpenContacts(c.Before)}) })
 }
 
 func (n *Node) logEvent(e reducer.Log) {
--- a/internal/reducer/contact.go
+++ b/internal/reducer/contact.go
@@ -26,13 +26,13 @@
 	}
 }
 
-// doubtAll takes all servers for cold until it is known to which of them connections are open:
-// while this VM stood still it heard nothing.
-func (s *State) doubtAll() {
+// doubtAll takes all servers for cold until it is known to which of them connections are open since
+// before the pause: while this VM stood still it heard nothing.
+func (s *State) doubtAll(pause time.Duration) {
 	for _, pool := range s.placingPools {
 		pool.DoubtAll(s.now)
 	}
-	s.emit(CheckContacts{At: s.now})
+	s.emit(CheckContacts{At: s.now, Before: s.now.Add(-pause)})
 }
 
 func (s *State) keepContacts(e ContactsOpen) {
--- a/internal/reducer/contact_test.go
+++ b/internal/reducer/contact_test.go
@@ -120,6 +120,7 @@
 
 func TestVMThatStoodStillTakesServersWithoutConnectionsForCold(t *testing.T) {
 	v := newContactVM(t)
+	paused := v.now
 	v.now = v.now.Add(3 * time.Second)
 	var check *CheckContacts
 	for _, effect := range v.Apply(v.now, Tick{}) {
@@ -130,6 +131,9 @@
 	if check == nil || !v.isCold("s1") || !v.isCold("s2") {
 		t.Fatalf("connections looked at: %v; s1 counts as cold: %v, s2: %v", check != nil, v.isCold("s1"), v.isCold("s2"))
 	}
+	if !check.Before.Equal(paused) {
+		t.Errorf("connections that were opened before %v count, want %v", check.Before, paused)
+	}
 	v.Apply(v.now, ContactsOpen{At: check.At, Addresses: []string{"10.0.0.1:82"}})
 	if !v.isCold("s1") || v.isCold("s2") {
 		t.Errorf("with a connection to s2 open, s1 counts as cold: %v, s2: %v", v.isCold("s1"), v.isCold("s2"))
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -75,8 +75,9 @@
 	AskedAt time.Time
 }
 
-// CheckContacts looks to which servers connections are open, and reports ContactsOpen.
-type CheckContacts struct{ At time.Time }
+// CheckContacts looks to which servers connections are open that were opened before a time, and
+// reports ContactsOpen.
+type CheckContacts struct{ At, Before time.Time }
 
 // AbandonSend gives up the send of a request to a server; the failed send is reported as
 // RequestSent.
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -352,7 +352,7 @@
 	s.roster.ResetTimeouts(s.now)
 	s.allocator.Reset()
 	s.ways.Restart(s.now)
-	s.doubtAll()
+	s.doubtAll(elapsed)
 }
 
 func (s *State) receive(m Message) {
