Known red: a server that starts again while a VM has no connection to it

The design page says that such a VM sends one request as to a warm server; it sends all of them, until word comes. A connection that ended as stated leaves no contact to lose, and the first one to the successor tells nothing.

--- a/internal/callerhttp/contact_test.go
+++ b/internal/callerhttp/contact_test.go
@@ -242,3 +242,17 @@
 		t.Errorf("open to %v since before the pause, want none", open)
 	}
 }
+
+func TestServerThatStartedAgainWhileNoConnectionWasOpenIsDoubtedAfterOneRequest(t *testing.T) {
+	v := newContactVM(t)
+	c := v.dial(t, true)
+	v.withholds(c, choice{at: time.Now()})
+	c.noteAnswer(&http.Response{Close: true})
+	v.server.conns[0].Close()
+	v.wantLosses(t, 0)
+	v.server.restart()
+	for range 10 {
+		v.withholds(v.dial(t, true), choice{at: time.Now()})
+	}
+	v.wantLosses(t, 1)
+}
