Measure the age of a connection's last bytes by the monotonic clock

After a step of a VM's clock by some seconds, connections that a server ended without a word count as idle for as long as it keeps them, and their loss is not noticed; after a step back, idle ones that end as stated count as lost. Cause: the time of the last bytes is kept in nanoseconds since 1970, whose age is taken by the wall clock.

It is kept as a distance from a time that has the monotonic clock. The new TestAgeOfLastByteKeepsItsMonotonicClock failed before (no monotonic clock) and passes.

--- a/internal/callerhttp/contact.go
+++ b/internal/callerhttp/contact.go
@@ -19,6 +19,7 @@
 // contacts follows the connections of this VM to each server.
 type contacts struct {
 	clock clock.Clock
+	base  time.Time // times of bytes are kept as distances from it, which no step of the clock changes
 
 	// onLost is told that no connection to an address is left, of which the last one ended
 	// without an explanation. Once it returns, requests are sent there with that in mind.
@@ -56,7 +57,7 @@
 }
 
 func newContacts(clk clock.Clock, onLost func(address, why string)) *contacts {
-	return &contacts{clock: clk, onLost: onLost, byAddress: make(map[string]*contact)}
+	return &contacts{clock: clk, base: clk.Now(), onLost: onLost, byAddress: make(map[string]*contact)}
 }
 
 // add notes a new connection.
@@ -69,7 +70,7 @@
 	k.open[conn] = struct{}{}
 	conn.contacts, conn.contact, conn.socket = c, k, tcp.SocketOf(conn.Conn)
 	conn.openedAt = k.usedAt
-	conn.lastByteAt.Store(k.usedAt.UnixNano())
+	conn.noteByte(k.usedAt)
 }
 
 func (c *contacts) find(address string) *contact {
@@ -240,7 +241,11 @@
 }
 
 // lastByte returns when the other end last sent something, as far as this VM has read it.
-func (c *serverConn) lastByte() time.Time { return time.Unix(0, c.lastByteAt.Load()) }
+func (c *serverConn) lastByte() time.Time {
+	return c.contacts.base.Add(time.Duration(c.lastByteAt.Load()))
+}
+
+func (c *serverConn) noteByte(at time.Time) { c.lastByteAt.Store(int64(at.Sub(c.contacts.base))) }
 
 // failedToConnect tells the contacts of a connection that was refused.
 func (c *contacts) failedToConnect(address string, err error) {
--- a/internal/callerhttp/contact_test.go
+++ b/internal/callerhttp/contact_test.go
@@ -131,7 +131,7 @@
 		"it was idle for as long as the server keeps it": {func(t *testing.T, v *contactVM) {
 			c := v.dial(t, true)
 			c.noteAnswer(&http.Response{Header: http.Header{"Keep-Alive": {"timeout=5, max=100"}}})
-			c.lastByteAt.Store(time.Now().Add(-5 * time.Second).UnixNano())
+			c.noteByte(time.Now().Add(-5 * time.Second))
 			v.server.conns[0].Close()
 		}, 0},
 		"it was idle for less": {func(t *testing.T, v *contactVM) {
@@ -147,7 +147,7 @@
 		"it was idle for a second, as long as the server keeps it": {func(t *testing.T, v *contactVM) {
 			c := v.dial(t, true)
 			c.noteAnswer(&http.Response{Header: http.Header{"Keep-Alive": {"timeout=1"}}})
-			c.lastByteAt.Store(time.Now().Add(-time.Second).UnixNano())
+			c.noteByte(time.Now().Add(-time.Second))
 			v.server.conns[0].Close()
 		}, 0},
 		"this VM closes it": {func(t *testing.T, v *contactVM) { v.dial(t, true).Close() }, 0},
@@ -229,6 +229,14 @@
 	}
 }
 
+func TestAgeOfLastByteKeepsItsMonotonicClock(t *testing.T) {
+	v := newContactVM(t)
+	last := v.dial(t, false).lastByte()
+	if last.Round(0) == last {
+		t.Errorf("%v has no monotonic clock: a step of the clock changes its age", last)
+	}
+}
+
 func TestConnectionOpenedAfterAPauseIsNoOldContact(t *testing.T) {
 	v := newContactVM(t)
 	v.dial(t, false)
--- a/internal/callerhttp/serverconn.go
+++ b/internal/callerhttp/serverconn.go
@@ -25,7 +25,7 @@
 	socket      tcp.Socket
 	openedAt    time.Time
 	used        bool         // a request was given to it; guarded by contacts
-	lastByteAt  atomic.Int64 // nanoseconds since 1970; the opening counts
+	lastByteAt  atomic.Int64 // nanoseconds after the base of the contacts; the opening counts
 	closeStated atomic.Bool  // the other end said that it closes the connection
 
 	mutex   sync.Mutex
@@ -85,7 +85,7 @@
 func (c *serverConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 && c.contacts != nil {
-		c.lastByteAt.Store(c.contacts.clock.Now().UnixNano())
+		c.noteByte(c.contacts.clock.Now())
 	}
 	c.noteEnd(err)
 	return n, err
