Keep the doubt and pace of a server that leaves the pool and returns

Callers of a server that starts again while it counts as silent: once a late announcement of the start before brings it back, VMs that lost contact with it send to it as to a warm one. Cause: a server that is not listed for a moment (silent, or left out by a document) begins with a new record, without doubt or pace.

The pool keeps servers that left it while they may be cold. The new case of TestDoubtOfAServerLastsUntilItIsWarmInAnyCase failed before (300 requests in 3 s, want at most 3) and passes. A loss of contact with a server that is not in the pool is still not noted.

--- a/internal/placing/cache.go
+++ b/internal/placing/cache.go
@@ -41,6 +41,7 @@
 // refreshCold begins to pace servers that became or may be cold, and drops those that are
 // warm.
 func (p *Pool) refreshCold(now time.Time) {
+	p.former = slices.DeleteFunc(p.former, func(s *Server) bool { return !s.isPaced(now) })
 	warmed := false
 	p.cold = slices.DeleteFunc(p.cold, func(s *Server) bool {
 		if s.inColdOrder && !s.isCold(now) {
--- a/internal/placing/doubt.go
+++ b/internal/placing/doubt.go
@@ -190,6 +190,27 @@
 	return true
 }
 
+// maxFormer limits the servers that left the pool and are remembered.
+const maxFormer = 1024
+
+// keepFormer keeps those of the servers before that left the pool while they may be cold, the last
+// ones of many: they may return as they were.
+func (p *Pool) keepFormer(before []*Server) {
+	p.former = slices.DeleteFunc(append(p.former, before...), func(s *Server) bool {
+		return !s.doubt.open && !s.pace.begun || p.Find(s.ID) != nil
+	})
+	p.former = slices.Delete(p.former, 0, max(0, len(p.former)-maxFormer))
+}
+
+// findFormer returns the server with the id that left the pool, or nil.
+func (p *Pool) findFormer(id string) *Server {
+	i := slices.IndexFunc(p.former, func(s *Server) bool { return s.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return p.former[i]
+}
+
 // keepDoubt keeps the doubt of the record at the address that a newer one replaces: word of the newer
 // one may have been late, and another start may have followed.
 func (s *Server) keepDoubt(replaced *Server, address string) {
--- a/internal/placing/doubt_test.go
+++ b/internal/placing/doubt_test.go
@@ -125,6 +125,11 @@
 			info.Word = roster.Word{Source: roster.FromVM, At: now.Add(time.Millisecond)}
 			p.Update([]ServerInfo{info})
 		}},
+		"it was silent meanwhile": {event: func(p *Pool, info ServerInfo, now time.Time) {
+			p.LoseContact("a", now)
+			p.Update(nil)
+			p.Update([]ServerInfo{info})
+		}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/placing/pace.go
+++ b/internal/placing/pace.go
@@ -41,30 +41,9 @@
 	return p.begun && elapsed >= 0 && elapsed%interval < coldTurn && now.Sub(p.sentAt) > interval-coldTurn
 }
 
-// maxGonePaces limits the servers that left the pool while they were paced; beyond it, all of
-// these are forgotten.
-const maxGonePaces = 1024
-
-// takePace returns the pace of the record of a server that a newer one replaces, or that left the
-// pool before: both may be of one process.
-func (p *Pool) takePace(id string, replaced *Server) pace {
+// keepPace keeps the pace of the record that a newer one replaces: both may be of one process.
+func (s *Server) keepPace(replaced *Server) {
 	if replaced != nil {
-		return replaced.pace
-	}
-	kept := p.gonePaces[id]
-	delete(p.gonePaces, id)
-	return kept
-}
-
-// keepPaces keeps the paces of servers that are no longer in the pool.
-func (p *Pool) keepPaces(before []*Server) {
-	for _, s := range before {
-		if !s.pace.begun || p.Find(s.ID) != nil {
-			continue
-		}
-		if p.gonePaces == nil || len(p.gonePaces) >= maxGonePaces {
-			p.gonePaces = make(map[string]pace)
-		}
-		p.gonePaces[s.ID] = s.pace
+		s.pace = replaced.pace
 	}
 }
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -146,6 +146,7 @@
 	Policy  Policy
 	Own     Site      // of the entry
 	Servers []*Server // by id
+	former  []*Server // that left the pool while they may be cold
 
 	demand demand
 	homes  homes // of the objects of callers in the own region
@@ -156,7 +157,6 @@
 	classes     map[string]*runTimes // usual run times, by class of requests
 	oneWays     map[string]float64   // seconds one way, by failure domain
 	askedEarly  int                  // servers
-	gonePaces   map[string]pace      // of servers that left the pool while they were paced, by id
 	cut         []string             // failure domains that this VM cannot connect to, while others can
 }
 
@@ -178,16 +178,14 @@
 // a server is kept unless its start or address changed; the objects that it ran
 // are forgotten when its ColdUntil is replaced by a later one.
 func (p *Pool) Update(infos []ServerInfo) {
-	servers := make([]*Server, 0, len(infos))
+	before, servers := p.Servers, make([]*Server, 0, len(infos))
 	for _, si := range infos {
 		s := p.Find(si.ID)
 		if s == nil || s.Start != si.Start || s.Address != si.Address {
-			replaced := s
-			s = &Server{
-				policy: &p.Policy, idHash: xxhash.Sum64String(si.ID), slowness: 1, meanRunRatio: 1,
-				objectAnsweredAt: make(map[string]time.Time), pace: p.takePace(si.ID, replaced),
-			}
+			replaced := cmp.Or(s, p.findFormer(si.ID))
+			s = &Server{policy: &p.Policy, idHash: xxhash.Sum64String(si.ID), slowness: 1, meanRunRatio: 1, objectAnsweredAt: make(map[string]time.Time)}
 			s.keepDoubt(replaced, si.Address)
+			s.keepPace(replaced)
 		}
 		if si.ColdUntil.After(s.ColdUntil) && si.Word.At.After(s.doubt.since) && p.coversStart(si.ColdUntil, s.doubt.since) {
 			s.doubt = doubt{}
@@ -203,9 +201,8 @@
 		servers = append(servers, s)
 	}
 	slices.SortFunc(servers, func(a, b *Server) int { return cmp.Compare(a.ID, b.ID) })
-	before := p.Servers
 	p.Servers = servers
-	p.keepPaces(before)
+	p.keepFormer(before)
 	p.updateHomes()
 	p.resetCaches()
 	p.weighLimited()
