Learn for how long a server keeps idle connections where it does not say so

A server that is warm after its idle connections ended at the same age twice keeps them for that long. The new TestIdleTimeoutThatAServerDoesNotStateIsLearned fails without it in two cases and passes.

--- a/internal/callerhttp/ask.go
+++ b/internal/callerhttp/ask.go
@@ -39,7 +39,9 @@
 	answer := reducer.ServerAnswered{Question: q, ID: id, ColdFor: coldFor}
 	if err != nil {
 		answer.Why = err.Error()
+		return answer
 	}
+	l.contacts.noteState(q.Address, id == q.Server && coldFor == 0)
 	return answer
 }
 
--- a/internal/callerhttp/contact.go
+++ b/internal/callerhttp/contact.go
@@ -37,7 +37,9 @@
 	lostAt  time.Time                // when onLost last returned
 	telling int                      // calls of onLost that run
 
-	keepAlive time.Duration // for which the server keeps an idle connection; 0 if it did not say
+	keepAlive time.Duration // for which the server keeps an idle connection, as it says or does; 0 if unknown
+	idleEnd   time.Duration // for which the connection was idle whose end was last not explained; 0 if it was not
+	warmIdle  time.Duration // idleEnd before the last answer that the server is warm
 	usedAt    time.Time
 }
 
@@ -45,6 +47,7 @@
 	pruneInterval   = time.Minute             // between two looks for contacts that nobody uses
 	vouchAge        = 2 * time.Second         // age of the last bytes up to which a connection shows that the server lives
 	idleCloseMargin = time.Second             // by which a server may close an idle connection before the time that it states, at most
+	minIdleTimeout  = 200 * time.Millisecond  // that a server may have without stating it
 	idleClosePart   = 4                       // of the time that it states, which the margin is at most
 	maxChoiceAge    = 1200 * time.Millisecond // of a choice of a server; connecting takes a second at most
 	maxColdChoice   = 500 * time.Millisecond  // of the choice of a cold one, so that the sends of one VM keep their distance
@@ -111,7 +114,12 @@
 		return
 	}
 	delete(conn.contact.open, conn)
-	explained := conn.endExplained(c.clock.Now())
+	now := c.clock.Now()
+	explained := conn.endExplained(now)
+	conn.contact.idleEnd = 0
+	if idle := now.Sub(conn.lastByte()); !explained && !conn.unanswered.Load() && idle >= minIdleTimeout {
+		conn.contact.idleEnd = idle
+	}
 	vouched, unexplained := c.look(conn.contact, nil)
 	c.tell(conn.contact, !vouched && (!explained || unexplained), why)
 }
@@ -183,6 +191,26 @@
 	}
 }
 
+// noteState notes whether the server says that it is warm, after a loss of contact. One that is, and
+// that has closed idle connections at the same age twice, does so without having started again.
+func (c *contacts) noteState(address string, warm bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	k := c.byAddress[address]
+	if k == nil || k.idleEnd == 0 {
+		return
+	}
+	idle, before := k.idleEnd, k.warmIdle
+	k.idleEnd, k.warmIdle = 0, 0
+	if !warm {
+		return
+	}
+	k.warmIdle = idle
+	if (idle - before).Abs() <= before/idleClosePart {
+		k.keepAlive = min(idle, before)
+	}
+}
+
 // alive returns the addresses to which a connection is open that was opened before a time.
 func (c *contacts) alive(before time.Time) []string {
 	c.mutex.Lock()
--- a/internal/callerhttp/contact_test.go
+++ b/internal/callerhttp/contact_test.go
@@ -229,6 +229,36 @@
 	}
 }
 
+func TestIdleTimeoutThatAServerDoesNotStateIsLearned(t *testing.T) {
+	const timeout = 800 * time.Millisecond
+	tests := map[string]struct {
+		idle []time.Duration // at the ends of connections, one after the other
+		cold bool            // the server says so each time
+		want int             // losses of contact
+	}{
+		"the same each time":             {idle: []time.Duration{timeout, timeout + 20*time.Millisecond, timeout, timeout}, want: 2},
+		"longer, then the same":          {idle: []time.Duration{3 * time.Second, timeout, timeout, timeout}, want: 3},
+		"the last one is shorter":        {idle: []time.Duration{timeout, timeout, timeout / 2}, want: 3},
+		"another one each time":          {idle: []time.Duration{timeout, 2 * timeout, timeout, 2 * timeout}, want: 4},
+		"answers that the server cuts":   {idle: []time.Duration{time.Millisecond, time.Millisecond, time.Millisecond}, want: 3},
+		"the server starts again always": {idle: []time.Duration{timeout, timeout, timeout}, cold: true, want: 3},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := newContactVM(t)
+			for i, idle := range test.idle {
+				c := v.dial(t, true)
+				v.withholds(c, choice{at: time.Now()})
+				c.noteByte(time.Now().Add(-idle))
+				v.server.conns[i].Close()
+				time.Sleep(20 * time.Millisecond)
+				v.noteState(v.server.address, !test.cold)
+			}
+			v.wantLosses(t, test.want)
+		})
+	}
+}
+
 func TestAgeOfLastByteKeepsItsMonotonicClock(t *testing.T) {
 	v := newContactVM(t)
 	last := v.dial(t, false).lastByte()
