Tests of contact wait for what they check, not for a time

Cause: tests of contact slept for 20 or 50 ms and then compared; beside load the end of a connection may be noticed later, so that they could fail without a fault. Ruled out: a longer sleep. They now wait until the end is noticed, 5 s at most, and then 50 ms for a loss too many; what they compare is the same.

--- a/internal/callerhttp/contact_test.go
+++ b/internal/callerhttp/contact_test.go
@@ -90,12 +90,31 @@
 
 func (v *contactVM) wantLosses(t *testing.T, want int) {
 	t.Helper()
-	time.Sleep(50 * time.Millisecond)
+	for end := time.Now().Add(5 * time.Second); len(v.losses) < want && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond) // for one too many
 	if got := len(v.losses); got != want {
 		t.Errorf("%d losses of contact, want %d", got, want)
 	}
 }
 
+// awaitEnd waits until the end of a connection is noticed, and what it means is told.
+func (v *contactVM) awaitEnd(t *testing.T, c *serverConn) {
+	t.Helper()
+	isNoticed := func() bool {
+		v.mutex.Lock()
+		defer v.mutex.Unlock()
+		_, open := c.contact.open[c]
+		return !open && c.contact.telling == 0
+	}
+	for end := time.Now().Add(5 * time.Second); !isNoticed(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the end of the connection was not noticed")
+		}
+	}
+}
+
 func TestLossOfContact(t *testing.T) {
 	tests := map[string]struct {
 		play func(*testing.T, *contactVM)
@@ -251,7 +270,7 @@
 				v.withholds(c, choice{at: time.Now()})
 				c.noteByte(time.Now().Add(-idle))
 				v.server.conns[i].Close()
-				time.Sleep(20 * time.Millisecond)
+				v.awaitEnd(t, c)
 				v.noteState(v.server.address, !test.cold)
 			}
 			v.wantLosses(t, test.want)
