--- a/internal/peerrpc/silence_test.go
+++ b/internal/peerrpc/silence_test.go
@@ -323,3 +323,36 @@
 		t.Errorf("%d pings in 4 s, want about %d", pings, most)
 	}
 }
+
+// A connection that is given up too soon is dialed again and again wherever a peer or a link is slow.
+func TestShortPauseOpensNoSecondConnection(t *testing.T) {
+	const (
+		pause    = 200 * time.Millisecond
+		silence  = 400 * time.Millisecond // from which on a second connection is tried
+		attempts = 20                     // short of processor the pause may last longer
+	)
+	for range attempts {
+		handler := &stoppingHandler{resume: make(chan struct{})}
+		var link silencer
+		address := link.listen(t, serve(t, handler))
+		network := NewNetwork([]byte("key"))
+		began := time.Now()
+		network.Send(address, heartbeat(0))
+		time.Sleep(pause)
+		close(handler.resume)
+		awaitDelivered(t, &handler.recordingHandler, 1, 5*time.Second)
+		took := time.Since(began)
+		link.mutex.Lock()
+		count := link.count
+		link.mutex.Unlock()
+		network.Close()
+		if took >= silence {
+			continue
+		}
+		if count != 1 {
+			t.Errorf("%d connections to a peer that stood still for %v, want 1", count, pause)
+		}
+		return
+	}
+	t.Fatalf("each of %d pauses lasted %v or longer", attempts, silence)
+}
