Send one request at a time to servers that did not answer a VM yet, and ask each once

Cause: for one cold time after its start a VM gave servers the rate of cold ones whenever they had not answered it for 2 s; busy servers answer health checks late. Change: a server that answered once since the start of the VM is no longer in doubt because of it, and until then it gets one request at a time instead of the rate. A VM that hears no other one keeps the 2 s.

--- a/internal/placing/doubt.go
+++ b/internal/placing/doubt.go
@@ -14,6 +14,7 @@
 	until    time.Time
 	answered bool // a good answer has come since then, or the VM stood still before, which bounds the start
 	ofPause  bool // the VM stood still, and nothing else: an open connection ends the doubt
+	ofStart  bool // the VM has just started, and nothing else: requests are sent one at a time
 	wanted   bool // a request would have gone there since the last question
 	asked    int  // questions since the doubt began
 	askDue   time.Time
@@ -56,7 +57,7 @@
 		return false
 	}
 	if s.doubt.lasts(now) && !s.doubt.answered {
-		s.doubt.since, s.doubt.until = now, now.Add(maxDoubt)
+		s.doubt.since, s.doubt.until, s.doubt.ofStart = now, now.Add(maxDoubt), false
 		return false
 	}
 	if !s.isPaced(now) {
@@ -123,13 +124,18 @@
 }
 
 // noteWanted notes that the request might go to the server if it were known to be warm. Where this VM
-// may lack word of it, that is known only from the server's own answers.
+// may lack word of it, that is known only from the server's own answers: the first one of a VM that has
+// just started, and late ones of a VM that hears no other.
 func (p *Pool) noteWanted(s *Server, req Request, now time.Time) {
 	if s.cut || !s.eligible(req) {
 		return
 	}
-	if now.Before(p.Policy.InformedAt) && s.CanAsk && !s.doubt.lasts(now) && now.Sub(s.answeredAt) > maxAnswerAge && p.doubt(s, now) {
-		s.doubt.until = p.Policy.InformedAt
+	switch known := !s.CanAsk || s.doubt.lasts(now); {
+	case known:
+	case p.Policy.Isolated && now.Sub(s.answeredAt) > maxAnswerAge:
+		p.doubt(s, now)
+	case now.Before(p.Policy.InformedAt) && s.answeredAt.IsZero() && p.doubt(s, now):
+		s.doubt.until, s.doubt.ofStart = p.Policy.InformedAt, true
 	}
 	s.doubt.wanted = s.doubt.lasts(now)
 }
@@ -150,7 +156,7 @@
 		}
 		near := s.inOwnRegion || len(p.Servers) < minPooledServers
 		if near && s.CanAsk && !s.Closed && s.answeredAt.IsZero() && p.doubt(s, now) {
-			s.doubt.until, s.doubt.wanted = p.Policy.InformedAt, true
+			s.doubt.until, s.doubt.wanted, s.doubt.ofStart = p.Policy.InformedAt, true, true
 			p.askedEarly++
 		}
 	}
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -20,7 +20,8 @@
 
 	Demand map[string]float64 // by region, in any unit; nil where objects have no homes
 
-	InformedAt time.Time // before it, word of a server that started again may not have reached this VM
+	InformedAt time.Time // before it, word of a server that started before this VM may not have reached it
+	Isolated   bool      // no other VM is heard, so that no word comes
 
 	Entries int // VMs that send to the servers; 0 if unknown
 
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -128,6 +128,9 @@
 
 // MayPace reports whether the rate of a cold server, if it applies, allows a request now.
 func (s *Server) MayPace(now time.Time) bool {
+	if s.doubt.ofStart && s.doubt.lasts(now) && !s.isCold(now) {
+		return s.running == 0
+	}
 	return !s.isPaced(now) || s.pace.allows(s.policy, s.idHash, now)
 }
 
--- a/internal/reducer/contact.go
+++ b/internal/reducer/contact.go
@@ -44,27 +44,14 @@
 // isolatedAfter is the time without gossip after which this VM counts as cut off from all others.
 const isolatedAfter = 8 * member.GossipInterval
 
-// isolatedFor is for how long a VM that hears no other one expects to lack word of servers; it is
-// renewed with each tick.
-const isolatedFor = 30 * time.Second
-
-// informedAt returns from when on word of servers that started again reaches this VM in time. Those
-// that started again before it did are warm a cold time later.
-func (s *State) informedAt(coldTime time.Duration) time.Time {
-	if !s.heardAt.IsZero() && s.now.Sub(s.heardAt) > isolatedAfter {
-		return s.now.Add(isolatedFor)
-	}
-	return s.startedAt.Add(coldTime)
-}
-
 // tickQuestions asks servers that may be cold, and that requests would go to, whether they are.
 func (s *State) tickQuestions() {
 	left := maxQuestions
 	for _, pool := range s.placingPools {
-		pool.Policy.InformedAt = s.informedAt(pool.ColdTime())
-		if s.now.Sub(s.startedAt) < pool.ColdTime() {
-			pool.AskEarly(s.now)
-		}
+		pool.Policy.Isolated = !s.heardAt.IsZero() && s.now.Sub(s.heardAt) > isolatedAfter
+		// Servers that started again before this VM did are warm a cold time later.
+		pool.Policy.InformedAt = s.startedAt.Add(pool.ColdTime())
+		pool.AskEarly(s.now)
 		left -= s.askServers(pool, left)
 	}
 }
