Doubt servers at the start of a VM only where no other entry of its domain runs for longer

Change: where an entry of the failure domain has run for a cold time or longer, it has connections to servers and tells what becomes of them, so that a VM that starts beside it doubts none for its own start; otherwise it asks 16. Evidence: TestVMThatStartedLaterThanOthersAsksNoServers.

--- a/internal/placing/doubt.go
+++ b/internal/placing/doubt.go
@@ -141,7 +141,7 @@
 }
 
 // maxEarlyQuestions limits the servers that are asked before a request wants them.
-const maxEarlyQuestions = 64
+const maxEarlyQuestions = 16
 
 // AskEarly has the servers asked that never answered this VM, before its callers come: requests
 // that went elsewhere meanwhile would run their objects on servers where they are cold. Of many, those
--- a/internal/reducer/contact.go
+++ b/internal/reducer/contact.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/member"
@@ -44,14 +45,26 @@
 // isolatedAfter is the time without gossip after which this VM counts as cut off from all others.
 const isolatedAfter = 8 * member.GossipInterval
 
+// hasOlderPeer reports whether another entry of the failure domain started a cold time or more
+// before this VM: it has connections to servers and tells what becomes of them.
+func (s *State) hasOlderPeer(coldTime time.Duration) bool {
+	age := uint64(coldTime / time.Second)
+	return slices.ContainsFunc(s.members.Alive(), func(vm member.VM) bool {
+		return vm.ID != s.Settings.VM && vm.Entry != "" && vm.Incarnation+age <= s.members.Self.Incarnation
+	})
+}
+
 // tickQuestions asks servers that may be cold, and that requests would go to, whether they are.
 func (s *State) tickQuestions() {
 	left := maxQuestions
 	for _, pool := range s.placingPools {
 		pool.Policy.Isolated = !s.heardAt.IsZero() && s.now.Sub(s.heardAt) > isolatedAfter
-		// Servers that started again before this VM did are warm a cold time later.
-		pool.Policy.InformedAt = s.startedAt.Add(pool.ColdTime())
-		pool.AskEarly(s.now)
+		pool.Policy.InformedAt = time.Time{}
+		if s.now.Sub(s.startedAt) < pool.ColdTime() && !s.hasOlderPeer(pool.ColdTime()) {
+			// Servers that started again before this VM did are warm a cold time later.
+			pool.Policy.InformedAt = s.startedAt.Add(pool.ColdTime())
+			pool.AskEarly(s.now)
+		}
 		left -= s.askServers(pool, left)
 	}
 }
--- a/internal/reducer/contact_test.go
+++ b/internal/reducer/contact_test.go
@@ -183,3 +183,12 @@
 		t.Error("s1 counts as cold after the time in which word of earlier starts comes")
 	}
 }
+
+func TestVMThatStartedLaterThanOthersAsksNoServers(t *testing.T) {
+	v := newContactVM(t)
+	v.startedAt, v.members.Self.Incarnation = v.now, 1000
+	v.Apply(v.now, Received{Message{Gossip: &member.Gossip{From: member.VM{ID: "a2", Peer: "a2:1", Entry: "a2:2", Domain: "a", Incarnation: 900}}}})
+	if asked := questions(v.tick(2 * contactTick)); len(asked) != 0 || v.want() == nil || v.isCold("s1") {
+		t.Errorf("%d questions; s1 counts as cold: %v", len(asked), v.isCold("s1"))
+	}
+}
