--- a/internal/reducer/contact_test.go
+++ b/internal/reducer/contact_test.go
@@ -192,3 +192,13 @@
 		t.Errorf("%d questions; s1 counts as cold: %v", len(asked), v.isCold("s1"))
 	}
 }
+
+func TestLogOfASendNamesTheVMThatToldOfTheServer(t *testing.T) {
+	v := newContactVM(t)
+	record := roster.Record{ID: "s1", Service: "web", Address: "10.0.0.1:81", Domain: "a", Slots: 9, Start: 2, Sequence: 1}
+	v.Apply(v.now, Received{Message{Servers: &ServerUpdate{From: "a7", Records: []roster.Record{record}}}})
+	v.tick(contactTick)
+	if _, word := v.placingPools["web"].Find("s1").Cold(v.now); word.Source != roster.FromVM || word.VM != "a7" {
+		t.Errorf("known from %s %q, want from VM a7", word.Source, word.VM)
+	}
+}
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -362,6 +362,7 @@
 
 // ServerUpdate carries records of backend servers.
 type ServerUpdate struct {
+	From    string // VM that sends it; empty from VMs of earlier releases
 	Records []roster.Record
 	Relay   bool // the receiver forwards them to the other VMs of its failure domain
 }
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -233,11 +233,11 @@
 func (s *State) sendServerUpdates() {
 	s.recordsForAll = append(s.recordsForAll, s.roster.TakeUpdates()...)
 	for batch := range slices.Chunk(s.recordsForAll, roster.MaxBatch) {
-		s.sendToDomain(Message{Servers: &ServerUpdate{Records: batch}})
-		s.sendToRelays(Message{Servers: &ServerUpdate{Records: batch, Relay: true}})
+		s.sendToDomain(Message{Servers: &ServerUpdate{From: s.Settings.VM, Records: batch}})
+		s.sendToRelays(Message{Servers: &ServerUpdate{From: s.Settings.VM, Records: batch, Relay: true}})
 	}
 	for batch := range slices.Chunk(s.recordsForDomain, roster.MaxBatch) {
-		s.sendToDomain(Message{Servers: &ServerUpdate{Records: batch}})
+		s.sendToDomain(Message{Servers: &ServerUpdate{From: s.Settings.VM, Records: batch}})
 	}
 	s.recordsForAll, s.recordsForDomain = nil, nil
 	s.markRosterChange()
@@ -259,7 +259,7 @@
 func (s *State) receiveServers(update ServerUpdate) {
 	s.recordsForAll = append(s.recordsForAll, s.roster.TakeUpdates()...)
 	s.dropCovered(update.Records)
-	s.roster.Merge(update.Records, s.now)
+	s.roster.MergeFrom(update.From, update.Records, s.now)
 	for _, r := range s.roster.TakeUpdates() {
 		switch entry := s.roster.Find(r.ID); {
 		case entry != nil && entry.AnnouncedHere():
@@ -356,7 +356,7 @@
 func (s *State) receiveIndex(index ServerIndex) {
 	differing := s.roster.Diff(index.Domain, index.Known, s.now)
 	for batch := range slices.Chunk(differing, roster.MaxBatch) {
-		s.transmit(index.Peer, Message{Servers: &ServerUpdate{Records: batch}})
+		s.transmit(index.Peer, Message{Servers: &ServerUpdate{From: s.Settings.VM, Records: batch}})
 	}
 	if index.Answer {
 		s.sendIndex(index.Peer, index.Domain, false)
--- a/internal/roster/cold.go
+++ b/internal/roster/cold.go
@@ -23,7 +23,7 @@
 	r.Cold = left
 	r.ColdVersion++
 	s.amend(held, r, now)
-	held.Word = Word{FromAnswer, now}
+	held.Word = Word{Source: FromAnswer, At: now}
 }
 
 // mergeCold takes over the word that a server turned cold from a record that is otherwise not
@@ -39,7 +39,7 @@
 	}
 	s.amend(held, merged, now)
 	if r.Cold > 0 {
-		held.Word = Word{FromVM, now}
+		held.Word = Word{FromVM, now, s.sender}
 	}
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -64,6 +64,7 @@
 	Entries []*Entry // by id
 	Changed bool     // an entry changed since the caller last cleared it
 
+	sender  string    // of the records that are merged; empty if unknown
 	updates []Record  // to send to other VMs
 	syncDue time.Time // when DifferingDomains may next return domains
 	digests []Digest  // cached; nil after a record changed
@@ -128,7 +129,7 @@
 		return false
 	}
 	e := s.Find(r.ID)
-	e.announcedAt, e.Word = now, Word{FromServer, now}
+	e.announcedAt, e.Word = now, Word{Source: FromServer, At: now}
 	return true
 }
 
@@ -165,7 +166,12 @@
 // Merge stores the newer ones among the records of another VM. For a server that
 // the other VM marked silent, but that announced itself here later, it queues an
 // update with the record held here.
-func (s *State) Merge(records []Record, now time.Time) {
+func (s *State) Merge(records []Record, now time.Time) { s.MergeFrom("", records, now) }
+
+// MergeFrom is Merge for records that the named VM sent.
+func (s *State) MergeFrom(vm string, records []Record, now time.Time) {
+	s.sender = vm
+	defer func() { s.sender = "" }()
 	for _, r := range records {
 		held := s.Find(r.ID)
 		if held == nil || newer(r, held.Record) {
@@ -224,7 +230,7 @@
 			r.Limit, r.LimitVersion = before.Limit, before.LimitVersion
 		}
 	}
-	e.Record, e.restored, e.Word = r, false, Word{FromVM, now}
+	e.Record, e.restored, e.Word = r, false, Word{FromVM, now, s.sender}
 	e.hash = e.contentHash()
 	if r.Cold > 0 {
 		e.ColdUntil = coldUntil
@@ -399,7 +405,7 @@
 	for _, e := range s.Entries {
 		until := now.Add(timeOf(e.Service))
 		if e.Domain == domain && e.ColdUntil.Before(until) {
-			e.ColdUntil, e.Word = until, Word{FromOrder, now}
+			e.ColdUntil, e.Word = until, Word{Source: FromOrder, At: now}
 			s.Changed = true
 		}
 	}
--- a/internal/roster/word.go
+++ b/internal/roster/word.go
@@ -20,4 +20,5 @@
 type Word struct {
 	Source Source
 	At     time.Time
+	VM     string // that sent the record; empty from other sources, and from VMs of earlier releases
 }
