Ask only the servers that a VM that has just started sends to, not all that it considers

Cause: each server that a choice considered and that had not answered the VM yet was put in doubt and asked, about seven for each request; health checks take slots as requests do. Change: the first request to such a server raises the doubt and has it asked; up to 16 are asked early as before.

--- a/internal/placing/doubt.go
+++ b/internal/placing/doubt.go
@@ -123,23 +123,28 @@
 	}
 }
 
-// noteWanted notes that the request might go to the server if it were known to be warm. Where this VM
-// may lack word of it, that is known only from the server's own answers: the first one of a VM that has
-// just started, and late ones of a VM that hears no other.
+// noteWanted notes that the request might go to the server if it were known to be warm. On a VM that
+// hears no other, that is known only from the server's own late answers.
 func (p *Pool) noteWanted(s *Server, req Request, now time.Time) {
 	if s.cut || !s.eligible(req) {
 		return
 	}
-	switch known := !s.CanAsk || s.doubt.lasts(now); {
-	case known:
-	case p.Policy.Isolated && now.Sub(s.answeredAt) > maxAnswerAge:
+	if p.Policy.Isolated && s.CanAsk && !s.doubt.lasts(now) && now.Sub(s.answeredAt) > maxAnswerAge {
 		p.doubt(s, now)
-	case now.Before(p.Policy.InformedAt) && s.answeredAt.IsZero() && p.doubt(s, now):
-		s.doubt.until, s.doubt.ofStart = p.Policy.InformedAt, true
 	}
 	s.doubt.wanted = s.doubt.lasts(now)
 }
 
+// doubtUnknown raises the doubt of a VM that has just started in a server that never answered it, and
+// has it asked; it returns whether that is new.
+func (p *Pool) doubtUnknown(s *Server, now time.Time) bool {
+	isNew := now.Before(p.Policy.InformedAt) && s.CanAsk && s.answeredAt.IsZero() && !s.doubt.lasts(now) && p.doubt(s, now)
+	if isNew {
+		s.doubt.until, s.doubt.wanted, s.doubt.ofStart = p.Policy.InformedAt, true, true
+	}
+	return isNew
+}
+
 // maxEarlyQuestions limits the servers that are asked before a request wants them.
 const maxEarlyQuestions = 16
 
@@ -147,16 +152,12 @@
 // that went elsewhere meanwhile would run their objects on servers where they are cold. Of many, those
 // of the own region are asked.
 func (p *Pool) AskEarly(now time.Time) {
-	if !now.Before(p.Policy.InformedAt) {
-		return
-	}
 	for _, s := range p.Servers {
-		if p.askedEarly >= maxEarlyQuestions {
+		if p.askedEarly >= maxEarlyQuestions || !now.Before(p.Policy.InformedAt) {
 			return
 		}
 		near := s.inOwnRegion || len(p.Servers) < minPooledServers
-		if near && s.CanAsk && !s.Closed && s.answeredAt.IsZero() && p.doubt(s, now) {
-			s.doubt.until, s.doubt.wanted, s.doubt.ofStart = p.Policy.InformedAt, true, true
+		if near && !s.Closed && p.doubtUnknown(s, now) {
 			p.askedEarly++
 		}
 	}
--- a/internal/placing/doubt_test.go
+++ b/internal/placing/doubt_test.go
@@ -258,26 +258,34 @@
 }
 
 func TestVMThatHasJustStartedSendsOneRequestAtATime(t *testing.T) {
-	p, info := doubtPool(Policy{ColdRate: 1 / 1.02, InformedAt: start.Add(3 * time.Second)})
-	info.CanAsk = true
-	p.Update([]ServerInfo{info})
-	p.AskEarly(start)
-	choose := func(now time.Time) *Server {
-		return p.Choose(Request{Class: "page", Object: "o", Remaining: 10 * time.Second, Target: 10 * time.Second}, now).Server
-	}
-	s := choose(start)
-	if s == nil {
-		t.Fatal("nothing may be sent before the server has answered")
-	}
-	p.Begin(s, start)
-	if choose(start) != nil {
-		t.Error("two requests at a time before the server has said that it is warm")
+	tests := map[string]func(p *Pool){
+		"asked early":     func(p *Pool) { p.AskEarly(start) },
+		"asked when used": func(*Pool) {},
 	}
-	if asked := p.Questions(16, start); len(asked) != 1 || !p.TakeAnswer(s, start, 0, start) || choose(start) == nil {
-		t.Errorf("%d servers asked; none may be sent to after the answer", len(asked))
-	}
-	p.LoseContact("a", start.Add(time.Second))
-	if sent := sentWithin(p, start.Add(time.Second), time.Second); sent > 1 {
-		t.Errorf("%d requests in the second after contact was lost, want at most 1", sent)
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, info := doubtPool(Policy{ColdRate: 1 / 1.02, InformedAt: start.Add(3 * time.Second)})
+			info.CanAsk = true
+			p.Update([]ServerInfo{info})
+			prepare(p)
+			choose := func(now time.Time) *Server {
+				return p.Choose(Request{Class: "page", Object: "o", Remaining: 10 * time.Second, Target: 10 * time.Second}, now).Server
+			}
+			s := choose(start)
+			if s == nil {
+				t.Fatal("nothing may be sent before the server has answered")
+			}
+			p.Begin(s, start)
+			if choose(start) != nil {
+				t.Error("two requests at a time before the server has said that it is warm")
+			}
+			if asked := p.Questions(16, start); len(asked) != 1 || !p.TakeAnswer(s, start, 0, start) || choose(start) == nil {
+				t.Errorf("%d servers asked; none may be sent to after the answer", len(asked))
+			}
+			p.LoseContact("a", start.Add(time.Second))
+			if sent := sentWithin(p, start.Add(time.Second), time.Second); sent > 1 {
+				t.Errorf("%d requests in the second after contact was lost, want at most 1", sent)
+			}
+		})
 	}
 }
--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -12,6 +12,7 @@
 		s.silentSince = now
 	}
 	s.running++
+	p.doubtUnknown(s, now)
 	if s.Limit.Named {
 		s.quota.use(now)
 	}
