Add customers to the steering document, routes without a key and routes for downloads

Callers of two deployments belong to customers with keys, ranks, regions and allowances, which the document could not express: a configuration with them was accepted and the customers were ignored, and a route of type download made the whole configuration invalid.

An edition without customers clears the section.

--- a/cmd/heatherwood/document.go
+++ b/cmd/heatherwood/document.go
@@ -42,7 +42,7 @@
 	}
 }
 
-var errNoSections = errors.New("no file is named after a section: places.toml, services.toml, ranks.toml, stops.toml or routes.toml")
+var errNoSections = errors.New("no file is named after a section: places.toml, services.toml, ranks.toml, stops.toml, routes.toml or customers.toml")
 
 // readTexts reads section files, and those in folders; other files are skipped.
 func readTexts(paths []string) (document.Texts, error) {
--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -33,12 +33,13 @@
 
 // Versions holds the version of each section; a section never written has 0.
 type Versions struct {
-	Places   uint64
-	Services uint64
-	Ranks    uint64
-	Stops    uint64
-	Routes   uint64
-	Closures uint64
+	Places    uint64
+	Services  uint64
+	Ranks     uint64
+	Stops     uint64
+	Routes    uint64
+	Closures  uint64
+	Customers uint64
 }
 
 // Get returns the version of a section.
@@ -59,6 +60,8 @@
 		return &v.Routes
 	case document.SectionClosures:
 		return &v.Closures
+	case document.SectionCustomers:
+		return &v.Customers
 	default:
 		return &v.Stops
 	}
--- a/internal/ledger/edition.go
+++ b/internal/ledger/edition.go
@@ -19,7 +19,11 @@
 type Edition struct {
 	Number uint64
 	Source []byte // text as the author sent it
-	Parts  []Part // empty in the stored state, where the sections hold the texts
+	Parts  []Part // empty in the stored state, where the sections hold the texts; without customers there is no part for them
+}
+
+func (e *Edition) hasPart(section document.Section) bool {
+	return slices.ContainsFunc(e.Parts, func(p Part) bool { return p.Section == section })
 }
 
 // Part is the new text of one section.
@@ -74,6 +78,9 @@
 	for _, part := range edition.Parts {
 		s.replaceText(position, part)
 	}
+	if !edition.hasPart(document.SectionCustomers) {
+		s.replaceText(position, Part{Section: document.SectionCustomers})
+	}
 	s.Document = position
 	return EditionResult{Code: EditionAccepted, Number: edition.Number}
 }
--- a/internal/operatorhttp/sections.go
+++ b/internal/operatorhttp/sections.go
@@ -29,7 +29,7 @@
 func sectionFromPath(w http.ResponseWriter, r *http.Request) (document.Section, bool) {
 	section := document.Section(r.PathValue("name"))
 	if !section.Known() {
-		refuse(w, http.StatusNotFound, "unknown-section", "sections are places, services, ranks and stops")
+		refuse(w, http.StatusNotFound, "unknown-section", "sections are places, services, ranks, stops, routes and customers")
 		return "", false
 	}
 	return section, true
--- a/internal/reducer/edition.go
+++ b/internal/reducer/edition.go
@@ -44,7 +44,7 @@
 	if result.Code != ledger.EditionAccepted {
 		return
 	}
-	var names []document.Section
+	names := []document.Section{document.SectionCustomers}
 	for _, part := range edition.Parts {
 		names = append(names, part.Section)
 	}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -225,7 +225,7 @@
 	if succeeded || r.Route == nil || s.document == nil {
 		return
 	}
-	if route := s.document.Routes.Match(r.Host, r.Path); route != nil && route.Kind != document.KindRepeat {
+	if route := s.document.Routes.Match(r.Host, r.Path); route != nil && !route.Kind.Repeatable() {
 		r.ForbidRepeat()
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -376,7 +376,7 @@
 
 // repeatable reports whether the request may run a second time.
 func (r *Request) repeatable() bool {
-	return !r.Once && !r.runsOnce && (r.Route == nil || r.Route.Kind == document.KindRepeat)
+	return !r.Once && !r.runsOnce && (r.Route == nil || r.Route.Kind.Repeatable())
 }
 
 // ForbidRepeat keeps the request from being sent again once it may have run, as the document of its
--- a/pkg/document/check.go
+++ b/pkg/document/check.go
@@ -51,6 +51,7 @@
 	c.checkServices()
 	c.checkStops()
 	c.checkRoutes()
+	c.checkCustomers()
 }
 
 // add reports an error at a path of the section, with a note on the remedy.
--- a/pkg/document/checkroutes.go
+++ b/pkg/document/checkroutes.go
@@ -38,9 +38,9 @@
 		c.add(SectionRoutes, path+".path", "begin the path with \"/\"", "path prefix %q is not absolute", route.Path)
 	}
 	switch route.Kind {
-	case KindRepeat, KindAttempt, KindOnce:
+	case KindRepeat, KindDownload, KindAttempt, KindOnce:
 	default:
-		c.add(SectionRoutes, path+".kind", "use \"repeat\", \"attempt\" or \"once\"", "kind %q does not exist", route.Kind)
+		c.add(SectionRoutes, path+".kind", "use \"repeat\", \"download\", \"attempt\" or \"once\"", "kind %q does not exist", route.Kind)
 	}
 	if route.Timeout.Std() > maxRouteTimeout {
 		c.add(SectionRoutes, path+".timeout", "the longest timeout is 10m", "timeout of route %q is too long", route.Name)
--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -11,17 +11,18 @@
 
 // The sections.
 const (
-	SectionPlaces   Section = "places"
-	SectionServices Section = "services"
-	SectionRanks    Section = "ranks"
-	SectionStops    Section = "stops"
-	SectionRoutes   Section = "routes"
-	SectionClosures Section = "closures"
+	SectionPlaces    Section = "places"
+	SectionServices  Section = "services"
+	SectionRanks     Section = "ranks"
+	SectionStops     Section = "stops"
+	SectionRoutes    Section = "routes"
+	SectionCustomers Section = "customers"
+	SectionClosures  Section = "closures"
 )
 
 // Written lists the sections that teams write, in the order of parsing.
 func Written() []Section {
-	return []Section{SectionPlaces, SectionServices, SectionRanks, SectionStops, SectionRoutes}
+	return []Section{SectionPlaces, SectionServices, SectionRanks, SectionStops, SectionRoutes, SectionCustomers}
 }
 
 // Sections lists all sections in the order of parsing.
@@ -40,12 +41,13 @@
 
 // Document is the parsed steering document.
 type Document struct {
-	Places   Places
-	Services Services
-	Ranks    Ranks
-	Stops    Stops
-	Routes   Routes
-	Closures Closures
+	Places    Places
+	Services  Services
+	Ranks     Ranks
+	Stops     Stops
+	Routes    Routes
+	Customers Customers
+	Closures  Closures
 }
 
 // Places holds the regions and failure domains, the latencies and links between
@@ -194,6 +196,7 @@
 		d.Services.Services[i].fillDefaults()
 	}
 	d.Routes.fillDefaults()
+	d.Customers.fillDefaults()
 }
 
 func (s *Service) fillDefaults() {
--- a/pkg/document/parse.go
+++ b/pkg/document/parse.go
@@ -56,6 +56,8 @@
 		return &d.Ranks
 	case SectionRoutes:
 		return &d.Routes
+	case SectionCustomers:
+		return &d.Customers
 	case SectionClosures:
 		return &d.Closures
 	default:
--- a/pkg/document/routes.go
+++ b/pkg/document/routes.go
@@ -13,11 +13,15 @@
 
 // The kinds of route.
 const (
-	KindRepeat  Kind = "repeat"  // may run more than once
-	KindAttempt Kind = "attempt" // runs at most once each time a caller sends it
-	KindOnce    Kind = "once"    // runs at most once for each Idempotency-Key
+	KindRepeat   Kind = "repeat"   // may run more than once
+	KindDownload Kind = "download" // may run more than once; its answers are large and streamed
+	KindAttempt  Kind = "attempt"  // runs at most once each time a caller sends it
+	KindOnce     Kind = "once"     // runs at most once for each Idempotency-Key
 )
 
+// Repeatable reports whether a request of the kind may run more than once.
+func (k Kind) Repeatable() bool { return k == KindRepeat || k == KindDownload }
+
 // Routes holds the routes and what callers may send.
 type Routes struct {
 	Limits Limits  `toml:"limits"`
@@ -47,6 +51,7 @@
 	Tries    int      `toml:"tries"`    // backend servers that may run one request, at most
 	Affinity bool     `toml:"affinity"` // requests for an object run faster on a server that recently ran another one for it
 	Regions  []string `toml:"regions"`  // regions allowed to run it; none means all
+	Public   bool     `toml:"public"`   // serves requests without a customer's key
 	To       []Target `toml:"to"`
 }
 
