--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -22,10 +22,20 @@
 	TrickledRefusal Fault = "trickled-refusal" // a complete head of a refusal, and a body that never ends
 	SecondCopy      Fault = "second-copy"      // a good answer, and a copy of it after secondCopyDelay
 	HalfBody        Fault = "half-body"        // a good head, and half of the body that it announces
+	StatusZero      Fault = "status-000"       // an answer whose status is 000
+	StatusSwitching Fault = "status-101"       // a switch to another protocol that nobody asked for
+	StatusTooHigh   Fault = "status-600"       // an answer whose status is above all of HTTP
+	EndlessInterim  Fault = "endless-interim"  // interim answers without end and no final one
 )
 
 // Faults lists all faults.
-var Faults = []Fault{EndlessHead, TrickledHead, EndlessBytes, EndlessBody, EndlessChunks, TrickledRefusal, SecondCopy, HalfBody}
+var Faults = []Fault{EndlessHead, TrickledHead, EndlessBytes, EndlessBody, EndlessChunks, TrickledRefusal, SecondCopy, HalfBody, StatusZero, StatusSwitching, StatusTooHigh, EndlessInterim}
+
+// HasBadStatus reports whether the answer is whole but for its status, which is no final status
+// of HTTP.
+func (f Fault) HasBadStatus() bool {
+	return f == StatusZero || f == StatusSwitching || f == StatusTooHigh
+}
 
 const (
 	trickleInterval = 100 * time.Millisecond
@@ -92,6 +102,10 @@
 		for _, err := conn.Read(buffer); err == nil; _, err = conn.Read(buffer) {
 			send(good)
 		}
+	case StatusZero, StatusSwitching, StatusTooHigh:
+		send(strings.Replace(good, "200 OK", strings.TrimPrefix(string(f), "status-")+" Odd", 1))
+	case EndlessInterim:
+		repeat("HTTP/1.1 102 Processing\r\n\r\n", trickleInterval)
 	case HalfBody:
 		send(good[:len(good)-len(body)/2])
 	}
