Stream answers of routes of kind download at a part of the link

An answer of 540 KB fills a link of 5.1 Mbit/s for 0.85 s, and all that follows queues behind it. Up to 256 KiB of each were held before the first byte went to its caller.

At most 32 KiB are held now, and the downloads of a VM are read at 0.8 of its link together, where the settings name it. Other kinds are as before.

Measured: TestDownloadsShareAPartOfTheLink, TestDownloadEndsWhenItsCallerLeaves.

--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -55,6 +55,7 @@
 	watcher            watcher
 	contacts           *contacts      // to servers
 	bodies, answers    *intake.Budget // bytes that all requests hold of theirs
+	link               *linkShare     // of downloads
 	serving            atomic.Int64   // requests
 }
 
@@ -79,6 +80,7 @@
 		},
 		bodies:  n.NewBudget("bodies", maxOnceBodyBytes, freeBytes),
 		answers: n.NewBudget("answers", bufferedAnswerBytes, freeBytes),
+		link:    newLinkShare(n.Clock, n.Settings.LinkMegabits),
 		peers:   newPeerTransport(n, idlePerHost, maxAnswerHeader),
 		watcher: watcher{clock: n.Clock, callers: make(map[*callerWatch]struct{})},
 	}
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -242,13 +242,17 @@
 	}
 	share := in.relay.answers.Open(nil)
 	in.shares = append(in.shares, share)
-	body, err := share.ReadAll(io.LimitReader(response.Body, bufferedAnswerBytes+1), bufferedAnswerBytes+1)
+	limit := in.bufferLimit()
+	body, err := share.ReadAll(io.LimitReader(response.Body, limit+1), limit+1)
 	full := errors.Is(err, intake.ErrFull)
 	if err != nil && !full {
 		return in.resultOfBreak(ctx), err.Error()
 	}
-	if full || len(body) > bufferedAnswerBytes {
+	if full || int64(len(body)) > limit {
 		response.Body = &joinedBody{Reader: io.MultiReader(bytes.NewReader(body), response.Body), Closer: response.Body}
+		if in.isDownload() {
+			response.Body = &pacedBody{ReadCloser: response.Body, ctx: ctx, link: in.relay.link}
+		}
 		return result, ""
 	}
 	response.Body.Close()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,7 @@
 	SharedKey       string     `toml:"key"`    // secret shared by the site's VMs
 	LogLevel        string     `toml:"log_level"`
 	MemoryLimitMiB  int        `toml:"memory_limit"` // MiB that the garbage collector aims to stay below; 0 sets no limit
+	LinkMegabits    float64    `toml:"link"`         // Mbit/s of the VM's link, which downloads leave a part of free; 0 if unknown
 	InitialReplicas []Replica  `toml:"replica"`      // control replicas at the first start
 	ManageReplicas  bool       `toml:"seats"`        // replicas are added and replaced automatically, and identified by their peer addresses
 	Bootstrap       bool       `toml:"first"`        // with seats: this is the first start of the whole site
@@ -107,6 +108,7 @@
 	rejectIf(!isValidAddress(s.Peer), "peer: %q is not an IP address with a port", s.Peer)
 	rejectIf(s.PeerListen != "" && !isValidAddress(s.PeerListen), "listen: %q is not an IP address with a port", s.PeerListen)
 	rejectIf(!isValidSecret(s.SharedKey), "key: use %d to %d bytes, the same on all VMs of the site", minSecretBytes, maxSecretBytes)
+	rejectIf(!(s.LinkMegabits >= 0), "link: use the Mbit/s of the VM's link, or 0 if it is unknown")
 	rejectIf(s.MemoryLimitMiB < 0 || s.MemoryLimitMiB > 0 && s.MemoryLimitMiB < minMemoryLimitMiB, "memory_limit: use at least %d MiB, or 0 for none", minMemoryLimitMiB)
 	rejectIf(len(s.Seeds) > maxSeeds, "seeds: at most %d", maxSeeds)
 	for _, seed := range s.Seeds {
