Read load reports with a fourth field, and count malformed ones

Cause: a header of four fields counted as no report, so that entries knew no load of servers that state their speed. Change: Server-Load may hold the speed in percent of usual; placing.Load has it as Pace. Other field counts, signs, text, several headers, a speed of 0 and numbers out of bounds are an unknown load, and heatherwood_malformed_load_reports_total counts them. Dialect.ParseLoad returns an error for them; TestDialect checks it besides the loads it checked before.

--- a/internal/callerhttp/dialect.go
+++ b/internal/callerhttp/dialect.go
@@ -34,8 +34,9 @@
 	// ParseHealth returns the id of the server that answered a health check, and how long it stays
 	// cold, or an error if the answer does not say so; nil if servers never do.
 	ParseHealth func(*http.Response) (id string, coldFor time.Duration, err error)
-	// ParseLoad returns the load that a server reports; nil if servers report none.
-	ParseLoad func(http.Header) placing.Load
+	// ParseLoad returns the load that a server reports, unknown if the answer holds no report, or an
+	// error if it holds a malformed one; nil if servers report none.
+	ParseLoad func(http.Header) (placing.Load, error)
 }
 
 // SendInfo is what a server is told of one send.
@@ -78,13 +79,6 @@
 
 func (d Dialect) setSendHeaders(header http.Header, info SendInfo) { d.SetSendHeaders(header, info) }
 
-func (d Dialect) parseLoad(header http.Header) placing.Load {
-	if d.ParseLoad == nil {
-		return placing.Load{}
-	}
-	return d.ParseLoad(header)
-}
-
 // notice returns what a server says about itself in an answer. Its wish that this VM
 // stay away counts where it turned the request away.
 func (d Dialect) notice(response *http.Response) routing.Notice {
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -62,7 +62,7 @@
 		response = nil
 	}
 	if response != nil && in.route != nil {
-		sent.Load = in.relay.Dialect.parseLoad(response.Header)
+		sent.Load = in.relay.parseLoad(response.Header)
 		if result, sent.Cause = in.bufferAnswer(sendCtx, response, result); result == routing.ResultBroken || result == routing.ResultTimeout || result == routing.ResultCancelled {
 			response.Body.Close()
 			response, sent.Evidence = nil, relay.EvidenceWritten
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -25,6 +25,8 @@
 	UnreadSeconds   *metrics.Histogram // from the arrival of a request until it was read
 	TickLateSeconds *metrics.Histogram // by which the processor came late to a tick
 
+	MalformedLoads *metrics.Counter // load reports of servers that could not be read
+
 	DocumentBytesSent     *metrics.Counter // of document text, to other VMs
 	DocumentBytesReceived *metrics.Counter // of document text, of all copies of it
 
@@ -47,6 +49,8 @@
 		UnreadSeconds:   set.NewHistogram("heatherwood_request_unread_seconds"),
 		TickLateSeconds: set.NewHistogram("heatherwood_tick_late_seconds"),
 
+		MalformedLoads: set.NewCounter("heatherwood_malformed_load_reports_total"),
+
 		DocumentBytesSent:     set.NewCounter("heatherwood_document_bytes_sent_total"),
 		DocumentBytesReceived: set.NewCounter("heatherwood_document_bytes_received_total"),
 
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -70,6 +70,7 @@
 	Running int
 	Waiting int
 	Slots   int
+	Pace    float64 // ratio of the run time of work now to its usual one; 0 if unknown
 }
 
 // Site is the failure domain and region of a server or entry.
