Add the customer and the key's digest to relay.Request

Cause: recognition, allowances and fair share all need to know whose request it is. Change: fields Customer and KeyDigest; nothing sets them yet. Result: go build ./... passes; no test was run, since nothing reads the fields.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,13 +36,15 @@
 	Holder       string        // id of this VM
 	Replayable   bool          // the whole body is in memory, so that a retry can send it
 
-	Route         *document.Route // nil for a request found by the hosts of a service
-	Host, Path    string          // by which it matched the route
-	Object        string          // a server that ran requests for the same object lately runs them faster
-	TargetTime    time.Time       // after it, an answer has lost most of its value
-	PlacedLocally bool            // this VM chooses the server, without asking a slot owner
-	TakenOver     bool            // another VM, which reaches no server, passed the request on
-	EarlierRuns   int             // sends of that VM that may have run
+	Route         *document.Route    // nil for a request found by the hosts of a service
+	Host, Path    string             // by which it matched the route
+	Object        string             // a server that ran requests for the same object lately runs them faster
+	TargetTime    time.Time          // after it, an answer has lost most of its value
+	PlacedLocally bool               // this VM chooses the server, without asking a slot owner
+	TakenOver     bool               // another VM, which reaches no server, passed the request on
+	EarlierRuns   int                // sends of that VM that may have run
+	Customer      string             // whose key the request carries; empty without one
+	KeyDigest     document.KeyDigest // of that key, by which a revocation is found before each send
 
 	Grant          *dispatch.Grant // of the current send
 	claimStartedAt time.Time       // when the claim was first proposed; zero while another request holds the key
