Identify the customer of a request by its key and check the key before each send

Cause: requests of customers must be told apart, and a revoked key must not be served. Change: callerhttp maps the key to a customer, refuses unknown keys with 401 where the reducer is certain of its document and with 503 elsewhere, and replaces the headers on the way to servers and other VMs. The reducer compares the digest with the document in force before each send, holds a customer's requests back after a pause until the document can have arrived, and limits placing and detours to the regions that customer and route share; orders of objects are cached per set.

--- a/internal/callerhttp/departure.go
+++ b/internal/callerhttp/departure.go
@@ -117,6 +117,9 @@
 // looks for the end of the caller's connection beside the handler: on a VM that lacked the
 // processor, the handler can be first.
 func (in *inbound) mayWrite() bool {
+	if in.server != "" && in.isRevoked() {
+		return false // another VM checks the key itself
+	}
 	if in.rule.Once {
 		return true
 	}
--- a/internal/callerhttp/detour.go
+++ b/internal/callerhttp/detour.go
@@ -85,6 +85,7 @@
 	from     string // VM
 	runs     int    // sends that may have run
 	document uint64 // log index of its document
+	identity identity
 }
 
 func (d *detourInfo) sender() string {
@@ -110,7 +111,8 @@
 	runs, runsErr := strconv.Atoi(r.Header.Get(problem.HeaderDetourRuns))
 	index, indexErr := strconv.ParseUint(r.Header.Get(problem.HeaderDetourDocument), 10, 64)
 	from := r.Header.Get(problem.HeaderDetourFrom)
-	if err := errors.Join(runsErr, indexErr); err != nil {
+	who, identityErr := parseDetourIdentity(r.Header)
+	if err := errors.Join(runsErr, indexErr, identityErr); err != nil {
 		l.Node.LogError(reducer.CodePeerRefused, fmt.Errorf("request passed on by %s: %w", from, err))
 		w.Header().Set(problem.HeaderDetourAnswer, problem.DetourAnswerVM)
 		problem.Write(w, problem.Problem{Status: http.StatusBadRequest, Reason: "bad-detour", Detail: err.Error(), Run: string(relay.RunNo)})
@@ -119,10 +121,10 @@
 	for _, name := range detourHeaders {
 		r.Header.Del(name)
 	}
-	l.serve(w, r, &detourInfo{from: from, runs: runs, document: index})
+	l.serve(w, r, &detourInfo{from: from, runs: runs, document: index, identity: who})
 }
 
-var detourHeaders = []string{problem.HeaderDetourFrom, problem.HeaderDetourRuns, problem.HeaderDetourDocument}
+var detourHeaders = []string{problem.HeaderDetourFrom, problem.HeaderDetourRuns, problem.HeaderDetourDocument, problem.HeaderDetourCustomer, problem.HeaderDetourKey}
 
 // markAnswer tells the VM that passed the request on whose answer it gets.
 func (in *inbound) markAnswer(whose string) {
@@ -149,6 +151,7 @@
 	request.Header.Set(problem.HeaderDetourFrom, in.relay.Node.Settings.ID)
 	request.Header.Set(problem.HeaderDetourRuns, strconv.Itoa(to.Runs))
 	request.Header.Set(problem.HeaderDetourDocument, strconv.FormatUint(in.view.Position.Index, 10))
+	in.setDetourIdentity(request.Header)
 	sent := in.roundTrip(ctx, in.relay.peers, &in.relay.peerConnectTimeout, choice{}, request)
 	report := reducer.RequestDetoured{Cause: sent.Cause}
 	report.Result, report.Evidence = sent.Result, sent.Evidence
--- a/internal/callerhttp/dialect.go
+++ b/internal/callerhttp/dialect.go
@@ -22,10 +22,14 @@
 	LimitHeader          string // on answers of a server that limits the requests a second of all VMs together
 	DigestHeader         string // on every successful answer of a server; empty if servers send none
 	FractionalRetryAfter bool   // Retry-After may have a fraction of a second
+	CustomerHeader       string // names the customer of a request to servers
 	ForwardClientIP      bool   // add X-Forwarded-For with the caller's address
 
 	// ParseTimeout returns how long the caller waits, or 0 if it does not say.
 	ParseTimeout func(http.Header) (time.Duration, error)
+	// ParseKey returns the key of the customer that sent the request, and false if the header
+	// holds none, several or a malformed one; if nil, no request has a known key.
+	ParseKey func(http.Header) (key string, found bool)
 	// SetSendHeaders sets the headers that carry SendInfo to a server.
 	SetSendHeaders func(http.Header, SendInfo)
 	// NotRun reports whether a server states that it did not run the request; if
@@ -53,7 +57,9 @@
 		ObjectHeader:    problem.HeaderObject,
 		LeavingHeader:   problem.HeaderLeaving,
 		LimitHeader:     problem.HeaderLimit,
+		CustomerHeader:  problem.HeaderCustomer,
 		ForwardClientIP: true,
+		ParseKey:        AuthorizationKey("Bearer"),
 		ParseTimeout: func(header http.Header) (time.Duration, error) {
 			text := header.Get(problem.HeaderTimeout)
 			if text == "" {
--- a/internal/callerhttp/recognise.go
+++ b/internal/callerhttp/recognise.go
@@ -50,7 +50,7 @@
 		in.refuseUnmatched("no-rule", "no rule of the service fits the method and path")
 		return false
 	}
-	return in.setDeadline() && in.checkKey()
+	return in.identify() && in.setDeadline() && in.checkKey()
 }
 
 // refuseUnmatched refuses a request that the document in force does not provide for. A
@@ -68,6 +68,9 @@
 func (in *inbound) applyRoute() bool {
 	in.service = in.view.Document.Services.ByName(in.route.To[0].Service)
 	in.rule = document.Rule{Rank: in.route.Rank, Once: in.route.Kind == document.KindOnce}
+	if !in.identify() {
+		return false
+	}
 	timeout := in.route.Timeout.Std()
 	callerTimeout, err := in.relay.Dialect.parseTimeout(in.request.Header)
 	if err != nil {
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -56,6 +56,7 @@
 	contacts           *contacts      // to servers
 	bodies, answers    *intake.Budget // bytes that all requests hold of theirs
 	serving            atomic.Int64   // requests
+	refusalLines       lineLimit      // of requests without a known key
 }
 
 // NewRelay returns a Relay with a connection pool for each backend server.
@@ -81,6 +82,8 @@
 		answers: n.NewBudget("answers", bufferedAnswerBytes, freeBytes),
 		peers:   newPeerTransport(n, idlePerHost, maxAnswerHeader),
 		watcher: watcher{clock: n.Clock, callers: make(map[*callerWatch]struct{})},
+
+		refusalLines: lineLimit{clock: n.Clock},
 	}
 	l.contacts = newContacts(n.Clock, func(address, why string) { n.Apply(reducer.ContactLost{Address: address, Why: why}) })
 	n.ProbeServer, n.AskServer, n.OpenContacts = l.probeServer, l.askServer, l.contacts.alive
@@ -113,6 +116,9 @@
 	detour      *detourInfo // nil for a request that the caller sent to this VM
 	caller      callerWatch
 	shares      []*intake.Share // of what the request holds, until its end
+
+	identity     identity
+	unidentified bool // refused for want of a known key
 }
 
 // ServeHTTP implements http.Handler.
@@ -138,7 +144,11 @@
 	in.lookForCaller()
 	in.caller.enter(stageBody)
 	if !in.fitsDetour() || !in.matchRequest() || !in.readBody() {
-		in.logEnd()
+		if in.unidentified {
+			in.logRefusal()
+		} else {
+			in.logEnd()
+		}
 		return
 	}
 	defer in.beginWork()()
@@ -249,7 +259,7 @@
 		Service:      in.service.Name,
 		Rank:         in.rankIndex(),
 		Once:         in.rule.Once,
-		Digest:       digest,
+		Digest:       in.claimDigest(digest),
 		Fingerprint:  in.fingerprint(digest),
 		Deadline:     in.deadline,
 		ClaimLease:   in.deadline.Sub(in.receivedAt) + claimLeaseMargin,
@@ -260,6 +270,8 @@
 		Host:         in.request.Host,
 		Path:         in.request.URL.Path,
 		TargetTime:   in.targetTime,
+		Customer:     in.identity.customer,
+		KeyDigest:    in.identity.key,
 	}
 	if in.detour != nil {
 		request.TakenOver, request.EarlierRuns = true, in.detour.runs
@@ -437,8 +449,8 @@
 	in.status = p.Status
 }
 
-// logEnd logs the end of the request on this VM.
-func (in *inbound) logEnd() {
+// logEnd logs the end of the request on this VM, with more fields if any are given.
+func (in *inbound) logEnd(more ...reducer.Field) {
 	in.logLeft()
 	fields := []reducer.Field{
 		{Name: "status", Value: int64(in.status)},
@@ -456,7 +468,9 @@
 	if in.view != nil {
 		fields = append(fields, reducer.Field{Name: "document", Value: int64(in.view.Position.Index)})
 	}
+	fields = append(fields, in.identityFields()...)
 	fields = append(fields, in.promiseFields()...)
+	fields = append(fields, more...)
 	outcome := in.outcome
 	if outcome == "" {
 		outcome = "answered"
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -269,6 +269,7 @@
 		ContentLength: incoming.ContentLength,
 	}).WithContext(ctx)
 	copyEndToEndHeaders(request.Header, incoming.Header)
+	in.setCustomerHeaders(request.Header)
 	if in.body.complete() {
 		request.ContentLength = int64(len(in.body.prefix))
 	}
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -118,6 +118,13 @@
 	return err == nil && outdated
 }
 
+// IsCertain reports whether a request may be refused for good by the document of a log index; on
+// an error it may not.
+func (n *Node) IsCertain(ctx context.Context, index uint64) bool {
+	certain, err := callReducer[bool](ctx, n, func(call uint64) reducer.Event { return reducer.CertaintyAsked{Call: call, Document: index} })
+	return err == nil && certain
+}
+
 const resolveTimeout = 30 * time.Second
 
 // ResolveClaim settles or releases a claim in the background. It retries until the
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -71,6 +71,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_quiet_connections_total{reason=%q}`, reason)).Inc()
 }
 
+// CountCustomerRefusal counts a request that was refused for want of a known key or an allowed
+// region.
+func (m *Metrics) CountCustomerRefusal(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_customer_refusals_total{reason=%q}`, reason)).Inc()
+}
+
 // CountProbe counts a connection to a backend server that was opened to learn whether this VM
 // reaches it.
 func (m *Metrics) CountProbe(failure reach.Failure) {
--- a/internal/placing/cache.go
+++ b/internal/placing/cache.go
@@ -24,6 +24,8 @@
 type orderKey struct {
 	object uint64
 	region string // to which the order is limited, or ""
+
+	allowed string // set of the allowed regions, or ""
 }
 
 // resetCaches empties what the replaced servers invalidate.
@@ -72,11 +74,11 @@
 }
 
 // orderOf returns the first servers in the order of an object, within a region unless
-// that is "". That of a request without an object, or that only some regions may run, is not
-// cached.
+// that is "". That of a request without an object, or with allowed regions that have no key, is
+// not cached.
 func (p *Pool) orderOf(object uint64, region string, req Request, now time.Time) topServers {
-	key := orderKey{object, region}
-	cached := req.Object != "" && req.Allowed == nil
+	key := orderKey{object: object, region: region, allowed: req.AllowedKey}
+	cached := req.Object != "" && (req.Allowed == nil || req.AllowedKey != "")
 	if cached {
 		if order, found := p.orders[key]; found {
 			return order
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -37,10 +37,13 @@
 	Remaining time.Duration // until the deadline
 	Target    time.Duration // left until the answer loses most of its value; may be negative
 	Exclude   []string
-	Allowed   func(region string) bool
-	Fallback  uint64 // hash that orders the servers of a request without an object
-	OwnWay    bool   // no other VM may be asked to send it
-	Certain   bool   // only if a run as long as the longest of late ends before Remaining has passed
+	Allowed   func(region string) bool // nil for all regions
+	// AllowedKey identifies the set of regions that Allowed allows, so that orders of objects
+	// can be cached for it; without one they are not.
+	AllowedKey string
+	Fallback   uint64 // hash that orders the servers of a request without an object
+	OwnWay     bool   // no other VM may be asked to send it
+	Certain    bool   // only if a run as long as the longest of late ends before Remaining has passed
 }
 
 // Choice is the chosen server, or a refusal with the time after which a slot
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -16,14 +16,17 @@
 	HeaderTimeout        = "Heatherwood-Timeout"
 	HeaderIdempotencyKey = "Idempotency-Key"
 	HeaderObject         = "Heatherwood-Object"
-	HeaderLeaving        = "Heatherwood-Leaving" // of a server's answer: it will stop
-	HeaderLimit          = "Heatherwood-Limit"   // of a server's answer: requests a second that it takes from all VMs together
+	HeaderLeaving        = "Heatherwood-Leaving"  // of a server's answer: it will stop
+	HeaderCustomer       = "Heatherwood-Customer" // to servers: customer of the request
+	HeaderLimit          = "Heatherwood-Limit"    // of a server's answer: requests a second that it takes from all VMs together
 
 	// Between VMs only, of a request that one VM passes on to another, and of its answer.
 	HeaderDetourFrom     = "Heatherwood-Detour-From"     // VM that passes the request on
 	HeaderDetourRuns     = "Heatherwood-Detour-Runs"     // sends by that VM that may have run
 	HeaderDetourDocument = "Heatherwood-Detour-Document" // log index of its document
 	HeaderDetourAnswer   = "Heatherwood-Detour-Answer"   // whose answer it is: see DetourAnswer
+	HeaderDetourCustomer = "Heatherwood-Detour-Customer" // customer of the request; absent without one
+	HeaderDetourKey      = "Heatherwood-Detour-Key"      // digest of that customer's key, never the key itself
 )
 
 // Values of HeaderDetourAnswer.
--- a/internal/reducer/control.go
+++ b/internal/reducer/control.go
@@ -378,7 +378,7 @@
 			leader.Replicas = s.leader.Replicas
 		}
 		s.leader = leader
-		s.leaderHeardAt = s.now
+		s.noteLeaderHeard()
 		if changed {
 			s.publish()
 		}
--- a/internal/reducer/detour.go
+++ b/internal/reducer/detour.go
@@ -48,11 +48,7 @@
 		return helper{}, false
 	}
 	need := detour.Need{Domain: domain, Domains: len(s.document.Places.Domains), Tried: r.TriedHelpers()}
-	if r.Route != nil {
-		need.Allowed = regionFilter(r.Route)
-	} else if service := s.document.Services.ByName(r.Service); service != nil {
-		need.Allowed = service.AllowedIn
-	}
+	need.Allowed = s.regionsOf(r).filter()
 	return s.detours.Choose(detour.Site{VM: s.Settings.VM, Domain: s.Settings.Domain, Region: s.Settings.Region}, s.helpers(), need, s.now)
 }
 
@@ -67,14 +63,14 @@
 	step := r.PassOn(h, instead)
 	s.detours.Begin(h.VM)
 	s.detourRuns[call] = h.VM
-	s.emit(Decision{Code: CodeDetour, Request: r.ID, Outcome: "sent", Fields: []Field{
+	s.emit(Decision{Code: CodeDetour, Request: r.ID, Outcome: "sent", Fields: append(customerFields(r), []Field{
 		{"service", r.Service},
 		{"to", h.VM},
 		{"to_domain", h.Domain},
 		{"why", why},
 		{"left", r.Deadline.Sub(s.now)},
 		{"document", int64(s.documentAt.Index)},
-	}})
+	}...)})
 	s.emit(Answer{Call: call, Value: step})
 }
 
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -200,6 +200,13 @@
 // answered by bool.
 type OutdatedAsked struct{ Call uint64 }
 
+// CertaintyAsked asks whether a request may be refused for good by the document of a log index:
+// this VM follows that document, and is sure that none newer is in force; answered by bool.
+type CertaintyAsked struct {
+	Call     uint64
+	Document uint64
+}
+
 // HistoryAsked asks for the versions of a section; answered by []ledger.Version.
 type HistoryAsked struct {
 	Call    uint64
@@ -235,6 +242,7 @@
 func (SeedsChanged) reducerEvent()          {}
 func (StatusAsked) reducerEvent()           {}
 func (OutdatedAsked) reducerEvent()         {}
+func (CertaintyAsked) reducerEvent()        {}
 func (HistoryAsked) reducerEvent()          {}
 
 // Message is a one-way message between VMs. Exactly one of the pointers is set,
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -88,17 +88,19 @@
 	if pool == nil {
 		return s.denyRequest(r, slotRequest, dispatch.ReasonNoServers, placing.Choice{RetryAfter: suspectedRetry}), helper{}
 	}
+	regions := s.regionsOf(r)
 	choice := pool.Choose(placing.Request{
-		Class:     r.Route.Location(),
-		Object:    r.Object,
-		Rank:      r.Rank,
-		Remaining: slotRequest.Remaining,
-		Target:    r.TargetTime.Sub(s.now),
-		Exclude:   slotRequest.Exclude,
-		Allowed:   regionFilter(r.Route),
-		Fallback:  slotRequest.Fingerprint ^ uint64(len(s.requests)),
-		OwnWay:    ownWay,
-		Certain:   slotRequest.Remaining < r.Deadline.Sub(s.now),
+		Class:      r.Route.Location(),
+		Object:     r.Object,
+		Rank:       r.Rank,
+		Remaining:  slotRequest.Remaining,
+		Target:     r.TargetTime.Sub(s.now),
+		Exclude:    slotRequest.Exclude,
+		Allowed:    regions.filter(),
+		AllowedKey: regions.key,
+		Fallback:   slotRequest.Fingerprint ^ uint64(len(s.requests)),
+		OwnWay:     ownWay,
+		Certain:    slotRequest.Remaining < r.Deadline.Sub(s.now),
 	}, s.now)
 	s.askServers(pool, maxQuestionsOfRequest)
 	if h := s.helperFor(r, choice); h.VM != "" {
@@ -131,7 +133,7 @@
 	}
 	s.placedRuns[s.lastTicket] = placedRun{pool: pool, server: choice.Server, unqueued: choice.Server.Load(s.now) <= float64(choice.Server.Slots), sentAt: s.now, expected: choice.Expected}
 	cold, word := choice.Server.Cold(s.now)
-	s.emit(Decision{Code: CodePlaced, Request: r.ID, Outcome: "sent", Fields: []Field{
+	s.emit(Decision{Code: CodePlaced, Request: r.ID, Outcome: "sent", Fields: append(customerFields(r), []Field{
 		{"route", r.Route.Name},
 		{"service", r.Service},
 		{"server", choice.Server.ID},
@@ -149,7 +151,7 @@
 		{"cold_word_age", s.now.Sub(word.At)},
 		{"cold_share", pool.Policy.ColdRate},
 		{"entries", int64(s.entryCount)},
-	}})
+	}...)})
 	return dispatch.Answer{Grant: &dispatch.Grant{
 		Ticket:  s.lastTicket,
 		Server:  choice.Server.ID,
@@ -187,15 +189,6 @@
 	return s.ways.Way(server.Domain) == reach.Kept && !r.AnyUnconnected() && server.MayPace(s.now)
 }
 
-// regionFilter returns the check of a route's allowed regions; nil, for a route
-// that may run in all of them, saves the calls.
-func regionFilter(route *document.Route) func(region string) bool {
-	if len(route.Regions) == 0 {
-		return nil
-	}
-	return route.AllowedIn
-}
-
 // Delays after which a request that was denied a server may be tried again.
 const (
 	quarantinedRetry = 30 * time.Second
@@ -203,7 +196,7 @@
 )
 
 func (s *State) denyRequest(r *relay.Request, slotRequest dispatch.SlotRequest, reason dispatch.Reason, choice placing.Choice) dispatch.Answer {
-	s.emit(Decision{Code: CodeNotPlaced, Request: r.ID, Outcome: string(reason), Fields: []Field{
+	s.emit(Decision{Code: CodeNotPlaced, Request: r.ID, Outcome: string(reason), Fields: append(customerFields(r), []Field{
 		{"route", r.Route.Name},
 		{"service", r.Service},
 		{"rank", int64(r.Rank)},
@@ -214,7 +207,7 @@
 		{"excluded", int64(len(slotRequest.Exclude))},
 		{"retry_after", choice.RetryAfter},
 		{"document", int64(s.documentAt.Index)},
-	}})
+	}...)})
 	return dispatch.Answer{Denial: &dispatch.Denial{Reason: reason, RetryAfter: choice.RetryAfter}}
 }
 
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -119,6 +119,9 @@
 	leader           Leader
 	gossipSends      int // gossip messages sent
 	leaderHeardAt    time.Time
+	leaderHeardSince time.Time // end of the last interruption of the leader's heartbeats
+	resumedAt        time.Time // end of the last pause of this VM; zero for none
+	regionSets       regionSets
 	heartbeatDue     time.Time
 	stale            bool // no heartbeat of the leader for leaderStaleAfter
 	leaving          bool
@@ -224,6 +227,7 @@
 // Apply handles one event and returns the effects that follow from it. The
 // caller owns the returned slice; the state keeps no reference to it.
 func (s *State) Apply(now time.Time, event Event) []Effect {
+	s.notePause(now)
 	s.now = now
 	switch e := event.(type) {
 	case Tick:
@@ -277,6 +281,8 @@
 		s.emit(Answer{Call: e.Call, Value: s.status()})
 	case OutdatedAsked:
 		s.emit(Answer{Call: e.Call, Value: s.isOutdated()})
+	case CertaintyAsked:
+		s.emit(Answer{Call: e.Call, Value: s.isCertain(e.Document)})
 	case HistoryAsked:
 		s.answerHistory(e)
 	default:
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -92,12 +92,22 @@
 // runStep passes the next step of a request to package node. A request for a
 // slot that this VM grants, as an entry or as the owner, is handled here instead.
 func (s *State) runStep(call uint64, r *relay.Request, step relay.Step) {
+	if end, forbidden := s.forbidsSend(r, step); forbidden {
+		s.dropGrant(r, step)
+		step = end
+	}
 	if (step.Claim != nil || step.SlotRequest != nil) && s.needsDetour(r) {
 		if h, found := s.chooseHelper(r, ""); found {
 			s.passOn(call, r, step, h, "no connection to servers")
 			return
 		}
 	}
+	if step.SlotRequest != nil && s.isOutsideRegions(r) {
+		if h, found := s.chooseHelper(r, ""); found {
+			s.passOn(call, r, step, h, "the customer does not allow this region")
+			return
+		}
+	}
 	byStop := step.SlotRequest != nil && s.boundByStop(step.SlotRequest)
 	if byStop && step.SlotRequest.Remaining <= 0 {
 		s.runStep(call, r, r.HandleSlotAnswer(dispatch.Answer{Denial: &dispatch.Denial{Reason: dispatch.ReasonStopping, RetryAfter: stoppingRetry}}, nil, s.now))
@@ -219,10 +229,16 @@
 }
 
 // followRoute forbids to repeat a request whose send did not succeed if the document in force does,
-// which may be newer than that of the request's arrival.
+// which may be newer than that of the request's arrival, or has revoked the key of the request.
 func (s *State) followRoute(r *relay.Request, result routing.Result, status int) {
 	succeeded := result == routing.ResultOK && !relay.StatusMeansNotRun(status)
-	if succeeded || r.Route == nil || s.document == nil {
+	if succeeded || s.document == nil {
+		return
+	}
+	if s.isRevoked(r) {
+		r.ForbidRepeat()
+	}
+	if r.Route == nil {
 		return
 	}
 	if route := s.document.Routes.Match(r.Host, r.Path); route != nil && !route.Kind.Repeatable() {
@@ -295,7 +311,7 @@
 	if e.Result == routing.ResultOK && step.Stream && !relay.StatusMeansNotRun(e.Status) {
 		return
 	}
-	s.emit(Decision{Code: CodeSendFailed, Request: r.ID, Outcome: e.Result.String(), Fields: append([]Field{
+	s.emit(Decision{Code: CodeSendFailed, Request: r.ID, Outcome: e.Result.String(), Fields: append(append(customerFields(r), []Field{
 		{"service", r.Service},
 		{"server", r.Grant.Server},
 		{"took", e.Latency},
@@ -304,7 +320,7 @@
 		{"answer", int64(e.Status)},
 		{"conn", e.Conn},
 		{"next", nextAction(step)},
-	}, fields...)})
+	}...), fields...)})
 }
 
 // finishGrant ends the grant of a request and returns the phase of its
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -18,6 +18,9 @@
 	ReasonStopping         = "stopping"
 )
 
+// ReasonKeyRevoked is the reason with which a request ends whose key was taken from its customer.
+const ReasonKeyRevoked = "key-revoked"
+
 // concernsVM reports whether a refusal says something of the VM that sent it, and nothing of the
 // request: another VM may serve that.
 func concernsVM(reason string) bool {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -461,6 +461,26 @@
 	return step
 }
 
+// EndRevoked ends a request whose key is no longer that of its customer.
+func (r *Request) EndRevoked() Step {
+	if r.mayHaveRun || r.runs > 0 {
+		r.mayHaveRun = true
+		return r.endUnknown(http.StatusBadGateway, ReasonKeyRevoked, "the key was revoked before the request could be sent again")
+	}
+	return r.endNotRun(http.StatusUnauthorized, ReasonKeyRevoked, "the key was revoked before the request was sent", 0)
+}
+
+// EndOutdated ends a request that must not be sent before this VM knows the newest document.
+func (r *Request) EndOutdated(retryAfter time.Duration) Step {
+	return r.endNotRun(http.StatusServiceUnavailable, ReasonDocumentOutdated, "a newer steering document may be in force elsewhere", retryAfter)
+}
+
+// EndOutsideRegions ends a request for which a slot was found only where its customer forbids to
+// run it.
+func (r *Request) EndOutsideRegions() Step {
+	return r.endNotRun(http.StatusServiceUnavailable, string(dispatch.ReasonNoServers), "no backend server in a region that the customer allows can take it", time.Second)
+}
+
 // StatusMeansNotRun reports whether callers take the status to mean that the
 // request did not run and never will.
 func StatusMeansNotRun(status int) bool {
@@ -473,12 +493,12 @@
 }
 
 // refuse ends the request. The status of one that may have run never means that
-// it did not.
+// it did not; callers take 401 to mean so too.
 func (r *Request) refuse(status int, reason, detail string, retryAfter time.Duration) Step {
 	run := RunNo
 	if r.mayHaveRun {
 		run = RunUnknown
-		if StatusMeansNotRun(status) {
+		if StatusMeansNotRun(status) || status == http.StatusUnauthorized {
 			status = http.StatusBadGateway
 		}
 	}
