--- a/internal/callerhttp/customer.go
+++ b/internal/callerhttp/customer.go
@@ -40,12 +40,9 @@
 		if len(values) != 1 {
 			return "", false
 		}
-		given, key, found := strings.Cut(strings.TrimSpace(values[0]), " ")
-		key = strings.TrimLeft(key, " ")
-		if !found || !strings.EqualFold(given, scheme) || key == "" || strings.ContainsAny(key, " \t,") {
-			return "", false
-		}
-		return key, true
+		given, key, _ := strings.Cut(strings.TrimSpace(values[0]), " ")
+		key = strings.TrimSpace(key)
+		return key, key != "" && strings.EqualFold(given, scheme)
 	}
 }
 
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -169,14 +169,20 @@
 	case ended.stringField("decided") == "other-vm":
 		return fmt.Sprintf("another VM refused it (%s), and its caller was told with status %.0f that it did not run; it had been sent to %s",
 			ended.Outcome, ended.numberField("status"), ended.stringField("sends"))
+	case isCustomerRefusal(ended) && sendFailed == nil && notPlaced == nil:
+		return describeCustomerRefusal(ended)
 	case notPlaced != nil && sendFailed != nil:
 		return fmt.Sprintf("the send to server %s ended %s after %.0f ms (%s); then %s",
 			sendFailed.stringField("server"), sendFailed.Outcome, sendFailed.numberField("took_ms"), describeEvidence(sendFailed), describeRefusal(notPlaced))
 	case notPlaced != nil:
 		return describeRefusal(notPlaced)
 	case sendFailed != nil:
-		return fmt.Sprintf("the send to server %s ended %s after %.0f ms (%s); then: %s",
+		text := fmt.Sprintf("the send to server %s ended %s after %.0f ms (%s); then: %s",
 			sendFailed.stringField("server"), sendFailed.Outcome, sendFailed.numberField("took_ms"), describeEvidence(sendFailed), sendFailed.stringField("next"))
+		if isCustomerRefusal(ended) {
+			text += "; " + describeCustomerRefusal(ended)
+		}
+		return text
 	case ended.stringField("host") != "":
 		return fmt.Sprintf("it ended with status %.0f: %s; nothing in the document with log index %.0f, then in force on %s, fits %s%s",
 			ended.numberField("status"), ended.Outcome, ended.numberField("document"), ended.VM, ended.stringField("host"), ended.stringField("path"))
@@ -185,6 +191,24 @@
 	}
 }
 
+// isCustomerRefusal reports whether a request ended because of its customer or for want of one.
+func isCustomerRefusal(ended *Line) bool {
+	return slices.Contains([]string{"unknown-key", relay.ReasonKeyRevoked, "no-region"}, ended.Outcome)
+}
+
+// describeCustomerRefusal names the customer and the document by which a request was refused.
+func describeCustomerRefusal(ended *Line) string {
+	customer, document := ended.stringField("customer"), ended.numberField("document")
+	switch ended.Outcome {
+	case "unknown-key":
+		return fmt.Sprintf("it ended with status %.0f: its key is missing, malformed or that of no customer in the document with log index %.0f, then in force on %s", ended.numberField("status"), document, ended.VM)
+	case "no-region":
+		return fmt.Sprintf("it ended with status %.0f: customer %s and the route have no region in common in the document with log index %.0f, then in force on %s", ended.numberField("status"), customer, document, ended.VM)
+	default:
+		return fmt.Sprintf("it ended with status %.0f: its key was that of customer %s in the document with log index %.0f, and a later one has revoked the key or given it to another customer", ended.numberField("status"), customer, document)
+	}
+}
+
 // describeAnswer describes a request that was answered: a failed send before, the
 // load that the expected time came from if the answer took more than twice that time,
 // and whether the server was not known to have handled the object. placed and
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -45,6 +45,19 @@
 			requestLine("HW1031", "04.000", `"status":503,"took_ms":1,"server":"","host":"shop.example","path":"/new/","document":49,"outcome":"document-outdated"`),
 			"document-outdated; nothing in the document with log index 49, then in force on e1, fits shop.example/new/",
 		},
+		"unknown key": {
+			requestLine("HW1031", "04.000", `"status":401,"took_ms":1,"server":"","document":49,"not_logged":0,"outcome":"unknown-key"`),
+			"status 401: its key is missing, malformed or that of no customer in the document with log index 49, then in force on e1",
+		},
+		"no region in common": {
+			requestLine("HW1031", "04.000", `"status":403,"took_ms":1,"server":"","document":49,"customer":"acme","outcome":"no-region"`),
+			"status 403: customer acme and the route have no region in common in the document with log index 49, then in force on e1",
+		},
+		"key revoked before a second send": {
+			requestLine("HW1030", "03.000", `"server":"s1","took_ms":30,"why":"","evidence":"stated","next":"another-server","outcome":"shed"`) +
+				requestLine("HW1031", "04.000", `"status":401,"took_ms":31,"server":"s1","document":49,"customer":"acme","outcome":"key-revoked"`),
+			"then: another-server; it ended with status 401: its key was that of customer acme in the document with log index 49",
+		},
 		"caller left before its request was read": {
 			requestLine("HW1049", "04.000", `"unread_ms":2101,"took_ms":0.3,"sent":false,"server":"","outcome":"unread"`) + ended("503", "cancelled"),
 			"its caller left before it was read; e1 read it 2101 ms or more after it had arrived, and ended it after another 0 ms; it had not been sent to a server",
--- a/pkg/document/parse.go
+++ b/pkg/document/parse.go
@@ -30,7 +30,11 @@
 		}
 		l := newLocator(text.File, text.Bytes)
 		locators[section] = l
-		messages = append(messages, decode(l, document.sectionTarget(section))...)
+		faults := decode(l, document.sectionTarget(section))
+		if section == SectionCustomers {
+			hideSource(faults)
+		}
+		messages = append(messages, faults...)
 	}
 	if len(messages) > 0 {
 		return nil, messages
@@ -44,6 +48,13 @@
 	return document, nil
 }
 
+// hideSource removes the quoted lines, which may hold a key where its digest should stand.
+func hideSource(messages Messages) {
+	for i := range messages {
+		messages[i].Source = ""
+	}
+}
+
 // sectionTarget returns a pointer to the part of the document that the section
 // is decoded into.
 func (d *Document) sectionTarget(section Section) any {
