--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -36,13 +36,15 @@
 	Holder       string        // id of this VM
 	Replayable   bool          // the whole body is in memory, so that a retry can send it
 
-	Route         *document.Route // nil for a request found by the hosts of a service
-	Host, Path    string          // by which it matched the route
-	Object        string          // a server that ran requests for the same object lately runs them faster
-	TargetTime    time.Time       // after it, an answer has lost most of its value
-	PlacedLocally bool            // this VM chooses the server, without asking a slot owner
-	TakenOver     bool            // another VM, which reaches no server, passed the request on
-	EarlierRuns   int             // sends of that VM that may have run
+	Route         *document.Route    // nil for a request found by the hosts of a service
+	Host, Path    string             // by which it matched the route
+	Object        string             // a server that ran requests for the same object lately runs them faster
+	TargetTime    time.Time          // after it, an answer has lost most of its value
+	PlacedLocally bool               // this VM chooses the server, without asking a slot owner
+	TakenOver     bool               // another VM, which reaches no server, passed the request on
+	EarlierRuns   int                // sends of that VM that may have run
+	Customer      string             // whose key the request carries; empty without one
+	KeyDigest     document.KeyDigest // of that key, by which a revocation is found before each send
 
 	Grant          *dispatch.Grant // of the current send
 	claimStartedAt time.Time       // when the claim was first proposed; zero while another request holds the key
@@ -459,6 +461,26 @@
 	return step
 }
 
+// EndRevoked ends a request whose key is no longer that of its customer.
+func (r *Request) EndRevoked() Step {
+	if r.mayHaveRun || r.runs > 0 {
+		r.mayHaveRun = true
+		return r.endUnknown(http.StatusBadGateway, ReasonKeyRevoked, "the key was revoked before the request could be sent again")
+	}
+	return r.endNotRun(http.StatusUnauthorized, ReasonKeyRevoked, "the key was revoked before the request was sent", 0)
+}
+
+// EndOutdated ends a request that must not be sent before this VM knows the newest document.
+func (r *Request) EndOutdated(retryAfter time.Duration) Step {
+	return r.endNotRun(http.StatusServiceUnavailable, ReasonDocumentOutdated, "a newer steering document may be in force elsewhere", retryAfter)
+}
+
+// EndOutsideRegions ends a request for which a slot was found only where its customer forbids to
+// run it.
+func (r *Request) EndOutsideRegions() Step {
+	return r.endNotRun(http.StatusServiceUnavailable, string(dispatch.ReasonNoServers), "no backend server in a region that the customer allows can take it", time.Second)
+}
+
 // StatusMeansNotRun reports whether callers take the status to mean that the
 // request did not run and never will.
 func StatusMeansNotRun(status int) bool {
@@ -471,12 +493,12 @@
 }
 
 // refuse ends the request. The status of one that may have run never means that
-// it did not.
+// it did not; callers take 401 to mean so too.
 func (r *Request) refuse(status int, reason, detail string, retryAfter time.Duration) Step {
 	run := RunNo
 	if r.mayHaveRun {
 		run = RunUnknown
-		if StatusMeansNotRun(status) {
+		if StatusMeansNotRun(status) || status == http.StatusUnauthorized {
 			status = http.StatusBadGateway
 		}
 	}
