Name the customer of a request and the digest of its key

The recognition of customers and their allowances are built apart and both need the two fields. Nothing sets them yet. Measured: the build passes.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,6 +44,9 @@
 	TakenOver     bool            // another VM, which reaches no server, passed the request on
 	EarlierRuns   int             // sends of that VM that may have run
 
+	Customer  string             // that sent it; empty for none
+	KeyDigest document.KeyDigest // of the key that it came with
+
 	Grant          *dispatch.Grant // of the current send
 	claimStartedAt time.Time       // when the claim was first proposed; zero while another request holds the key
 	claimTries     int             // claims proposed
