Divide the allowances of customers over failure domains, their allocators and entries

A customer's rate limit holds over all VMs, and no VM sees all requests. Each failure domain now has a share in a token bucket, lends what it does not need, and hands out allowances that end after a lifetime for which the bound pays.

--- /dev/null
+++ b/internal/customer/credit.go
@@ -0,0 +1,290 @@
+package customer
+
+import (
+	"slices"
+	"time"
+)
+
+// Timings of an entry's questions.
+const (
+	askAgainAfter  = 100 * time.Millisecond // without an answer: far above the 0.4 ms within a domain
+	unknownAfter   = 300 * time.Millisecond // from when a request was parked
+	maxWait        = 4 * time.Second        // that a refused caller is told
+	maxRefusalKept = 50 * time.Millisecond  // for which an answer without allowances holds for later requests
+	forgetAfter    = 30 * time.Second       // without a request of the customer
+	demandKept     = 5 * time.Second        // for which the demand that a grant names is used
+)
+
+// Limit is the allowance of a customer by the document in force.
+type Limit struct {
+	Customer string
+	Document uint64 // log index
+	Terms    Terms
+}
+
+// Credit holds the allowances of one entry, and the requests that wait for some.
+type Credit struct {
+	Peer     string // host:port of this VM for calls between VMs
+	accounts map[string]*account
+	waiting  []*account // with requests that wait
+	lastID   uint64
+}
+
+// account is what an entry holds of one customer.
+type account struct {
+	customer string
+	limit    Limit
+	division Division
+	lots     []lot
+	parked   []parked
+	demand   meter
+	arrived  int // since the last question
+	usedAt   time.Time
+
+	question      asked // the last one, unanswered; zero for none
+	earlier       asked // the one before, if it was unanswered too
+	refusesUntil  time.Time
+	nextTurn      time.Time // of the next request that is refused until then
+	spacing       time.Duration
+	domainDemand  float64
+	demandHeardAt time.Time
+}
+
+// asked is a question to the allocator.
+type asked struct {
+	id      uint64
+	at      time.Time
+	waiting int // requests that waited then
+}
+
+type parked struct {
+	call  uint64
+	since time.Time
+}
+
+// Refusal tells a caller when there is room for its request.
+type Refusal struct {
+	Call uint64
+	Wait time.Duration
+}
+
+// NewCredit returns a credit without allowances. first must be higher than the ids of
+// earlier starts of the VM, whose answers may still arrive.
+func NewCredit(peer string, first uint64) *Credit {
+	return &Credit{Peer: peer, accounts: make(map[string]*account), lastID: first}
+}
+
+// Count counts a request of a customer without a limit.
+func (c *Credit) Count(customer string, now time.Time) {
+	a := c.account(customer)
+	a.usedAt = now
+	a.demand.add(1, now)
+}
+
+// Take takes an allowance for a request that arrives now; it returns false if there is
+// none.
+func (c *Credit) Take(l Limit, now time.Time) bool {
+	a := c.account(l.Customer)
+	if a.limit.Terms != l.Terms {
+		a.division = Divide(l.Terms)
+	}
+	a.limit = l
+	a.usedAt = now
+	a.arrived++
+	a.demand.add(1, now)
+	if len(a.parked) > 0 {
+		return false
+	}
+	a.lots = dropEnded(a.lots, now)
+	return takeFrom(a.lots, 1) == 1
+}
+
+// Park makes a request that got no allowance wait for one. It returns false, and when
+// there is room, if the allocator has just answered that it has none.
+func (c *Credit) Park(customer string, call uint64, now time.Time) (time.Duration, bool) {
+	a := c.account(customer)
+	if now.Before(a.refusesUntil) {
+		return a.turn(now), false
+	}
+	if len(a.parked) == 0 {
+		c.waiting = append(c.waiting, a)
+	}
+	a.parked = append(a.parked, parked{call, now})
+	return 0, true
+}
+
+// Leave removes a parked request whose caller left.
+func (c *Credit) Leave(customer string, call uint64) {
+	a := c.accounts[customer]
+	if a == nil {
+		return
+	}
+	a.parked = slices.DeleteFunc(a.parked, func(p parked) bool { return p.call == call })
+	c.dropIdle()
+}
+
+// Ask returns the questions that are due: for requests that wait without one, and those
+// that were not answered.
+func (c *Credit) Ask(now time.Time) []Request {
+	var requests []Request
+	for _, a := range c.waiting {
+		if a.question.id != 0 && now.Sub(a.question.at) < askAgainAfter {
+			continue
+		}
+		c.lastID++
+		a.earlier = a.question
+		a.question = asked{c.lastID, now, len(a.parked)}
+		requests = append(requests, Request{
+			ID:       a.question.id,
+			Peer:     c.Peer,
+			Customer: a.customer,
+			Document: a.limit.Document,
+			Rate:     a.limit.Terms.Rate,
+			Burst:    a.limit.Terms.Burst,
+			Waiting:  len(a.parked),
+			Ahead:    surely(a.demand.rate(now) * a.division.TTL.Seconds()),
+			Arrived:  a.arrived,
+		})
+		a.arrived = 0
+	}
+	return requests
+}
+
+// Receive takes the answer to a question, once, and returns the parked requests that go on
+// and those that are refused. An answer to the question before the last one may have
+// crossed the last one on its way; it refuses nothing.
+func (c *Credit) Receive(g Grant, now time.Time) (ready []uint64, refused []Refusal) {
+	a := c.accounts[g.Customer]
+	if a == nil || g.ID == 0 {
+		return nil, nil
+	}
+	var q asked
+	switch g.ID {
+	case a.question.id:
+		q, a.question, a.earlier = a.question, asked{}, asked{}
+	case a.earlier.id:
+		q, a.earlier = a.earlier, asked{}
+		q.waiting = 0
+	default:
+		return nil, nil
+	}
+	a.domainDemand, a.demandHeardAt = g.Demand, now
+	a.lots = dropEnded(a.lots, now)
+	if until := q.at.Add(a.division.TTL); g.Count > 0 && now.Before(until) {
+		a.lots = append(a.lots, lot{g.Count, until})
+		a.refusesUntil = time.Time{}
+	}
+	n := takeFrom(a.lots, len(a.parked))
+	for _, p := range a.parked[:n] {
+		ready = append(ready, p.call)
+	}
+	a.parked = a.parked[n:]
+	if g.Count < q.waiting {
+		a.refuseFrom(g, now)
+		for _, p := range a.parked {
+			refused = append(refused, Refusal{p.call, a.turn(now)})
+		}
+		a.parked = nil
+	}
+	c.dropIdle()
+	return ready, refused
+}
+
+// refuseFrom notes that the allocator has no more allowances for now. The refusal also
+// holds for requests that arrive within a small part of the time in which its bucket
+// fills, so that a flood is not passed on to it.
+func (a *account) refuseFrom(g Grant, now time.Time) {
+	a.refusesUntil = now.Add(min(g.Wait, maxRefusalKept, a.division.refillTime()/4))
+	a.nextTurn, a.spacing = now.Add(g.Wait), g.Spacing
+}
+
+// turn returns when there is room for the next request.
+func (a *account) turn(now time.Time) time.Duration {
+	wait := min(max(a.nextTurn.Sub(now), 0), maxWait)
+	a.nextTurn = now.Add(wait + a.spacing)
+	return wait
+}
+
+// Expired returns and removes the parked requests for which no answer came in time.
+func (c *Credit) Expired(now time.Time) []uint64 {
+	var calls []uint64
+	for _, a := range c.waiting {
+		n := 0
+		for n < len(a.parked) && now.Sub(a.parked[n].since) >= unknownAfter {
+			calls = append(calls, a.parked[n].call)
+			n++
+		}
+		a.parked = a.parked[n:]
+	}
+	c.dropIdle()
+	return calls
+}
+
+// Waiting returns how many requests wait for an allowance.
+func (c *Credit) Waiting() int {
+	n := 0
+	for _, a := range c.waiting {
+		n += len(a.parked)
+	}
+	return n
+}
+
+// Held returns the allowances that this VM holds of a customer.
+func (c *Credit) Held(customer string, now time.Time) int {
+	a := c.accounts[customer]
+	if a == nil {
+		return 0
+	}
+	a.lots = dropEnded(a.lots, now)
+	return countOf(a.lots)
+}
+
+// Demand returns the requests a second of a customer in the failure domain, as its
+// allocator sees them, and at least those of this entry.
+func (c *Credit) Demand(customer string, now time.Time) float64 {
+	a := c.accounts[customer]
+	if a == nil {
+		return 0
+	}
+	demand := a.demand.rate(now)
+	if !a.demandHeardAt.IsZero() && now.Sub(a.demandHeardAt) < demandKept {
+		demand = max(demand, a.domainDemand)
+	}
+	return demand
+}
+
+// Forget removes the customers without requests.
+func (c *Credit) Forget(now time.Time) {
+	for name, a := range c.accounts {
+		if len(a.parked) == 0 && now.Sub(a.usedAt) > forgetAfter {
+			delete(c.accounts, name)
+		}
+	}
+}
+
+// Reset ends all allowances, after this VM was paused. Requests that wait are asked for
+// again.
+func (c *Credit) Reset() {
+	for _, a := range c.accounts {
+		a.lots, a.question, a.earlier, a.refusesUntil = nil, asked{}, asked{}, time.Time{}
+	}
+}
+
+func (c *Credit) account(customer string) *account {
+	a := c.accounts[customer]
+	if a == nil {
+		a = &account{customer: customer}
+		c.accounts[customer] = a
+	}
+	return a
+}
+
+func (c *Credit) dropIdle() {
+	c.waiting = slices.DeleteFunc(c.waiting, func(a *account) bool {
+		if len(a.parked) > 0 {
+			return false
+		}
+		a.parked = nil // frees the array; the answer to an open question serves later requests
+		return true
+	})
+}
--- /dev/null
+++ b/internal/customer/division.go
@@ -0,0 +1,97 @@
+package customer
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Bounds on how an allowance is divided.
+const (
+	minTTL         = 200 * time.Millisecond // covers a question across regions, 40 ms, on busy VMs
+	maxTTL         = 2 * time.Second        // demand moves between regions within this time
+	handoverTime   = time.Second            // two VMs of a domain may take themselves for its allocator at a time
+	tokensPerShare = 2                      // with fewer, the fractions that all domains hold back are most of a small allowance
+)
+
+// Terms are the allowance of a customer and how it is counted.
+type Terms struct {
+	Rate, Burst    float64 // requests a second, and requests beyond these
+	Window         time.Duration
+	Overage, Slack float64
+	Domains        int // failure domains of the document
+}
+
+// Bound returns the most requests in any window.
+func (t Terms) Bound() float64 {
+	return (t.Rate*t.Window.Seconds()+t.Burst)*(1+t.Overage) + t.Slack
+}
+
+// Division is how an allowance is divided over the failure domains.
+type Division struct {
+	Rate     float64       // tokens a second in all domains
+	Capacity float64       // tokens in all domains
+	Holders  int           // domains that hold an equal share of both
+	TTL      time.Duration // of an allowance, and of a borrowed token, from when it was asked for
+}
+
+// Divide returns the division under which the requests of any window stay within the
+// bound, whatever becomes of messages and VMs: of the tokens that it permits beyond the
+// rate, the buckets hold the burst, and the rest pays for lifetimes and changes of an
+// allocator.
+func Divide(t Terms) Division {
+	domains := max(1, t.Domains)
+	spare := t.Bound() - t.Rate*t.Window.Seconds()
+	wanted := max(t.Burst, float64(tokensPerShare*domains))
+	capacity := func(holders int) float64 {
+		return min(wanted, spare-t.Rate*(2*minTTL.Seconds()+handoverTime.Seconds()/float64(holders)))
+	}
+	holders := domains
+	for holders > 1 && capacity(holders) < float64(tokensPerShare*holders) {
+		holders--
+	}
+	d := Division{Rate: t.Rate, Capacity: capacity(holders), Holders: holders, TTL: minTTL}
+	if d.Capacity < 1 {
+		// The bound does not even pay for the shortest lifetimes at the full rate.
+		d.Capacity = min(1, t.Bound())
+		d.Rate = min(t.Rate, (t.Bound()-d.Capacity)/(t.Window+2*minTTL+handoverTime).Seconds())
+		return d
+	}
+	if t.Rate > 0 {
+		left := spare - d.Capacity - t.Rate*handoverTime.Seconds()/float64(holders)
+		d.TTL = min(max(seconds(left/(2*t.Rate)), minTTL), maxTTL)
+	}
+	return d
+}
+
+// share returns the rate and the capacity of one holder.
+func (d Division) share() (rate, capacity float64) {
+	return d.Rate / float64(d.Holders), d.Capacity / float64(d.Holders)
+}
+
+// refillTime returns how long an empty bucket takes to fill.
+func (d Division) refillTime() time.Duration {
+	if d.Rate <= 0 {
+		return maxTTL
+	}
+	return seconds(d.Capacity / d.Rate)
+}
+
+// holders returns the domains that hold a share of a customer, chosen by rendezvous
+// hashing of its name.
+func holders(customer string, domains []string, count int) []string {
+	if count >= len(domains) {
+		return domains
+	}
+	sorted := slices.Clone(domains)
+	hash := func(domain string) uint64 { return xxhash.Sum64String(customer + "\x00" + domain) }
+	slices.SortFunc(sorted, func(a, b string) int { return cmp.Compare(hash(b), hash(a)) })
+	return sorted[:count]
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s*float64(time.Second), math.MaxInt64/2))
+}
--- /dev/null
+++ b/internal/customer/fleet_test.go
@@ -0,0 +1,355 @@
+package customer
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+var testStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const testTick = 50 * time.Millisecond
+
+// fleet is a number of VMs in failure domains, in virtual time.
+type fleet struct {
+	random   *rand.Rand
+	now      time.Duration
+	events   events
+	sequence int
+	terms    Terms
+	document uint64
+	domains  []string
+	regions  int
+	vms      []*vm
+	cut      func(a, b *vm) bool // messages between them are lost
+	lost     float64             // probability that a message is
+	repeated float64
+	measures func(v *vm) // called for each request on its arrival
+	sent     []dispatched
+	refused  int
+	unknown  int
+	messages int
+}
+
+// dispatched is a request that was sent to a server.
+type dispatched struct {
+	at     time.Duration
+	domain int
+}
+
+type vm struct {
+	domain, index int // index in the domain
+	credit        *Credit
+	allocator     *Allocator
+	dead          bool
+	deadKnown     bool          // to the VMs of its domain
+	frozenUntil   time.Duration // it runs nothing until then
+	heard         func(*vm) bool
+}
+
+type event struct {
+	at       time.Duration
+	sequence int
+	run      func()
+}
+
+type events []event
+
+func (e events) Len() int      { return len(e) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e events) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].sequence, e[j].sequence)) < 0
+}
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func newFleet(entries, domains int, terms Terms, seed uint64) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), terms: terms, document: 1, regions: min(4, max(1, domains/2))}
+	f.terms.Domains = domains
+	for d := range domains {
+		f.domains = append(f.domains, fmt.Sprint("d", d))
+	}
+	for i := range entries {
+		v := &vm{domain: i % domains, index: i / domains}
+		peer := fmt.Sprint("vm", i)
+		v.credit = NewCredit(peer, 1)
+		v.allocator = NewAllocator(peer, 1, testStart.Add(-time.Minute))
+		f.vms = append(f.vms, v)
+		var tick func()
+		tick = func() {
+			f.tick(v)
+			f.after(testTick, tick)
+		}
+		f.after(time.Duration(f.random.Int64N(int64(testTick))), tick)
+	}
+	for _, v := range f.vms {
+		f.learn(v)
+	}
+	return f
+}
+
+func (f *fleet) region(domain int) int { return domain % f.regions }
+
+func (f *fleet) after(d time.Duration, run func()) {
+	f.sequence++
+	heap.Push(&f.events, event{f.now + d, f.sequence, run})
+}
+
+func (f *fleet) time() time.Time { return testStart.Add(f.now) }
+
+func (f *fleet) limit() Limit { return Limit{Customer: "acme", Document: f.document, Terms: f.terms} }
+
+// owner returns the VM that allocates the customer as far as a VM of the domain knows.
+func (f *fleet) owner(domain int, asker *vm) *vm {
+	for _, v := range f.vms {
+		if v.domain == domain && !v.deadKnown && (asker == nil || f.cut == nil || !f.cut(asker, v) || asker == v) {
+			return v
+		}
+	}
+	return nil
+}
+
+// learn tells a VM which failure domains and VMs of its own it hears.
+func (f *fleet) learn(v *vm) {
+	known, heard := 0, 0
+	var others []string
+	for d, name := range f.domains {
+		if d != v.domain && f.owner(d, v) != nil {
+			others = append(others, name)
+		}
+	}
+	for _, other := range f.vms {
+		if other.domain != v.domain {
+			continue
+		}
+		known++
+		if !other.deadKnown && (other == v || f.cut == nil || !f.cut(v, other)) {
+			heard++
+		}
+	}
+	slices.SortStableFunc(others, func(a, b string) int {
+		far := func(name string) bool { return f.region(slices.Index(f.domains, name)) != f.region(v.domain) }
+		return boolCompare(far(a), far(b))
+	})
+	v.allocator.SetFleet(Fleet{Domain: f.domains[v.domain], Domains: f.domains, Heard: others, Share: float64(heard) / float64(known)}, f.time())
+	v.allocator.Retain(func(string) bool { return f.owner(v.domain, v) == v }, f.time())
+}
+
+func boolCompare(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// relearn tells all VMs, each at a time of its own within the given time.
+func (f *fleet) relearn(within time.Duration) {
+	for _, v := range f.vms {
+		f.after(time.Duration(f.random.Int64N(int64(within)+1)), func() {
+			v.allocator.Restart(f.time())
+			f.learn(v)
+		})
+	}
+}
+
+func (f *fleet) transmit(from, to *vm, deliver func()) {
+	if to == nil || from.dead {
+		return
+	}
+	f.messages++
+	copies := 1
+	if f.random.Float64() < f.repeated {
+		copies = 2
+	}
+	for range copies {
+		if f.random.Float64() < f.lost {
+			continue
+		}
+		latency := 200 * time.Microsecond
+		switch {
+		case from == to:
+			latency = 0
+		case f.region(from.domain) != f.region(to.domain):
+			latency = 20 * time.Millisecond
+		case from.domain != to.domain:
+			latency = 2 * time.Millisecond
+		}
+		latency += time.Duration(f.random.ExpFloat64() * float64(300*time.Microsecond)) // messages overtake each other
+		f.after(latency, func() {
+			if f.cut == nil || !f.cut(from, to) {
+				f.runOn(to, deliver)
+			}
+		})
+	}
+}
+
+// runOn runs something on a VM now, or once it is no longer frozen.
+func (f *fleet) runOn(v *vm, run func()) {
+	switch {
+	case v.dead:
+	case f.now < v.frozenUntil:
+		f.after(v.frozenUntil-f.now, func() { f.runOn(v, run) })
+	default:
+		run()
+	}
+}
+
+func (f *fleet) tick(v *vm) {
+	if v.dead || f.now < v.frozenUntil {
+		return
+	}
+	f.unknown += len(v.credit.Expired(f.time()))
+	f.flush(v, true)
+}
+
+// flush sends what a VM has to send.
+func (f *fleet) flush(v *vm, all bool) {
+	for _, r := range v.credit.Ask(f.time()) {
+		to := f.owner(v.domain, v)
+		f.transmit(v, to, func() { f.allow(to, v, r) })
+	}
+	for _, r := range v.allocator.Wanted(all, f.time()) {
+		to := f.owner(slices.Index(f.domains, r.Domain), v)
+		f.transmit(v, to, func() {
+			if f.owner(to.domain, to) != to {
+				return
+			}
+			g := to.allocator.Lend(r, f.limit(), f.time())
+			f.transmit(to, v, func() {
+				v.allocator.TakeLoan(g, f.time())
+				f.flush(v, false)
+			})
+		})
+	}
+	for _, answer := range v.allocator.Answers(f.time()) {
+		f.answer(v, answer)
+	}
+}
+
+func (f *fleet) answer(v *vm, a Answer) {
+	var to *vm
+	for _, other := range f.vms {
+		if other.credit.Peer == a.Peer {
+			to = other
+		}
+	}
+	f.transmit(v, to, func() { f.receive(to, a.Grant) })
+}
+
+func (f *fleet) allow(to, from *vm, r Request) {
+	if f.owner(to.domain, to) != to {
+		return
+	}
+	if g, answered := to.allocator.Allow(r, f.limit(), f.time()); answered {
+		f.answer(to, Answer{from.credit.Peer, g})
+	}
+	f.flush(to, false)
+}
+
+func (f *fleet) receive(v *vm, g Grant) {
+	ready, refused := v.credit.Receive(g, f.time())
+	f.serve(v, len(ready))
+	f.refused += len(refused)
+	f.flush(v, false)
+}
+
+func (f *fleet) serve(v *vm, n int) {
+	for range n {
+		f.sent = append(f.sent, dispatched{f.now, v.domain})
+	}
+}
+
+func (f *fleet) request(v *vm) {
+	if f.measures != nil {
+		f.measures(v)
+	}
+	f.runOn(v, func() {
+		if v.credit.Take(f.limit(), f.time()) {
+			f.serve(v, 1)
+			return
+		}
+		f.sequence++
+		if _, parked := v.credit.Park("acme", uint64(f.sequence), f.time()); !parked {
+			f.refused++
+			return
+		}
+		f.flush(v, false)
+	})
+}
+
+// load sends requests at a rate until a time, each to an entry of the domains chosen then.
+func (f *fleet) load(rate float64, until time.Duration, domains func() []int) {
+	var next func()
+	next = func() {
+		if f.now >= until {
+			return
+		}
+		if chosen := domains(); len(chosen) > 0 {
+			d := chosen[f.random.IntN(len(chosen))]
+			var entries []*vm
+			for _, v := range f.vms {
+				if v.domain == d && !v.dead {
+					entries = append(entries, v)
+				}
+			}
+			if len(entries) > 0 {
+				f.request(entries[f.random.IntN(len(entries))])
+			}
+		}
+		f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), next)
+	}
+	f.after(0, next)
+}
+
+func (f *fleet) run(until time.Duration) {
+	for len(f.events) > 0 && f.events[0].at <= until {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.run()
+	}
+	f.now = until
+}
+
+// most returns the most requests sent in any window.
+func most(sent []dispatched, window time.Duration) int {
+	most, first := 0, 0
+	for i, s := range sent {
+		for s.at-sent[first].at >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// reference counts what one token bucket would allow.
+type reference struct {
+	tokens, rate, burst float64
+	at                  time.Duration
+	allowed             int
+}
+
+func newReference(t Terms, part float64) *reference {
+	return &reference{tokens: t.Burst * part, rate: t.Rate * part, burst: t.Burst * part}
+}
+
+func (r *reference) arrive(now time.Duration) {
+	r.tokens = math.Min(r.burst, r.tokens+r.rate*(now-r.at).Seconds())
+	r.at = now
+	if r.tokens >= 1 {
+		r.tokens--
+		r.allowed++
+	}
+}
