Ask for the allowance of a customer before a request begins

Requests of a limited customer go on when the entry holds an allowance, or wait for the answer of the allocator in their failure domain, at most 300 ms. They end with 429 over-allowance or 503 allowance-unknown otherwise. Allocators lend to each other; counts of each customer are in the status.

--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -56,6 +56,8 @@
 	CodeCallerLeft            Code = 1049
 	CodeLibraryMessage        Code = 1050
 	CodeContact               Code = 1051
+	CodeAllowance             Code = 1054
+	CodeTokensMoved           Code = 1055
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -118,6 +120,8 @@
 	{CodeCallerLeft, "info", "caller left before its request was answered"},
 	{CodeLibraryMessage, "info", "HTTP library reports a fault of a connection"},
 	{CodeContact, "info", "backend server may have started again, or what it says about that"},
+	{CodeAllowance, "info", "request refused for the allowance of its customer"},
+	{CodeTokensMoved, "info", "parts of customers' allowances were lent between failure domains"},
 }
 
 // Info returns the catalogue entry of a code.
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/heatherwood/heatherwood/internal/customer"
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/plan"
@@ -223,6 +224,8 @@
 	Limits    []LimitStatus      `json:"limits"`
 	LogLength uint64             `json:"logLength"`
 
+	Customers []CustomerStatus `json:"customers"` // the largest, those refused most, and the rest as one
+
 	Ways    []WayStatus    `json:"ways"`    // to the servers of each failure domain that this VM used
 	Helpers map[string]int `json:"helpers"` // requests that other VMs serve for this one now, by VM
 	Helped  int            `json:"helped"`  // requests that this VM serves for others now
@@ -248,6 +251,20 @@
 	Age        time.Duration `json:"age"`        // since this VM asked for allowances last; -1 if it never did
 }
 
+// CustomerStatus is what this VM counted of a customer since its start, and what it holds of
+// the allowance.
+type CustomerStatus struct {
+	Customer  string  `json:"customer"`  // empty for the rest
+	Rate      float64 `json:"rate"`      // requests a second over all VMs; 0 for no limit
+	Burst     float64 `json:"burst"`     // requests beyond the rate
+	Allocator string  `json:"allocator"` // VM of this failure domain that hands out the allowances
+	Held      int     `json:"held"`      // allowances that this VM holds
+	Demand    float64 `json:"demand"`    // requests a second in this failure domain
+	Tokens    float64 `json:"tokens"`    // in the bucket, if this VM is the allocator; else -1
+	Borrowed  int     `json:"borrowed"`  // from other failure domains
+	customer.Count
+}
+
 // VMStatus is a VM of the own failure domain.
 type VMStatus struct {
 	ID       string `json:"id"`
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/allowance"
+	"github.com/heatherwood/heatherwood/internal/customer"
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/member"
@@ -264,6 +265,11 @@
 	Closures *ClosureUpdate
 	Allow    *AllowanceRequest
 	Allowed  *AllowanceGrant
+
+	CustomerRequest     *customer.Request
+	CustomerGrant       *customer.Grant
+	CustomerLoanRequest *customer.LoanRequest
+	CustomerLoan        *customer.LoanGrant
 }
 
 // Kind returns what the message is, for metrics.
@@ -291,6 +297,10 @@
 		return "quarantine"
 	case m.Allow != nil, m.Allowed != nil:
 		return "allowances"
+	case m.CustomerRequest != nil, m.CustomerGrant != nil:
+		return "customer-allowances"
+	case m.CustomerLoanRequest != nil, m.CustomerLoan != nil:
+		return "customer-loans"
 	default:
 		return "slots"
 	}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -90,7 +90,8 @@
 	lastTicket    uint64                    // of placedRuns
 	replicaSet    replicaset.State
 	allocator     allowance.Allocator // of servers that name a limit
-	ways          reach.Tracker       // to backend servers
+	customers     customerState
+	ways          reach.Tracker // to backend servers
 	detours       detour.Chooser
 	detourRuns    map[uint64]string // VM that serves a request for this one, by call
 	takenOver     map[uint64]bool   // requests that this VM serves for others, by call
@@ -201,6 +202,7 @@
 		takenOver:        make(map[uint64]bool),
 		learnedDomains:   make(map[string]bool),
 		rosterAskedAt:    make(map[string]time.Time),
+		customers:        newCustomerState(settings, now),
 		recent:           plan.RecentTables{TTL: LookupTTL},
 		startedAt:        now,
 		now:              now,
@@ -330,6 +332,7 @@
 	s.tickTransfers()
 	s.tickRoster()
 	s.tickAllowances()
+	s.tickCustomers()
 	s.tickWays()
 	s.tickQuestions()
 	s.tickReplicaSet()
@@ -390,6 +393,14 @@
 		s.receiveAllowanceRequest(m)
 	case m.Allowed != nil:
 		s.receiveAllowances(*m.Allowed)
+	case m.CustomerRequest != nil:
+		s.receiveCustomerRequest(m)
+	case m.CustomerGrant != nil:
+		s.receiveCustomerGrant(*m.CustomerGrant)
+	case m.CustomerLoanRequest != nil:
+		s.receiveCustomerLoanRequest(m)
+	case m.CustomerLoan != nil:
+		s.receiveCustomerLoan(*m.CustomerLoan)
 	default:
 		s.deliverToPool(m)
 	}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -51,6 +51,14 @@
 			return
 		}
 	}
+	if s.awaitAllowance(e) {
+		s.admitRequest(e)
+	}
+}
+
+// admitRequest begins a request that has the allowance of its customer.
+func (s *State) admitRequest(e RequestBegan) {
+	r := e.Request
 	if r.Route != nil {
 		s.beginRouted(e)
 		return
@@ -124,6 +132,9 @@
 		s.beginFlight(call, r, step.Send)
 		s.recordSend(r, "sending")
 	}
+	if step.Refuse != nil {
+		s.countRefusal(r, step.Refuse)
+	}
 	s.emit(Answer{Call: call, Value: step})
 }
 
@@ -331,11 +342,13 @@
 }
 
 func (s *State) endRequest(e RequestEnded) {
+	s.leaveParked(e.Call)
 	r := s.requests[e.Call]
 	if r == nil {
 		return
 	}
 	delete(s.requests, e.Call)
+	s.countEnd(r, e.Result)
 	delete(s.takenOver, e.Call)
 	s.ways.End(e.Call)
 	s.endDetour(e.Call, false)
