--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,8 +46,6 @@
 	Customer      string             // whose key the request carries; empty without one
 	KeyDigest     document.KeyDigest // of that key, by which a revocation is found before each send
 
-	Customer  string             // that sent it; empty for none
-	KeyDigest document.KeyDigest // of the key that it came with
 
 	Grant          *dispatch.Grant // of the current send
 	claimStartedAt time.Time       // when the claim was first proposed; zero while another request holds the key
