Add the customer's name to requests of the relay

Cause: fair share, allowances and recognition need the customer of a request. Change: relay.Request gets the field Customer; nothing sets it yet. Result: go vet and go test ./internal/relay pass.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,6 +25,7 @@
 type Request struct {
 	ID           string // shown to the caller and in the audit trail
 	Service      string
+	Customer     string // name of the customer that sent it; empty for none
 	Rank         int
 	Once         bool
 	Key          ledger.Key // of a `once` request
