Add package share: max-min shares of scarce capacity among customers

Cause: refusals by placing hit customers in proportion to their demand, so that a customer at six times its usual rate takes capacity that others were owed. Change: package share decides which requests are refused first, by a level of demand that follows the share that placing refuses.

--- /dev/null
+++ b/internal/share/share.go
@@ -0,0 +1,232 @@
+package share
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Control of the level. Every entry moves its level by the same law from the same reference, and
+// the load of the servers, which causes the refusals, is common to all, so that the levels of
+// entries stay close together without messages.
+const (
+	pressureGain    = 1.5              // fall of the logarithm of the level in a second if placing refuses all; higher ones oscillate with the delay of the servers' queues
+	highRefusalGain = 10.0             // added in proportion to the refused share, so that a sudden shortage is met within a second or two
+	pressureLeak    = 0.008            // part of the pressure lost in a second; sets the share, 1% to 2%, that placing still refuses when the level is steady
+	roomRecovery    = 2.0              // fall of the pressure in a second if all requests meet free slots
+	usualRoom       = 0.15             // part of the requests that meet free slots though servers are short, as some objects are asked for less
+	maxPressure     = 14.0             // the level is then a millionth of the reference
+	minRequestRate  = 2.0              // requests a second by which one refusal is weighed at least; bounds what one can do on an idle entry
+	rateTime        = time.Second      // time constant of the request rates that weigh refusals
+	demandTime      = 3 * time.Second  // time constant of an entry's own count of a customer's demand
+	servedTime      = 5 * time.Second  // time constant of the served shares
+	forgetAfter     = 30 * time.Second // without a request
+	sweepInterval   = time.Second      // between searches for customers to forget, which visit all
+)
+
+// Floor of the served share.
+const (
+	starvedShare = 0.3 // of the served share of all, below which nothing is refused; the bound to keep is a quarter
+	minJudged    = 4.0 // requests within servedTime from which a served share is judged
+)
+
+// Limits.
+const (
+	minOwed       = -2.0                   // requests that a customer got beyond its level on free slots and that count against it
+	maxCustomers  = 512                    // remembered; the requests of further ones are counted together, 80 KB in all
+	maxRoutes     = 128                    // remembered
+	maxRanks      = 8                      // as in the steering document
+	minRetryAfter = 200 * time.Millisecond // as for refusals by placing
+	maxRetryAfter = 4 * time.Second        // callers give up on longer ones
+	retrySpread   = 0.25                   // part by which the longest Retry-After is shortened at random, for callers whose turn is later
+)
+
+// DefaultReference is the reference of the levels where the document has no rates to take it
+// from: more than a customer usually sends through one failure domain, in requests a second.
+const DefaultReference = 1024
+
+// Shares decides for the requests of one service at one entry.
+type Shares struct {
+	Reference float64 // level without pressure, in requests a second; the same on all entries, and above the demand of nearly all customers
+	Scale     float64 // demand in the failure domain for each request a second at this entry, for customers whose demand is counted here
+
+	ranks     [maxRanks]rank
+	all       tally
+	routes    map[string]*tally
+	customers map[string]*customer
+	rest      customer // those for which there is no room
+	sweptAt   time.Time
+	random    *rand.Rand
+}
+
+// rank is the shortage that the requests of one rank meet.
+type rank struct {
+	pressure  float64 // logarithm of the reference over the level
+	changedAt time.Time
+	asked     rate // requests that placing decided
+	refused   rate // those that it refused
+	room      rate // requests placed on servers with free slots
+	refusedAt time.Time
+	count     int64 // requests refused for fair share
+}
+
+// customer is what is known of a customer's requests.
+type customer struct {
+	demand rate
+	served tally
+	owed   float64   // part of a request that may be admitted
+	turnAt time.Time // last turn announced to a caller
+}
+
+// New returns shares that have seen no request. The seed differs between entries.
+func New(seed uint64) *Shares {
+	return &Shares{
+		Reference: DefaultReference,
+		Scale:     1,
+		routes:    make(map[string]*tally),
+		customers: make(map[string]*customer),
+		random:    rand.New(rand.NewPCG(seed, 0)),
+	}
+}
+
+// Request is a request for which a server was looked for.
+type Request struct {
+	Customer string // name; requests without one count as those of one customer
+	Route    string
+	Rank     int     // 0 is the most urgent
+	Demand   float64 // of the customer in the failure domain, in requests a second; 0 or less means that this entry counts it
+	Room     bool    // its server has a free slot
+}
+
+// Admit reports whether a request may be placed; if not, its caller is asked to send it again
+// after a time. A request whose server has a free slot is never refused.
+func (s *Shares) Admit(r Request, now time.Time) (bool, time.Duration) {
+	c := s.customer(r.Customer, now)
+	own := c.demand.add(1, demandTime, now)
+	demand := r.Demand
+	if demand <= 0 && c != &s.rest {
+		demand = own * max(s.Scale, 1)
+	}
+	level := s.Level(r.Rank, now)
+	if demand <= level {
+		return true, 0
+	}
+	c.owed = min(c.owed+level/demand, 1)
+	if c.owed >= 1 || r.Room {
+		c.owed = max(c.owed-1, minOwed)
+		return true, 0
+	}
+	if s.starved(&c.served, now) || s.starved(s.routes[r.Route], now) {
+		return true, 0
+	}
+	s.rank(r.Rank).count++
+	s.count(c, r.Route, 0, now)
+	return false, s.nextTurn(c, own*level/demand, now)
+}
+
+// Result is what placing decided about a request.
+type Result int
+
+// The results.
+const (
+	Refused Result = iota // no server has room
+	Queued                // it waits at its server
+	Room                  // its server has a free slot
+)
+
+// Placed notes what placing decided about an admitted request.
+func (s *Shares) Placed(q Request, result Result, now time.Time) {
+	served := 1.0
+	if result == Refused {
+		served = 0
+	}
+	s.count(s.customer(q.Customer, now), q.Route, served, now)
+	r := s.rank(q.Rank)
+	r.advance(now)
+	asked := max(r.asked.add(1, rateTime, now), minRequestRate)
+	switch result {
+	case Refused:
+		share := min(r.refused.get(rateTime, now)/asked, 1)
+		r.refused.add(1, rateTime, now)
+		r.refusedAt = now
+		r.pressure = min(r.pressure+(pressureGain+highRefusalGain*share*share)/asked, maxPressure)
+	case Room:
+		if share := r.room.add(1, rateTime, now) / asked; share > usualRoom {
+			r.pressure = max(r.pressure-roomRecovery*(share-usualRoom)/(1-usualRoom)/asked, 0)
+		}
+	}
+}
+
+// Level returns the demand up to which customers of a rank are refused nothing: for less urgent
+// ranks it is never above that for more urgent ones.
+func (s *Shares) Level(rankNumber int, now time.Time) float64 {
+	pressure := 0.0
+	for i := range s.ranks[:clampRank(rankNumber)+1] {
+		s.ranks[i].advance(now)
+		pressure = max(pressure, s.ranks[i].pressure)
+	}
+	if pressure == 0 {
+		return math.Inf(1)
+	}
+	return s.Reference * math.Exp(-pressure)
+}
+
+// Refused returns how many requests of a rank were refused for fair share.
+func (s *Shares) Refused(rankNumber int) int64 { return s.rank(rankNumber).count }
+
+// Ranks returns the number of ranks for which Level and Refused are kept.
+func (s *Shares) Ranks() int { return len(s.ranks) }
+
+func (s *Shares) rank(number int) *rank { return &s.ranks[clampRank(number)] }
+
+func clampRank(number int) int { return min(max(number, 0), maxRanks-1) }
+
+// advance lowers the pressure by the time that has passed.
+func (r *rank) advance(now time.Time) {
+	elapsed := now.Sub(r.changedAt)
+	r.changedAt = now
+	if r.pressure == 0 || elapsed <= 0 {
+		return
+	}
+	fall := pressureLeak * r.pressure * r.pressure
+	if now.Sub(r.refusedAt) > forgetAfter {
+		fall += 1
+	}
+	r.pressure = max(r.pressure-fall*elapsed.Seconds(), 0)
+}
+
+// customer returns the record of a customer, a new one if there is room.
+func (s *Shares) customer(name string, now time.Time) *customer {
+	if c := s.customers[name]; c != nil {
+		return c
+	}
+	if len(s.customers) >= maxCustomers {
+		s.forgetIdle(now)
+	}
+	if len(s.customers) >= maxCustomers {
+		return &s.rest
+	}
+	// Entries begin at different points of the sequence of admitted and refused requests, so
+	// that a customer with few requests at each is not refused at all of them.
+	c := &customer{owed: s.random.Float64()}
+	s.customers[name] = c
+	return c
+}
+
+// forgetIdle forgets customers and routes without requests of late.
+func (s *Shares) forgetIdle(now time.Time) {
+	if now.Sub(s.sweptAt) < sweepInterval {
+		return
+	}
+	s.sweptAt = now
+	for name, c := range s.customers {
+		if now.Sub(c.demand.at) > forgetAfter {
+			delete(s.customers, name)
+		}
+	}
+	for name, t := range s.routes {
+		if now.Sub(t.asked.at) > forgetAfter {
+			delete(s.routes, name)
+		}
+	}
+}
