Refuse requests of customers above their share where servers are short

Cause: entries refuse at random among customers where servers have no room. Change: placing asks the shares of the service before it sends a request for the first time; refusals are answered with 503 fair-share.

--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -51,7 +51,8 @@
 	ReasonUnknownService   Reason = "unknown-service"
 	ReasonStarting         Reason = "starting"
 	ReasonOwnerUnreachable Reason = "owner-unreachable"
-	ReasonNoWay            Reason = "no-way" // to the servers, from a VM that was to serve the request for another
+	ReasonFairShare        Reason = "fair-share" // servers are short, and the customer had its share of them
+	ReasonNoWay            Reason = "no-way"     // to the servers, from a VM that was to serve the request for another
 )
 
 // Denial refuses a slot; the request was not run.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/reducer"
 	"github.com/heatherwood/heatherwood/internal/relay"
 )
@@ -224,6 +225,10 @@
 
 // describeRefusal describes a line that logs that no server was chosen.
 func describeRefusal(notPlaced *Line) string {
+	if notPlaced.Outcome == string(dispatch.ReasonFairShare) {
+		return fmt.Sprintf("servers of %s were short (fair-share): customer %q sent %.1f requests/s, of which %.1f were its share, and the caller was told to return after %.0f ms",
+			notPlaced.stringField("service"), notPlaced.stringField("customer"), notPlaced.numberField("demand"), notPlaced.numberField("fair_level"), notPlaced.numberField("retry_after_ms"))
+	}
 	limits := ""
 	if limited := notPlaced.numberField("limited"); limited > 0 {
 		limits = fmt.Sprintf(", %.0f more would have gone beyond the limits that they name", limited)
--- a/internal/reducer/document.go
+++ b/internal/reducer/document.go
@@ -301,6 +301,7 @@
 	s.recordInForce()
 	s.configurePools()
 	s.configurePlacingPools()
+	s.configureShares()
 	s.tickPlan()
 	s.tickOwners()
 }
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -221,6 +221,7 @@
 	Services  []ServiceStatus    `json:"services"`
 	Barred    []QuarantineStatus `json:"barred"`
 	Limits    []LimitStatus      `json:"limits"`
+	Shares    []ShareStatus      `json:"shares"`
 	LogLength uint64             `json:"logLength"`
 
 	Ways    []WayStatus    `json:"ways"`    // to the servers of each failure domain that this VM used
@@ -228,6 +229,14 @@
 	Helped  int            `json:"helped"`  // requests that this VM serves for others now
 }
 
+// ShareStatus is the fair share of one rank of requests of a service.
+type ShareStatus struct {
+	Service string  `json:"service"`
+	Rank    int     `json:"rank"`
+	Level   float64 `json:"level"`   // demand of a customer in this failure domain, in requests a second, above which some are refused; 0 if none are
+	Refused int64   `json:"refused"` // requests since the start
+}
+
 // WayStatus is the way to the servers of a failure domain.
 type WayStatus struct {
 	Domain string        `json:"domain"`
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -9,6 +9,7 @@
 	"github.com/heatherwood/heatherwood/internal/reach"
 	"github.com/heatherwood/heatherwood/internal/relay"
 	"github.com/heatherwood/heatherwood/internal/routing"
+	"github.com/heatherwood/heatherwood/internal/share"
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
@@ -118,8 +119,18 @@
 		if slotRequest.Remaining < r.Deadline.Sub(s.now) && reason == dispatch.ReasonQueueFull {
 			reason, choice.RetryAfter = dispatch.ReasonStopping, stoppingRetry
 		}
+		if reason == dispatch.ReasonQueueFull {
+			if denial, denied := s.askShare(r, slotRequest, choice); denied {
+				return denial, helper{}
+			}
+			s.notePlaced(r, share.Refused)
+		}
 		return s.denyRequest(r, slotRequest, reason, choice), helper{}
 	}
+	if denial, denied := s.askShare(r, slotRequest, choice); denied {
+		return denial, helper{}
+	}
+	s.notePlaced(r, shareResult(choice.Server, s.now))
 	s.lastTicket++
 	if verdict == quarantine.Trial {
 		s.quarantine.BeginTrial(slotRequest.Fingerprint, s.lastTicket)
@@ -202,8 +213,8 @@
 	suspectedRetry   = 500 * time.Millisecond // by then the run in progress has shown whether it crashes its server
 )
 
-func (s *State) denyRequest(r *relay.Request, slotRequest dispatch.SlotRequest, reason dispatch.Reason, choice placing.Choice) dispatch.Answer {
-	s.emit(Decision{Code: CodeNotPlaced, Request: r.ID, Outcome: string(reason), Fields: []Field{
+func (s *State) denyRequest(r *relay.Request, slotRequest dispatch.SlotRequest, reason dispatch.Reason, choice placing.Choice, extra ...Field) dispatch.Answer {
+	s.emit(Decision{Code: CodeNotPlaced, Request: r.ID, Outcome: string(reason), Fields: append([]Field{
 		{"route", r.Route.Name},
 		{"service", r.Service},
 		{"rank", int64(r.Rank)},
@@ -214,7 +225,7 @@
 		{"excluded", int64(len(slotRequest.Exclude))},
 		{"retry_after", choice.RetryAfter},
 		{"document", int64(s.documentAt.Index)},
-	}})
+	}, extra...)})
 	return dispatch.Answer{Denial: &dispatch.Denial{Reason: reason, RetryAfter: choice.RetryAfter}}
 }
 
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -82,6 +82,7 @@
 	placingPools map[string]*placing.Pool // by service
 	formerPools  map[string]formerPool    // the same, of services that left the document
 	routeSplits  map[*document.Route]*placing.Split
+	shares       map[string]*serviceShares // by service placed here; empty without customers
 
 	closures      map[document.Closure]bool // of the document in force
 	earlyClosures []earlyClosure            // newer than the document in force, in order of arrival
@@ -132,8 +133,9 @@
 	heardAt       time.Time // last gossip of another VM; zero for none
 	lastTickAt    time.Time
 	planDue       time.Time
-	fetchTurn     int // selects the entry of a failure domain to ask for a document
-	logBytes      int // bytes of log entries applied since the last snapshot
+	sharesDue     time.Time // next check of shares
+	fetchTurn     int       // selects the entry of a failure domain to ask for a document
+	logBytes      int       // bytes of log entries applied since the last snapshot
 	snapshotBytes int
 	poolSequence  uint64 // pools opened since the start
 	effects       []Effect
@@ -196,6 +198,7 @@
 		placingPools:     make(map[string]*placing.Pool),
 		formerPools:      make(map[string]formerPool),
 		routeSplits:      make(map[*document.Route]*placing.Split),
+		shares:           make(map[string]*serviceShares),
 		placedRuns:       make(map[uint64]placedRun),
 		detourRuns:       make(map[uint64]string),
 		takenOver:        make(map[uint64]bool),
@@ -330,6 +333,7 @@
 	s.tickTransfers()
 	s.tickRoster()
 	s.tickAllowances()
+	s.tickShares()
 	s.tickWays()
 	s.tickQuestions()
 	s.tickReplicaSet()
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -63,6 +63,7 @@
 		status.Services = append(status.Services, service)
 	}
 	status.Limits = s.limitStatus()
+	status.Shares = s.shareStatus()
 	for _, entry := range s.quarantine.Entries {
 		phase := "suspected"
 		if entry.Phase == quarantine.Quarantined {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -252,6 +252,8 @@
 	switch reason {
 	case dispatch.ReasonQueueFull:
 		return "too many requests of this rank wait"
+	case dispatch.ReasonFairShare:
+		return "the servers are short of capacity, and the customer had its share of it"
 	case dispatch.ReasonDeadline:
 		return "the request could not finish before its deadline"
 	case dispatch.ReasonNoServers:
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -103,10 +103,7 @@
 func (s *Shares) Admit(r Request, now time.Time) (bool, time.Duration) {
 	c := s.customer(r.Customer, now)
 	own := c.demand.add(1, demandTime, now)
-	demand := r.Demand
-	if demand <= 0 && c != &s.rest {
-		demand = own * max(s.Scale, 1)
-	}
+	demand := s.Demand(r, now)
 	level := s.Level(r.Rank, now)
 	if demand <= level {
 		return true, 0
@@ -124,6 +121,14 @@
 	return false, s.nextTurn(c, own*level/demand, now)
 }
 
+// Demand returns the demand that counts for a customer.
+func (s *Shares) Demand(r Request, now time.Time) float64 {
+	if c := s.customers[r.Customer]; r.Demand <= 0 && c != nil {
+		return c.demand.get(demandTime, now) * max(s.Scale, 1)
+	}
+	return r.Demand
+}
+
 // Result is what placing decided about a request.
 type Result int
 
