--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -58,6 +58,7 @@
 	CodeContact               Code = 1051
 	CodeAllowance             Code = 1054
 	CodeTokensMoved           Code = 1055
+	CodeFairShare             Code = 1060
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -122,6 +123,7 @@
 	{CodeContact, "info", "backend server may have started again, or what it says about that"},
 	{CodeAllowance, "info", "request refused for the allowance of its customer"},
 	{CodeTokensMoved, "info", "parts of customers' allowances were lent between failure domains"},
+	{CodeFairShare, "warn", "servers are short: requests of customers above their share are refused, or no longer"},
 }
 
 // Info returns the catalogue entry of a code.
--- a/internal/reducer/document.go
+++ b/internal/reducer/document.go
@@ -302,6 +302,7 @@
 	s.configurePools()
 	s.configurePlacingPools()
 	s.followCustomers(e.Document)
+	s.configureShares()
 	s.tickPlan()
 	s.tickOwners()
 }
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -64,6 +64,7 @@
 	}
 	status.Limits = s.limitStatus()
 	status.Customers = s.customerStatus()
+	status.Shares = s.shareStatus()
 	for _, entry := range s.quarantine.Entries {
 		phase := "suspected"
 		if entry.Phase == quarantine.Quarantined {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,7 +46,6 @@
 	Customer      string             // whose key the request carries; empty without one
 	KeyDigest     document.KeyDigest // of that key, by which a revocation is found before each send
 
-
 	Grant          *dispatch.Grant // of the current send
 	claimStartedAt time.Time       // when the claim was first proposed; zero while another request holds the key
 	claimTries     int             // claims proposed
@@ -254,6 +253,8 @@
 	switch reason {
 	case dispatch.ReasonQueueFull:
 		return "too many requests of this rank wait"
+	case dispatch.ReasonFairShare:
+		return "the servers are short of capacity, and the customer had its share of it"
 	case dispatch.ReasonDeadline:
 		return "the request could not finish before its deadline"
 	case dispatch.ReasonNoServers:
