--- a/internal/ledger/command.go
+++ b/internal/ledger/command.go
@@ -39,7 +39,7 @@
 	Stops     uint64
 	Routes    uint64
 	Closures  uint64
-	Customers uint64
+	Customers uint64 `msgpack:",omitempty"` // sites without customers pay no bytes for it
 }
 
 // Get returns the version of a section.
