Test the allowances of customers with lost VMs, cut parts and frozen VMs

The bound and the use of allowances rest on what happens when VMs and links fail, which nothing exercised.

--- a/internal/customer/fleet_test.go
+++ b/internal/customer/fleet_test.go
@@ -25,6 +25,9 @@
 	domains  []string
 	regions  int
 	vms      []*vm
+	members  [][]*vm // by domain
+	faulty   bool    // VMs are dead, frozen or cut off from each other, or were
+	cutAt    time.Duration
 	cut      func(a, b *vm) bool // messages between them are lost
 	lost     float64             // probability that a message is
 	repeated float64
@@ -45,12 +48,23 @@
 	domain, index int // index in the domain
 	credit        *Credit
 	allocator     *Allocator
+	lag           time.Duration // by which it learns of others later than at best
 	dead          bool
-	deadKnown     bool          // to the VMs of its domain
+	quietSince    time.Duration // since when it is dead or frozen; 0 for neither
+	startedAt     time.Duration // last start, or end of a freeze
 	frozenUntil   time.Duration // it runs nothing until then
-	heard         func(*vm) bool
+	view          uint64        // of the fleet, as its allocator was told last
 }
 
+// Delays until VMs learn of each other, as in package member.
+const (
+	deadTime      = 3 * time.Second
+	silentTime    = 5 * time.Second // of a failure domain
+	settleTime    = time.Second     // after the start of a VM, during which it allocates nothing
+	longestLag    = time.Second
+	pausedAtLeast = 700 * time.Millisecond
+)
+
 type event struct {
 	at       time.Duration
 	sequence int
@@ -78,11 +92,13 @@
 		f.domains = append(f.domains, fmt.Sprint("d", d))
 	}
 	for i := range entries {
-		v := &vm{domain: i % domains, index: i / domains}
-		peer := fmt.Sprint("vm", i)
-		v.credit = NewCredit(peer, 1)
-		v.allocator = NewAllocator(peer, 1, testStart.Add(-time.Minute))
+		v := &vm{domain: i % domains, index: i / domains, startedAt: -time.Minute, lag: time.Duration(f.random.Int64N(int64(longestLag)))}
+		f.start(v, testStart.Add(-time.Minute))
 		f.vms = append(f.vms, v)
+		if i < domains {
+			f.members = append(f.members, nil)
+		}
+		f.members[v.domain] = append(f.members[v.domain], v)
 		var tick func()
 		tick = func() {
 			f.tick(v)
@@ -107,61 +123,92 @@
 
 func (f *fleet) limit() Limit { return Limit{Customer: "acme", Document: f.document, Terms: f.terms} }
 
-// owner returns the VM that allocates the customer as far as a VM of the domain knows.
+// start gives a VM an empty state.
+func (f *fleet) start(v *vm, now time.Time) {
+	peer := fmt.Sprint(v.domain, ":", v.index)
+	v.credit = NewCredit(peer, uint64(now.UnixMicro()))
+	v.allocator = NewAllocator(peer, uint64(now.UnixMicro()), now)
+	v.view = 0
+}
+
+// hears reports whether a VM takes another one for alive.
+func (f *fleet) hears(v, other *vm, silent time.Duration) bool {
+	switch {
+	case v == other:
+		return true
+	case other.quietSince > 0 && f.now > other.quietSince+silent+v.lag:
+		return false
+	case f.cut != nil && f.cut(v, other) && f.now > f.cutAt+silent+v.lag:
+		return false
+	}
+	return other.quietSince > 0 || f.now > other.startedAt+v.lag
+}
+
+// owner returns the VM of a domain that allocates the customer, as far as a VM knows.
 func (f *fleet) owner(domain int, asker *vm) *vm {
-	for _, v := range f.vms {
-		if v.domain == domain && !v.deadKnown && (asker == nil || f.cut == nil || !f.cut(asker, v) || asker == v) {
+	for _, v := range f.members[domain] {
+		if f.hears(asker, v, deadTime) {
 			return v
 		}
 	}
 	return nil
 }
 
-// learn tells a VM which failure domains and VMs of its own it hears.
+// learn tells the allocator of a VM which domains and VMs of its own are heard.
 func (f *fleet) learn(v *vm) {
-	known, heard := 0, 0
+	heard, view := 0, uint64(1)
+	for _, other := range f.members[v.domain] {
+		view *= 2
+		if f.hears(v, other, deadTime) {
+			heard++
+			view++
+		}
+	}
 	var others []string
 	for d, name := range f.domains {
-		if d != v.domain && f.owner(d, v) != nil {
+		if d != v.domain && slices.ContainsFunc(f.members[d], func(other *vm) bool { return f.hears(v, other, silentTime) }) {
 			others = append(others, name)
 		}
 	}
-	for _, other := range f.vms {
-		if other.domain != v.domain {
-			continue
-		}
-		known++
-		if !other.deadKnown && (other == v || f.cut == nil || !f.cut(v, other)) {
-			heard++
+	far := func(name string) int {
+		if f.region(slices.Index(f.domains, name)) != f.region(v.domain) {
+			return 1
 		}
+		return 0
 	}
-	slices.SortStableFunc(others, func(a, b string) int {
-		far := func(name string) bool { return f.region(slices.Index(f.domains, name)) != f.region(v.domain) }
-		return boolCompare(far(a), far(b))
-	})
-	v.allocator.SetFleet(Fleet{Domain: f.domains[v.domain], Domains: f.domains, Heard: others, Share: float64(heard) / float64(known)}, f.time())
+	slices.SortStableFunc(others, func(a, b string) int { return cmp.Compare(far(a), far(b)) })
+	if view != v.view {
+		v.view = view
+		v.allocator.Restart(f.time())
+	}
+	v.allocator.SetFleet(Fleet{Domain: f.domains[v.domain], Domains: f.domains, Heard: others, Share: float64(heard) / float64(len(f.members[v.domain]))}, f.time())
 	v.allocator.Retain(func(string) bool { return f.owner(v.domain, v) == v }, f.time())
 }
 
-func boolCompare(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
-	}
+// divide loses the messages between VMs from now on.
+func (f *fleet) divide(cut func(a, b *vm) bool) {
+	f.cutAt, f.cut, f.faulty = f.now, cut, true
 }
 
-// relearn tells all VMs, each at a time of its own within the given time.
-func (f *fleet) relearn(within time.Duration) {
-	for _, v := range f.vms {
-		f.after(time.Duration(f.random.Int64N(int64(within)+1)), func() {
-			v.allocator.Restart(f.time())
-			f.learn(v)
-		})
-	}
+// kill ends a VM, and starts it again after a time.
+func (f *fleet) kill(v *vm, downFor time.Duration) {
+	v.dead, v.quietSince, f.faulty = true, f.now, true
+	f.after(downFor, func() {
+		v.dead, v.quietSince, v.startedAt = false, 0, f.now
+		f.start(v, f.time())
+	})
+}
+
+// freeze stops a VM for a time; it finds out before it handles what arrived meanwhile.
+func (f *fleet) freeze(v *vm, d time.Duration) {
+	v.frozenUntil, v.quietSince, f.faulty = f.now+d, f.now, true
+	f.after(d, func() {
+		v.quietSince = 0
+		if d >= pausedAtLeast {
+			v.credit.Reset()
+			v.allocator.Reset(f.time())
+		}
+	})
 }
 
 func (f *fleet) transmit(from, to *vm, deliver func()) {
@@ -210,6 +257,9 @@
 	if v.dead || f.now < v.frozenUntil {
 		return
 	}
+	if f.faulty {
+		f.learn(v)
+	}
 	f.unknown += len(v.credit.Expired(f.time()))
 	f.flush(v, true)
 }
@@ -223,7 +273,7 @@
 	for _, r := range v.allocator.Wanted(all, f.time()) {
 		to := f.owner(slices.Index(f.domains, r.Domain), v)
 		f.transmit(v, to, func() {
-			if f.owner(to.domain, to) != to {
+			if f.owner(to.domain, to) != to || f.now < to.startedAt+settleTime {
 				return
 			}
 			g := to.allocator.Lend(r, f.limit(), f.time())
@@ -249,7 +299,7 @@
 }
 
 func (f *fleet) allow(to, from *vm, r Request) {
-	if f.owner(to.domain, to) != to {
+	if f.owner(to.domain, to) != to || f.now < to.startedAt+settleTime {
 		return
 	}
 	if g, answered := to.allocator.Allow(r, f.limit(), f.time()); answered {
@@ -298,14 +348,9 @@
 		}
 		if chosen := domains(); len(chosen) > 0 {
 			d := chosen[f.random.IntN(len(chosen))]
-			var entries []*vm
-			for _, v := range f.vms {
-				if v.domain == d && !v.dead {
-					entries = append(entries, v)
-				}
-			}
-			if len(entries) > 0 {
-				f.request(entries[f.random.IntN(len(entries))])
+			v := f.members[d][f.random.IntN(len(f.members[d]))]
+			if !v.dead {
+				f.request(v)
 			}
 		}
 		f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), next)
