Choose servers by their present speed, and ask for it before a choice

Cause: at any moment 15% of the servers run 2.5 times slower, for 600 ms. Before a request is placed, the server that it would go to is asked by a health check, at most 16 times a second for each VM and 25 ms at most, where another warm server could take the request; the first two servers of an object's order count as warm there. Health answers carry load, pace and, for servers that are not in doubt, the cold time. Where no server reports a speed, nothing changes. Tests of placing and relay pass.

--- a/internal/callerhttp/ask.go
+++ b/internal/callerhttp/ask.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"time"
 
+	"github.com/heatherwood/heatherwood/internal/placing"
 	"github.com/heatherwood/heatherwood/internal/reducer"
 )
 
@@ -33,27 +34,44 @@
 
 var errNoHealth = errors.New("servers of this site do not say in their health checks whether they are cold")
 
-// askServer asks a server by a health check which one it is and how long it stays cold.
+// askServer asks a server by a health check which one it is, how long it stays cold and what load it
+// has. Where a request waits for that, it reports first that the answer is late, once it is.
 func (l *Relay) askServer(q reducer.ServerQuestion) reducer.ServerAnswered {
-	id, coldFor, err := l.checkHealth(q)
-	answer := reducer.ServerAnswered{Question: q, ID: id, ColdFor: coldFor}
+	if q.Wait > 0 {
+		late := time.AfterFunc(q.Wait, func() {
+			l.Node.Metrics.LateLoadAnswers.Inc()
+			l.Node.Apply(reducer.ServerAnswered{Question: q, Why: errLate.Error(), Late: true})
+		})
+		defer late.Stop()
+	}
+	health, err := l.checkHealth(q)
+	answer := reducer.ServerAnswered{Question: q, ID: health.id, ColdFor: health.coldFor, Load: health.load}
 	if err != nil {
 		answer.Why = err.Error()
 		return answer
 	}
-	l.contacts.noteState(q.Address, id == q.Server && coldFor == 0)
+	l.contacts.noteState(q.Address, health.id == q.Server && health.coldFor == 0)
 	return answer
 }
 
-func (l *Relay) checkHealth(q reducer.ServerQuestion) (string, time.Duration, error) {
+var errLate = errors.New("the answer is late")
+
+// health is what a server says about itself in a health check.
+type health struct {
+	id      string
+	coldFor time.Duration
+	load    placing.Load
+}
+
+func (l *Relay) checkHealth(q reducer.ServerQuestion) (health, error) {
 	if l.Dialect.ParseHealth == nil {
-		return "", 0, errNoHealth
+		return health{}, errNoHealth
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+q.Address+q.Path, nil)
 	if err != nil {
-		return "", 0, fmt.Errorf("health check of %s: %w", q.Server, err)
+		return health{}, fmt.Errorf("health check of %s: %w", q.Server, err)
 	}
 	request.Header.Set("User-Agent", "")
 	var conn *serverConn
@@ -61,7 +79,7 @@
 		GotConn: func(info httptrace.GotConnInfo) { conn, _ = info.Conn.(*serverConn) },
 	})))
 	if err != nil {
-		return "", 0, fmt.Errorf("health check of %s: %w", q.Server, err)
+		return health{}, fmt.Errorf("health check of %s: %w", q.Server, err)
 	}
 	if conn != nil {
 		conn.noteAnswer(response)
@@ -69,7 +87,7 @@
 	defer drain(response)
 	id, coldFor, err := l.Dialect.ParseHealth(response)
 	if err != nil {
-		return "", 0, fmt.Errorf("health check of %s: %w", q.Server, err)
+		return health{}, fmt.Errorf("health check of %s: %w", q.Server, err)
 	}
-	return id, coldFor, nil
+	return health{id: id, coldFor: coldFor, load: l.parseLoad(response.Header)}, nil
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -25,7 +25,8 @@
 	UnreadSeconds   *metrics.Histogram // from the arrival of a request until it was read
 	TickLateSeconds *metrics.Histogram // by which the processor came late to a tick
 
-	MalformedLoads *metrics.Counter // load reports of servers that could not be read
+	MalformedLoads  *metrics.Counter // load reports of servers that could not be read
+	LateLoadAnswers *metrics.Counter // questions for the load of a server that a request did not wait for any longer
 
 	DocumentBytesSent     *metrics.Counter // of document text, to other VMs
 	DocumentBytesReceived *metrics.Counter // of document text, of all copies of it
@@ -49,7 +50,8 @@
 		UnreadSeconds:   set.NewHistogram("heatherwood_request_unread_seconds"),
 		TickLateSeconds: set.NewHistogram("heatherwood_tick_late_seconds"),
 
-		MalformedLoads: set.NewCounter("heatherwood_malformed_load_reports_total"),
+		MalformedLoads:  set.NewCounter("heatherwood_malformed_load_reports_total"),
+		LateLoadAnswers: set.NewCounter("heatherwood_late_load_answers_total"),
 
 		DocumentBytesSent:     set.NewCounter("heatherwood_document_bytes_sent_total"),
 		DocumentBytesReceived: set.NewCounter("heatherwood_document_bytes_received_total"),
@@ -97,7 +99,8 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_sends_total{evidence=%q}`, evidence)).Inc()
 }
 
-// CountQuestion counts a health check that asked a server whether it is cold, by the answer.
+// CountQuestion counts a health check of a server by the answer, and by whether a request waited
+// for it to learn the load.
 func (m *Metrics) CountQuestion(a reducer.ServerAnswered) {
 	answer := "warm"
 	switch {
@@ -108,7 +111,11 @@
 	case a.ColdFor > 0:
 		answer = "cold"
 	}
-	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_server_questions_total{answer=%q}`, answer)).Inc()
+	name := "heatherwood_server_questions_total"
+	if a.Question.Call != 0 {
+		name = "heatherwood_load_questions_total"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`%s{answer=%q}`, name, answer)).Inc()
 }
 
 // CountBelief counts a send to a server by whether it counted as cold, and on whose word.
--- a/internal/placing/estimate.go
+++ b/internal/placing/estimate.go
@@ -34,9 +34,10 @@
 	slow := max(1, s.slowness)
 	load := s.Load(now)
 	slots := float64(s.Slots)
-	expected := 2*p.oneWay(s) + run*slow
+	pace := s.Pace(now)
+	expected := 2*p.oneWay(s) + run*slow*pace
 	if excess := load + 1 - slots; excess > 0 {
-		expected += excess / slots * usual.warm * max(slow, s.meanRunRatio)
+		expected += excess / slots * usual.warm * max(slow, s.meanRunRatio) * pace
 		if expected > maxQueueTargets*req.Target.Seconds() && req.Object != "" {
 			return expected, false
 		}
--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -39,6 +39,8 @@
 	Result   routing.Result
 	Latency  time.Duration
 	Load     Load
+
+	PaceAtSend float64 // of the server as it was expected then; 0 if unknown
 }
 
 // End removes the request from the server's load and updates the estimates and
@@ -48,7 +50,7 @@
 	if e.Partial {
 		s.partial = max(0, s.partial-1)
 	}
-	s.recordLoad(e.Load, now)
+	p.RecordReport(s, e.Load, now)
 	if e.Result == routing.ResultOK || e.Result == routing.ResultError || e.Result == routing.ResultShed {
 		s.silentSince = now
 	}
@@ -86,6 +88,7 @@
 	if !load.Known {
 		return
 	}
+	s.recordPace(load.Pace, now)
 	others := max(0, float64(load.Running+load.Waiting-s.running))
 	s.othersLoad, s.othersReportedAt = others, now
 	s.meanOthersLoad += othersLoadWeight * (others - s.meanOthersLoad)
@@ -107,6 +110,7 @@
 		return
 	}
 	run := max(e.Latency.Seconds()-2*p.oneWay(s), 0.001)
+	run = usualRun(run, e.PaceAtSend, e.Load.Pace)
 	class := p.classes[e.Class]
 	if class == nil {
 		defaults := p.usualRunTimes(Request{Target: e.Target})
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -159,7 +159,9 @@
 	classes     map[string]*runTimes // usual run times, by class of requests
 	oneWays     map[string]float64   // seconds one way, by failure domain
 	askedEarly  int                  // servers
-	cut         []string             // failure domains that this VM cannot connect to, while others can
+
+	paceReportedAt time.Time // last report of a pace by any server; zero if there was none
+	cut            []string  // failure domains that this VM cannot connect to, while others can
 }
 
 // NewPool returns a pool without servers for the entry at own.
@@ -329,7 +331,7 @@
 			result.limited++
 			result.wait(s.quota.wait(now))
 		}
-		o := option{server: s, warm: req.Object != "" && (preferred.all.position(s) == 0 || s.ranObject(req.Object, now))}
+		o := option{server: s, warm: p.isWarm(s, preferred.all.position(s), req, now)}
 		var accepts bool
 		o.expected, accepts = p.estimate(s, req, usual, o.warm, now)
 		if mayUse {
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -46,6 +46,7 @@
 	heardColdAt      time.Time // of that answer
 	inColdOrder      bool      // it is left out of the orders of objects because it is cold
 	pace             pace
+	speed            speed
 	objectAnsweredAt map[string]time.Time // time of the last good answer, by object
 }
 
--- a/internal/placing/simulation_test.go
+++ b/internal/placing/simulation_test.go
@@ -30,6 +30,19 @@
 	uncached         bool                                   // the caches of the pools are emptied before each decision
 	coldRate         float64                                // requests per second of one entry to a cold server
 	events           map[time.Duration]func(sm *simulation) // by time since the start
+
+	routes  []simRoute // if empty, one with the run times and limits above
+	uneven  bool       // some runs take longer than others, and servers run slower at times
+	reports bool       // servers report their present speed
+	asks    bool       // entries ask servers for their load before they choose
+}
+
+// simRoute describes the requests of one route.
+type simRoute struct {
+	class            string
+	rate             float64 // requests per second over all entries, relative to the other routes
+	coldRun, warmRun time.Duration
+	target, timeout  time.Duration
 }
 
 // tally counts requests by their outcome for the caller.
@@ -45,13 +58,17 @@
 	random           *rand.Rand
 	servers          []*fakeServer
 	pools            []*Pool
-	bySecond         []tally // by second of arrival
-	byRegion         []tally // by region of the entry
+	budgets          []AskBudget // of questions, by entry
+	bySecond         []tally     // by second of arrival
+	byRegion         []tally     // by region of the entry
+	byDomain         []tally     // by failure domain of the entry
 	coldRuns         int
 	sends            int
 	otherRegionSends int
 	serverByID       map[string]*fakeServer
 	maxColdPerSecond int // most requests that a cold server got within one second
+	fullSends        int // sends that reached a server whose slots were all in use
+	questions        int // of entries to servers
 }
 
 type fakeServer struct {
@@ -59,8 +76,10 @@
 	simulation *simulation
 	running    int
 	waiting    []func()
-	warm       []string // least recently used first
-	slow       float64  // factor on the run time
+	warm       []string        // least recently used first
+	slow       float64         // factor on the run time
+	slowFrom   []time.Duration // starts of the times in which it runs slower, since the start of the scenario
+	received   int
 
 	coldArrivals []time.Time // arrivals in the last second, while cold
 	down         bool        // refuses connections
@@ -75,17 +94,25 @@
 
 func newSimulation(sc scenario) *simulation {
 	sm := &simulation{scenario: sc, clock: virtual.New(start), random: rand.New(rand.NewPCG(sc.seed, 1))}
+	sm.budgets = make([]AskBudget, sc.entries)
 	sm.bySecond = make([]tally, int(sc.duration/time.Second)+1)
 	sm.byRegion = make([]tally, (len(sc.domains)+1)/2)
+	sm.byDomain = make([]tally, len(sc.domains))
+	if len(sc.routes) == 0 {
+		sm.routes = []simRoute{{class: "page", coldRun: sc.coldRun, warmRun: sc.warmRun, target: sc.target, timeout: sc.timeout}}
+	}
 	sm.serverByID = make(map[string]*fakeServer)
 	for domain, count := range sc.domains {
 		for i := range count {
 			sm.servers = append(sm.servers, &fakeServer{
-				ServerInfo: ServerInfo{ID: fmt.Sprintf("s-%d-%d", domain, i), Address: "a", Start: 1, Slots: sc.slots, Site: site(domain)},
+				ServerInfo: ServerInfo{ID: fmt.Sprintf("s-%d-%d", domain, i), Address: "a", Start: 1, Slots: sc.slots, CanAsk: sc.asks, Site: site(domain)},
 				simulation: sm,
 				slow:       1,
 			})
 			added := sm.servers[len(sm.servers)-1]
+			if sc.uneven {
+				added.planSlowTimes(rand.New(rand.NewPCG(sc.seed, uint64(len(sm.servers)))))
+			}
 			sm.serverByID[added.ID] = added
 		}
 	}
@@ -132,7 +159,25 @@
 	gap := sm.random.ExpFloat64() / sm.rate(elapsed)
 	sm.clock.Schedule(time.Duration(gap*float64(time.Second)), sm.arrive)
 	entry := sm.random.IntN(len(sm.pools))
-	sm.request(entry, fmt.Sprint(sm.random.IntN(sm.objects)), sm.clock.Now(), 1)
+	route := &sm.routes[0]
+	if len(sm.routes) > 1 {
+		route = sm.pickRoute()
+	}
+	sm.request(entry, route, fmt.Sprint(sm.random.IntN(sm.objects)), sm.clock.Now(), 1)
+}
+
+func (sm *simulation) pickRoute() *simRoute {
+	total := 0.0
+	for _, route := range sm.routes {
+		total += route.rate
+	}
+	left := sm.random.Float64() * total
+	for i := range sm.routes {
+		if left -= sm.routes[i].rate; left < 0 {
+			return &sm.routes[i]
+		}
+	}
+	return &sm.routes[0]
 }
 
 func (sm *simulation) oneWay(from, to Site) time.Duration {
@@ -144,30 +189,56 @@
 
 // request simulates one request; a refused caller retries up to retries times,
 // after the time that the refusal gave.
-func (sm *simulation) request(entry int, object string, arrivedAt time.Time, retries int) {
+func (sm *simulation) request(entry int, route *simRoute, object string, arrivedAt time.Time, retries int) {
 	pool := sm.pools[entry]
 	now := sm.clock.Now()
 	if sm.uncached {
 		pool.resetCaches()
 		pool.runners = nil
 	}
-	choice := pool.Choose(Request{
-		Class:     "page",
+	req := Request{
+		Class:     route.class,
 		Rank:      1,
 		Object:    object,
-		Remaining: arrivedAt.Add(sm.timeout).Sub(now),
-		Target:    arrivedAt.Add(sm.target).Sub(now),
+		Remaining: arrivedAt.Add(route.timeout).Sub(now),
+		Target:    arrivedAt.Add(route.target).Sub(now),
 		Fallback:  sm.random.Uint64(),
-	}, now)
+	}
+	if sm.asks {
+		if s := pool.WorthAsking(req, now); s != nil && sm.budgets[entry].Take(now) {
+			sm.ask(pool, s, func() { sm.place(entry, route, object, req, arrivedAt, retries) })
+			return
+		}
+	}
+	sm.place(entry, route, object, req, arrivedAt, retries)
+}
+
+// ask asks a server for its load, and goes on once it has answered.
+func (sm *simulation) ask(pool *Pool, s *Server, goOn func()) {
+	sm.questions++
+	server := sm.server(s.ID)
+	oneWay := sm.oneWay(pool.Own, server.Site)
+	sm.clock.Schedule(oneWay, func() {
+		load := server.load()
+		sm.clock.Schedule(oneWay, func() {
+			pool.RecordReport(s, load, sm.clock.Now())
+			goOn()
+		})
+	})
+}
+
+func (sm *simulation) place(entry int, route *simRoute, object string, req Request, arrivedAt time.Time, retries int) {
+	pool, now := sm.pools[entry], sm.clock.Now()
+	choice := pool.Choose(req, now)
 	if choice.Server == nil {
-		if retries > 0 && now.Add(choice.RetryAfter).Before(arrivedAt.Add(sm.timeout)) {
-			sm.clock.Schedule(choice.RetryAfter, func() { sm.request(entry, object, arrivedAt, retries-1) })
+		if retries > 0 && now.Add(choice.RetryAfter).Before(arrivedAt.Add(route.timeout)) {
+			sm.clock.Schedule(choice.RetryAfter, func() { sm.request(entry, route, object, arrivedAt, retries-1) })
 			return
 		}
 		sm.count(entry, arrivedAt, func(t *tally) { t.refused++ })
 		return
 	}
-	unqueued := choice.Server.Load(now) <= float64(choice.Server.Slots)
+	unqueued, pace := choice.Server.Load(now) <= float64(choice.Server.Slots), choice.Server.Pace(now)
 	pool.Begin(choice.Server, now)
 	server := sm.server(choice.Server.ID)
 	sm.sends++
@@ -180,16 +251,16 @@
 		sm.clock.Schedule(oneWay, func() {
 			now := sm.clock.Now()
 			if result == routing.ResultDialFailed {
-				pool.End(choice.Server, Outcome{Class: "page", Object: object, Result: result}, now)
-				sm.request(entry, object, arrivedAt, retries)
+				pool.End(choice.Server, Outcome{Class: route.class, Object: object, Result: result}, now)
+				sm.request(entry, route, object, arrivedAt, retries)
 				return
 			}
-			pool.End(choice.Server, Outcome{Class: "page", Object: object, Target: sm.target, Unqueued: unqueued, Result: result, Latency: now.Sub(arrivedAt), Load: load}, now)
+			pool.End(choice.Server, Outcome{Class: route.class, Object: object, Target: route.target, Unqueued: unqueued, Result: result, Latency: now.Sub(arrivedAt), Load: load, PaceAtSend: pace}, now)
 			sm.count(entry, arrivedAt, func(t *tally) {
 				switch took := now.Sub(arrivedAt); {
-				case result != routing.ResultOK || took > sm.timeout:
+				case result != routing.ResultOK || took > route.timeout:
 					t.failed++
-				case took > sm.target:
+				case took > route.target:
 					t.late++
 				default:
 					t.inTarget++
@@ -199,7 +270,7 @@
 	}
 	sm.clock.Schedule(oneWay, func() {
 		server.countCold()
-		server.receive(object, end)
+		server.receive(route, object, end)
 	})
 }
 
@@ -207,7 +278,7 @@
 
 func (sm *simulation) count(entry int, arrivedAt time.Time, add func(*tally)) {
 	region := (entry % len(sm.domains)) / 2
-	for _, t := range []*tally{&sm.bySecond[int(arrivedAt.Sub(start)/time.Second)], &sm.byRegion[region]} {
+	for _, t := range []*tally{&sm.bySecond[int(arrivedAt.Sub(start)/time.Second)], &sm.byRegion[region], &sm.byDomain[entry%len(sm.domains)]} {
 		t.requests++
 		add(t)
 	}
@@ -243,36 +314,91 @@
 )
 
 // receive runs, queues or refuses a request; end gets its result.
-func (s *fakeServer) receive(object string, end func(routing.Result, Load)) {
+func (s *fakeServer) receive(route *simRoute, object string, end func(routing.Result, Load)) {
+	s.received++
+	if s.running >= s.Slots {
+		s.simulation.fullSends++
+	}
 	switch {
 	case s.unreachable:
 		s.simulation.clock.Schedule(dialTime, func() { end(routing.ResultDialFailed, Load{}) })
 	case s.silent:
-		s.simulation.clock.Schedule(s.simulation.timeout, func() { end(routing.ResultTimeout, Load{}) })
+		s.simulation.clock.Schedule(route.timeout, func() { end(routing.ResultTimeout, Load{}) })
 	case s.down:
 		end(routing.ResultDialFailed, Load{})
 	case s.running < s.Slots:
-		s.run(object, end)
+		s.run(route, object, end)
 	case len(s.waiting) >= queuePerSlot*s.Slots:
 		end(routing.ResultShed, s.load())
 	default:
-		s.waiting = append(s.waiting, func() { s.run(object, end) })
+		s.waiting = append(s.waiting, func() { s.run(route, object, end) })
 	}
 }
 
 func (s *fakeServer) load() Load {
-	return Load{Known: true, Running: s.running, Waiting: len(s.waiting), Slots: s.Slots}
+	load := Load{Known: true, Running: s.running, Waiting: len(s.waiting), Slots: s.Slots}
+	if s.simulation.reports {
+		load.Pace = 1
+		if now := s.simulation.clock.Now().Sub(start); s.timeFor(slowTime/100, now) > slowTime/100 {
+			load.Pace = slowFactor
+		}
+	}
+	return load
+}
+
+// Unevenness of docs/customers-and-load.md.
+const (
+	longRunShare  = 0.03 // of the runs take longFactor times as long
+	longFactor    = 7.0
+	slowShare     = 0.15 // of the time, a server runs slowFactor times slower
+	slowFactor    = 2.5
+	slowTime      = 600 * time.Millisecond
+	meanUsualTime = time.Duration(float64(slowTime) * (1 - slowShare) / slowShare) // between two slow times
+)
+
+func (s *fakeServer) planSlowTimes(random *rand.Rand) {
+	for at := time.Duration(0); at < s.simulation.duration+time.Minute; at += slowTime {
+		at += time.Duration(random.ExpFloat64() * float64(meanUsualTime))
+		s.slowFrom = append(s.slowFrom, at)
+	}
+}
+
+// timeFor returns how long work takes that begins at a time, by the slow times of the server.
+func (s *fakeServer) timeFor(work, at time.Duration) time.Duration {
+	now := at
+	next, _ := slices.BinarySearch(s.slowFrom, at-slowTime+1)
+	for _, from := range s.slowFrom[next:] {
+		if usual := max(0, from-now); work <= usual {
+			break
+		} else if work -= usual; usual > 0 {
+			now = from
+		}
+		slow := from + slowTime - now
+		if time.Duration(float64(work)*slowFactor) <= slow {
+			return now + time.Duration(float64(work)*slowFactor) - at
+		}
+		work -= time.Duration(float64(slow) / slowFactor)
+		now += slow
+	}
+	return now + work - at
 }
 
-func (s *fakeServer) run(object string, end func(routing.Result, Load)) {
+func (s *fakeServer) run(route *simRoute, object string, end func(routing.Result, Load)) {
 	s.running++
-	took := s.simulation.warmRun
+	took := route.warmRun
 	if !slices.Contains(s.warm, object) {
-		took = s.simulation.coldRun
+		took = route.coldRun
 		s.simulation.coldRuns++
 	}
 	spread := 0.85 + 0.3*s.simulation.random.Float64()
-	s.simulation.clock.Schedule(time.Duration(float64(took)*spread*s.slow), func() {
+	took = time.Duration(float64(took) * spread * s.slow)
+	if s.simulation.uneven {
+		if s.simulation.random.Float64() < longRunShare {
+			took *= longFactor
+		}
+		took = s.timeFor(took, s.simulation.clock.Now().Sub(start))
+	}
+	s.simulation.clock.Schedule(took, func() {
 		s.running--
 		s.touch(object)
 		if len(s.waiting) > 0 {
--- /dev/null
+++ b/internal/placing/uneven_test.go
@@ -0,0 +1,110 @@
+package placing
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// unevenLoad returns the load and the fleet of docs/customers-and-load.md, part C: warm runs need
+// two fifths of the slots, cold ones more than there are.
+func unevenLoad() scenario {
+	route := func(class string, rate, work, target float64) simRoute {
+		cold := seconds(work)
+		return simRoute{class: class, rate: rate, coldRun: cold, warmRun: cold * 3 / 10, target: seconds(target), timeout: 6 * time.Second}
+	}
+	return scenario{
+		domains:          []int{51, 51, 51, 51, 51, 51},
+		slots:            9,
+		objectsPerServer: 14,
+		entries:          69,
+		objects:          350,
+		rate:             func(time.Duration) float64 { return 2000 },
+		timeout:          6 * time.Second,
+		regionOneWay:     20 * time.Millisecond,
+		duration:         30 * time.Second,
+		seed:             1,
+		uneven:           true,
+		routes: []simRoute{
+			route("a", 1138, 1.5, 1.2),
+			route("b", 448, 1.9, 1.5),
+			route("c", 298, 1.0, 0.8),
+			route("d", 114, 1.2, 0.8),
+		},
+	}
+}
+
+// fleetRun is what callers got in a run of a scenario with a burst from 20 to 25 s.
+type fleetRun struct {
+	warm, burst              tally
+	worstSecond, worstDomain float64
+	asked                    float64 // questions per second of an entry
+}
+
+func runUneven(change func(*scenario)) fleetRun {
+	sc := unevenLoad()
+	sc.duration = 30 * time.Second
+	sc.rate = func(at time.Duration) float64 {
+		if at > 20*time.Second && at < 25*time.Second {
+			return 3400
+		}
+		return 2000
+	}
+	change(&sc)
+	sm := newSimulation(sc)
+	sm.run()
+	r := fleetRun{warm: sm.between(10, 20), burst: sm.between(20, 26), worstSecond: 1, worstDomain: 1}
+	for _, second := range sm.bySecond[10:20] {
+		r.worstSecond = min(r.worstSecond, second.share())
+	}
+	for _, domain := range sm.byDomain {
+		r.worstDomain = min(r.worstDomain, domain.share())
+	}
+	r.asked = float64(sm.questions) / sm.duration.Seconds() / float64(sm.entries)
+	return r
+}
+
+// An entry that sends to each of 306 servers every ten seconds knows neither their speed nor their
+// load when it chooses: a fifth of the sends reach a server whose slots are all in use.
+func TestAskingForLoadServesMoreInTarget(t *testing.T) {
+	plain := runUneven(func(*scenario) {})
+	asking := runUneven(func(sc *scenario) { sc.reports, sc.asks = true, true })
+	for name, r := range map[string]fleetRun{"plain": plain, "asking": asking} {
+		t.Logf("%s: %.4f in target once warm, %.4f in the burst, worst second %.3f, worst failure domain %.3f, %.1f questions/s of an entry", name, r.warm.share(), r.burst.share(), r.worstSecond, r.worstDomain, r.asked)
+	}
+	if asking.warm.share() < plain.warm.share()+0.005 || asking.burst.share() < plain.burst.share()+0.05 {
+		t.Errorf("%.4f in target and %.4f in the burst, want 0.005 and 0.05 more than %.4f and %.4f", asking.warm.share(), asking.burst.share(), plain.warm.share(), plain.burst.share())
+	}
+	if asking.worstSecond < plain.worstSecond || asking.worstDomain < plain.worstDomain {
+		t.Errorf("worst second %.3f, worst failure domain %.3f, want no less than %.3f and %.3f", asking.worstSecond, asking.worstDomain, plain.worstSecond, plain.worstDomain)
+	}
+	if asking.asked > asksPerSecond {
+		t.Errorf("%.1f questions/s of an entry, want at most %g", asking.asked, asksPerSecond)
+	}
+}
+
+// Runs on a server that was slow must not make the class, or the server, look slow for good.
+func TestUsualRun(t *testing.T) {
+	tests := map[string]struct{ run, paceAtSend, paceAtEnd, want float64 }{
+		"no pace reported": {run: 0.5, paceAtSend: 1, want: 0.5},
+		"usual pace":       {run: 0.5, paceAtSend: 1, paceAtEnd: 1, want: 0.5},
+		"slow throughout":  {run: 0.1, paceAtSend: 2.5, paceAtEnd: 2.5, want: 0.045},
+		"slow at its end":  {run: 2, paceAtSend: 1, paceAtEnd: 2.5, want: 1.76},
+	}
+	for name, test := range tests {
+		if got := usualRun(test.run, test.paceAtSend, test.paceAtEnd); math.Abs(got-test.want) > 0.005 {
+			t.Errorf("%s: %.3f s, want %.3f", name, got, test.want)
+		}
+	}
+}
+
+// A pace that was reported too long ago says nothing of a server.
+func TestPaceLosesWeight(t *testing.T) {
+	s := &Server{}
+	s.recordPace(3, start)
+	for age, want := range map[time.Duration]float64{0: 3, paceHalfWeightAge: 2, maxPaceAge: 1} {
+		if got := s.Pace(start.Add(age)); math.Abs(got-want) > 1e-9 {
+			t.Errorf("after %v: pace %.2f, want %.2f", age, got, want)
+		}
+	}
+}
--- a/internal/reducer/contact.go
+++ b/internal/reducer/contact.go
@@ -56,6 +56,7 @@
 
 // tickQuestions asks servers that may be cold, and that requests would go to, whether they are.
 func (s *State) tickQuestions() {
+	s.endLateQuestions()
 	left := maxQuestions
 	for _, pool := range s.placingPools {
 		pool.Policy.Isolated = !s.heardAt.IsZero() && s.now.Sub(s.heardAt) > isolatedAfter
@@ -77,9 +78,7 @@
 		if path == "" {
 			continue
 		}
-		s.emit(AskServer{Question: ServerQuestion{
-			Server: server.ID, Service: pool.Policy.Service, Start: server.Start, Address: server.Address, Path: path, AskedAt: s.now,
-		}})
+		s.emit(AskServer{Question: s.question(pool, server, path)})
 	}
 	return len(due)
 }
@@ -87,6 +86,7 @@
 // takeAnswer takes what a server itself says about its cold time, and tells the other VMs that
 // it is cold.
 func (s *State) takeAnswer(e ServerAnswered) {
+	defer s.goOn(e.Question.Call)
 	q := e.Question
 	pool := s.placingPools[q.Service]
 	if pool == nil || e.Why != "" {
@@ -100,7 +100,8 @@
 		s.endReplaced(server)
 		return
 	}
-	if !pool.TakeAnswer(server, q.AskedAt, e.ColdFor, s.now) {
+	pool.RecordReport(server, e.Load, s.now)
+	if !pool.TakeAnswer(server, q.AskedAt, e.ColdFor, s.now) && !pool.HearCold(server, e.ColdFor, s.now) {
 		return
 	}
 	outcome := "warm"
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -61,8 +61,8 @@
 // ProbeServer opens a connection to a server, closes it, and reports ServerProbed.
 type ProbeServer struct{ Probe reach.Probe }
 
-// AskServer asks a server by a health check which one it is and how long it stays cold, and
-// reports ServerAnswered.
+// AskServer asks a server by a health check which one it is, how long it stays cold and what load
+// it has, and reports ServerAnswered; twice if the answer comes after the Wait of the question.
 type AskServer struct{ Question ServerQuestion }
 
 // ServerQuestion is a health check of a server.
@@ -73,6 +73,9 @@
 	Address string // host:port
 	Path    string
 	AskedAt time.Time
+
+	Call uint64        // request that waits for the load that the server reports; 0 for none
+	Wait time.Duration // after which that request goes on without an answer
 }
 
 // CheckContacts looks to which servers connections are open that were opened before a time, and
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -166,7 +166,9 @@
 	Question ServerQuestion
 	ID       string        // of the server that answered
 	ColdFor  time.Duration // for which it stays cold
+	Load     placing.Load
 	Why      string
+	Late     bool // the Wait of the question has passed, and the answer may still come
 }
 
 // RequestEnded reports that package node has finished a request; after a
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -20,6 +20,7 @@
 	load     placing.Load
 	sentAt   time.Time
 	expected time.Duration // estimated time until the answer
+	pace     float64       // expected pace of the server at the send
 }
 
 // beginRouted begins a request that matched a route: the weights of the route
@@ -129,7 +130,7 @@
 	} else {
 		pool.BeginPartial(choice.Server, s.now)
 	}
-	s.placedRuns[s.lastTicket] = placedRun{pool: pool, server: choice.Server, unqueued: choice.Server.Load(s.now) <= float64(choice.Server.Slots), sentAt: s.now, expected: choice.Expected}
+	s.placedRuns[s.lastTicket] = placedRun{pool: pool, server: choice.Server, unqueued: choice.Server.Load(s.now) <= float64(choice.Server.Slots), sentAt: s.now, expected: choice.Expected, pace: choice.Server.Pace(s.now)}
 	cold, word := choice.Server.Cold(s.now)
 	s.emit(Decision{Code: CodePlaced, Request: r.ID, Outcome: "sent", Fields: []Field{
 		{"route", r.Route.Name},
@@ -140,6 +141,7 @@
 		{"expected", choice.Expected},
 		{"load", choice.Server.Load(s.now)},
 		{"load_age", choice.Server.LoadAge(s.now)},
+		{"pace", choice.Server.Pace(s.now)},
 		{"left", r.Deadline.Sub(s.now)},
 		{"candidates", int64(choice.Candidates)},
 		{"document", int64(s.documentAt.Index)},
@@ -323,6 +325,8 @@
 		Result:   result,
 		Latency:  latency,
 		Load:     run.load,
+
+		PaceAtSend: run.pace,
 	}, s.now)
 }
 
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -88,6 +88,8 @@
 	addedClosures []document.Closure        // by the log entries being applied
 	placedRuns    map[uint64]placedRun      // by ticket
 	lastTicket    uint64                    // of placedRuns
+	loadQuestions map[uint64]loadQuestion   // by call of the request that waits, or was asked for
+	askBudget     placing.AskBudget         // of loadQuestions
 	replicaSet    replicaset.State
 	allocator     allowance.Allocator // of servers that name a limit
 	ways          reach.Tracker       // to backend servers
@@ -197,6 +199,7 @@
 		formerPools:      make(map[string]formerPool),
 		routeSplits:      make(map[*document.Route]*placing.Split),
 		placedRuns:       make(map[uint64]placedRun),
+		loadQuestions:    make(map[uint64]loadQuestion),
 		detourRuns:       make(map[uint64]string),
 		takenOver:        make(map[uint64]bool),
 		learnedDomains:   make(map[string]bool),
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -104,7 +104,9 @@
 		return
 	}
 	if step.SlotRequest != nil && r.PlacedLocally {
-		s.placeRequest(call, r, *step.SlotRequest)
+		if !s.askForLoad(call, r, *step.SlotRequest) {
+			s.placeRequest(call, r, *step.SlotRequest)
+		}
 		return
 	}
 	if step.SlotRequest != nil {
@@ -336,6 +338,7 @@
 		return
 	}
 	delete(s.requests, e.Call)
+	delete(s.loadQuestions, e.Call)
 	delete(s.takenOver, e.Call)
 	s.ways.End(e.Call)
 	s.endDetour(e.Call, false)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -156,6 +156,9 @@
 	}}
 }
 
+// RequestSlot returns the request for a slot anew, for a request that waited since the last one.
+func (r *Request) RequestSlot(now time.Time) Step { return r.requestSlot(now) }
+
 // HandleClaimResult takes the result of a claim; err means that no leader
 // confirmed it.
 func (r *Request) HandleClaimResult(result *ledger.ClaimResult, err error, now time.Time) Step {
