Tune the level: less spread between entries, fewer refusals by placing

Change: pressureLeak 0.004 instead of 0.008, roomRecovery 0.5 instead of 2, usualRoom 0.5 instead of 0.15.

--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -10,11 +10,11 @@
 // the load of the servers, which causes the refusals, is common to all, so that the levels of
 // entries stay close together without messages.
 const (
-	pressureGain    = 1.5              // fall of the logarithm of the level in a second if placing refuses all; higher ones oscillate with the delay of the servers' queues
+	pressureGain    = 1.5              // fall of the logarithm of the level in a second if placing refuses all; with 3, entries with few requests got levels so different that customers below the level lost a sixth
 	highRefusalGain = 10.0             // added in proportion to the refused share, so that a sudden shortage is met within a second or two
-	pressureLeak    = 0.008            // part of the pressure lost in a second; sets the share, 1% to 2%, that placing still refuses when the level is steady
-	roomRecovery    = 2.0              // fall of the pressure in a second if all requests meet free slots
-	usualRoom       = 0.15             // part of the requests that meet free slots though servers are short, as some objects are asked for less
+	pressureLeak    = 0.004            // loss of pressure in a second, times its square; brings the levels of entries together, and sets the share that placing still refuses
+	roomRecovery    = 0.5              // loss of pressure in a second if all requests meet free slots; with 2, placing refused twice as much in a flood
+	usualRoom       = 0.5              // part of the requests that meet free slots though servers are short, as some objects are asked for less
 	maxPressure     = 14.0             // the level is then a millionth of the reference
 	minRequestRate  = 2.0              // requests a second by which one refusal is weighed at least; bounds what one can do on an idle entry
 	rateTime        = time.Second      // time constant of the request rates that weigh refusals
