--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -6,11 +6,11 @@
 	"time"
 )
 
-// Control of the level. Every entry moves its level by the same law from the same reference, and
+// Control of the level; docs/design/fairshare.md has the trials. Every entry moves its level by the same law from the same reference, and
 // the load of the servers, which causes the refusals, is common to all, so that the levels of
 // entries stay close together without messages.
 const (
-	pressureGain    = 1.5              // fall of the logarithm of the level in a second if placing refuses all; with 3, entries with few requests got levels so different that customers below the level lost a sixth
+	pressureGain    = 1.5              // fall of the logarithm of the level in a second if placing refuses all; a higher one widens the differences between entries, each of which sees few refusals
 	highRefusalGain = 10.0             // added in proportion to the refused share, so that a sudden shortage is met within a second or two
 	pressureLeak    = 0.004            // loss of pressure in a second, times its square; brings the levels of entries together, and sets the share that placing still refuses
 	roomRecovery    = 0.5              // loss of pressure in a second if all requests meet free slots; with 2, placing refused twice as much in a flood
@@ -33,7 +33,7 @@
 // Limits.
 const (
 	minOwed       = -2.0                   // requests that a customer got beyond its level on free slots and that count against it
-	maxCustomers  = 512                    // remembered; the requests of further ones are counted together, 80 KB in all
+	maxCustomers  = 512                    // remembered; the requests of further ones are counted together; about 100 KB for a service
 	maxRoutes     = 128                    // remembered
 	maxRanks      = 8                      // as in the steering document
 	minRetryAfter = 200 * time.Millisecond // as for refusals by placing
