Let reported loads end a shortage, not estimates

Cause: where an entry sends little to each of many servers, its estimate of their load is seconds old, and the level stayed low after a flood. Change: the pressure falls while servers report free slots at the end of requests; estimates count where no reports come.

--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -320,6 +320,7 @@
 		return
 	}
 	delete(s.placedRuns, r.Grant.Ticket)
+	s.noteReport(r, run.load)
 	if result == routing.ResultOK || result == routing.ResultError {
 		s.quarantine.RecordSurvival(r.Fingerprint)
 	} else {
--- a/internal/reducer/share.go
+++ b/internal/reducer/share.go
@@ -109,6 +109,13 @@
 	}
 }
 
+// noteReport notes the load that a server reported at the end of a request.
+func (s *State) noteReport(r *relay.Request, load placing.Load) {
+	if shares := s.shares[r.Service]; shares != nil && load.Known {
+		shares.Reported(r.Rank, load.Running+load.Waiting < load.Slots, s.now)
+	}
+}
+
 // shareResult tells whether the next request has a free slot at a server.
 func shareResult(server *placing.Server, now time.Time) share.Result {
 	if server.Load(now)+1 <= float64(server.Slots) {
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -15,6 +15,7 @@
 	pressureLeak    = 0.004            // loss of pressure in a second, times its square; brings the levels of entries together, and sets the share that placing still refuses
 	roomRecovery    = 0.5              // loss of pressure in a second if all requests meet free slots; with 2, placing refused twice as much in a flood
 	usualRoom       = 0.5              // part of the requests that meet free slots though servers are short, as some objects are asked for less
+	reportsExpected = 5 * time.Second  // after the last report of a load, in which estimates at the choice of a server don't count
 	maxPressure     = 14.0             // the level is then a millionth of the reference
 	minRequestRate  = 2.0              // requests a second by which one refusal is weighed at least; bounds what one can do on an idle entry
 	rateTime        = time.Second      // time constant of the request rates that weigh refusals
@@ -65,9 +66,12 @@
 	changedAt time.Time
 	asked     rate // requests that placing decided
 	refused   rate // those that it refused
-	room      rate // requests placed on servers with free slots
+	seen      rate // servers seen with or without a free slot
+	room      rate // those with one
 	refusedAt time.Time
-	count     int64 // requests refused for fair share
+
+	reportedAt time.Time // last report of a load
+	count      int64     // requests refused for fair share
 }
 
 // customer is what is known of a customer's requests.
@@ -155,13 +159,34 @@
 		r.refused.add(1, rateTime, now)
 		r.refusedAt = now
 		r.pressure = min(r.pressure+(pressureGain+highRefusalGain*share*share)/asked, maxPressure)
-	case Room:
-		if share := r.room.add(1, rateTime, now) / asked; share > usualRoom {
-			r.pressure = max(r.pressure-roomRecovery*(share-usualRoom)/(1-usualRoom)/asked, 0)
+	default:
+		if r.reportedAt.IsZero() || now.Sub(r.reportedAt) > reportsExpected {
+			r.noteRoom(result == Room, now)
 		}
 	}
 }
 
+// Reported notes that a server reported its load at the end of a request, and whether it has a
+// free slot. The load that Room in a request goes by may be many seconds old where an entry sends
+// little to each of many servers.
+func (s *Shares) Reported(rankNumber int, room bool, now time.Time) {
+	r := s.rank(rankNumber)
+	r.advance(now)
+	r.reportedAt = now
+	r.noteRoom(room, now)
+}
+
+// noteRoom lowers the pressure while most requests meet free slots.
+func (r *rank) noteRoom(room bool, now time.Time) {
+	seen := max(r.seen.add(1, rateTime, now), minRequestRate)
+	if !room {
+		return
+	}
+	if share := r.room.add(1, rateTime, now) / seen; share > usualRoom {
+		r.pressure = max(r.pressure-roomRecovery*(share-usualRoom)/(1-usualRoom)/seen, 0)
+	}
+}
+
 // Level returns the demand up to which customers of a rank are refused nothing: for less urgent
 // ranks it is never above that for more urgent ones.
 func (s *Shares) Level(rankNumber int, now time.Time) float64 {
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -418,3 +418,17 @@
 		}
 	}
 }
+
+// The load at the choice of a server may be many seconds old where an entry sends little: the level
+// stayed low long after a flood.
+func TestReportsOfRoomEndTheShortage(t *testing.T) {
+	s, now := shortShares(start), start
+	for range 40 * 10 {
+		now = now.Add(100 * time.Millisecond)
+		s.Placed(Request{Customer: "others", Route: "usual"}, Queued, now)
+		s.Reported(0, true, now)
+	}
+	if level := s.Level(0, now); !math.IsInf(level, 1) {
+		t.Errorf("level %.1f after 40 s with free slots", level)
+	}
+}
