Log refusals for fair share as HW1061 and take demands from grants

Cause: the log line of a refusal by placing lacks customer, demand and level, and a demand of the failure domain had no way in. Change: HW1061 for each refusal; State.demandOf gives the demand of customers with a limit, others are counted by the entry.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -146,7 +146,7 @@
 	for i := range r.Lines {
 		line := &r.Lines[i]
 		switch line.Event {
-		case eventID(reducer.CodeNotPlaced):
+		case eventID(reducer.CodeNotPlaced), eventID(reducer.CodeFairShareRefused):
 			notPlaced = line
 		case eventID(reducer.CodeSendFailed):
 			sendFailed, notPlaced = line, nil
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -150,13 +150,13 @@
 	fmt.Fprintf(w, "heatherwood_claims %d\n", status.Claims)
 	fmt.Fprintf(w, "heatherwood_limited_servers %d\n", len(status.Limits))
 	fmt.Fprintf(w, "heatherwood_detours_for_others %d\n", status.Helped)
+	for _, way := range status.Ways {
+		fmt.Fprintf(w, "heatherwood_way_open{domain=%q} %d\n", way.Domain, gaugeValue(way.Way == reach.Open.String()))
+	}
 	for _, share := range status.Shares {
 		fmt.Fprintf(w, "heatherwood_fair_share_refused_total{service=%q,rank=\"%d\"} %d\n", share.Service, share.Rank, share.Refused)
 		fmt.Fprintf(w, "heatherwood_fair_share_level{service=%q,rank=\"%d\"} %g\n", share.Service, share.Rank, share.Level)
 	}
-	for _, way := range status.Ways {
-		fmt.Fprintf(w, "heatherwood_way_open{domain=%q} %d\n", way.Domain, gaugeValue(way.Way == reach.Open.String()))
-	}
 	for _, service := range status.Services {
 		if len(service.Servers) == 0 && service.Summary.Service == "" {
 			continue
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -57,6 +57,7 @@
 	CodeLibraryMessage        Code = 1050
 	CodeContact               Code = 1051
 	CodeFairShare             Code = 1060
+	CodeFairShareRefused      Code = 1061
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -120,6 +121,7 @@
 	{CodeLibraryMessage, "info", "HTTP library reports a fault of a connection"},
 	{CodeContact, "info", "backend server may have started again, or what it says about that"},
 	{CodeFairShare, "warn", "servers are short: requests of customers above their share are refused, or no longer"},
+	{CodeFairShareRefused, "info", "request refused: servers are short, and its customer had its share"},
 }
 
 // Info returns the catalogue entry of a code.
--- a/internal/reducer/document.go
+++ b/internal/reducer/document.go
@@ -301,9 +301,9 @@
 	s.recordInForce()
 	s.configurePools()
 	s.configurePlacingPools()
-	s.configureShares()
 	s.tickPlan()
 	s.tickOwners()
+	s.configureShares()
 }
 
 // recordInForce records which document is in force on this VM; control VMs also
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -120,14 +120,14 @@
 			reason, choice.RetryAfter = dispatch.ReasonStopping, stoppingRetry
 		}
 		if reason == dispatch.ReasonQueueFull {
-			if denial, denied := s.askShare(r, slotRequest, choice); denied {
+			if denial, denied := s.askShare(r, choice); denied {
 				return denial, helper{}
 			}
 			s.notePlaced(r, share.Refused)
 		}
 		return s.denyRequest(r, slotRequest, reason, choice), helper{}
 	}
-	if denial, denied := s.askShare(r, slotRequest, choice); denied {
+	if denial, denied := s.askShare(r, choice); denied {
 		return denial, helper{}
 	}
 	s.notePlaced(r, shareResult(choice.Server, s.now))
@@ -213,8 +213,8 @@
 	suspectedRetry   = 500 * time.Millisecond // by then the run in progress has shown whether it crashes its server
 )
 
-func (s *State) denyRequest(r *relay.Request, slotRequest dispatch.SlotRequest, reason dispatch.Reason, choice placing.Choice, extra ...Field) dispatch.Answer {
-	s.emit(Decision{Code: CodeNotPlaced, Request: r.ID, Outcome: string(reason), Fields: append([]Field{
+func (s *State) denyRequest(r *relay.Request, slotRequest dispatch.SlotRequest, reason dispatch.Reason, choice placing.Choice) dispatch.Answer {
+	s.emit(Decision{Code: CodeNotPlaced, Request: r.ID, Outcome: string(reason), Fields: []Field{
 		{"route", r.Route.Name},
 		{"service", r.Service},
 		{"rank", int64(r.Rank)},
@@ -225,7 +225,7 @@
 		{"excluded", int64(len(slotRequest.Exclude))},
 		{"retry_after", choice.RetryAfter},
 		{"document", int64(s.documentAt.Index)},
-	}, extra...)})
+	}})
 	return dispatch.Answer{Denial: &dispatch.Denial{Reason: reason, RetryAfter: choice.RetryAfter}}
 }
 
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -82,7 +82,6 @@
 	placingPools map[string]*placing.Pool // by service
 	formerPools  map[string]formerPool    // the same, of services that left the document
 	routeSplits  map[*document.Route]*placing.Split
-	shares       map[string]*serviceShares // by service placed here; empty without customers
 
 	closures      map[document.Closure]bool // of the document in force
 	earlyClosures []earlyClosure            // newer than the document in force, in order of arrival
@@ -96,6 +95,10 @@
 	detourRuns    map[uint64]string // VM that serves a request for this one, by call
 	takenOver     map[uint64]bool   // requests that this VM serves for others, by call
 
+	shares    map[string]*serviceShares                    // by service placed here; empty without customers
+	sharesDue time.Time                                    // next check of shares
+	demandOf  func(customer string, now time.Time) float64 // in the failure domain, by the grants of allowances; nil without them
+
 	suspicionsSent    int                  // quarantine updates sent since the last tick
 	learnedDomains    map[string]bool      // failure domains whose servers this VM has known as a control VM does
 	rosterLearned     bool                 // all of them are learned
@@ -133,9 +136,8 @@
 	heardAt       time.Time // last gossip of another VM; zero for none
 	lastTickAt    time.Time
 	planDue       time.Time
-	sharesDue     time.Time // next check of shares
-	fetchTurn     int       // selects the entry of a failure domain to ask for a document
-	logBytes      int       // bytes of log entries applied since the last snapshot
+	fetchTurn     int // selects the entry of a failure domain to ask for a document
+	logBytes      int // bytes of log entries applied since the last snapshot
 	snapshotBytes int
 	poolSequence  uint64 // pools opened since the start
 	effects       []Effect
@@ -333,11 +335,11 @@
 	s.tickTransfers()
 	s.tickRoster()
 	s.tickAllowances()
-	s.tickShares()
 	s.tickWays()
 	s.tickQuestions()
 	s.tickReplicaSet()
 	s.quarantine.RemoveExpired(s.now)
+	s.tickShares()
 	s.checkStale()
 	if !s.now.Before(s.planDue) {
 		s.planDue = s.now.Add(plan.TickInterval)
--- a/internal/reducer/share.go
+++ b/internal/reducer/share.go
@@ -69,8 +69,14 @@
 }
 
 // customerDemand returns the demand of a customer in the failure domain, in requests a second; 0 lets
-// the shares count the requests of this entry.
-func (s *State) customerDemand(string) float64 { return 0 }
+// the shares count the requests of this entry. Customers without a limit get no grants, which
+// tell of the failure domain.
+func (s *State) customerDemand(name string) float64 {
+	if s.demandOf == nil || !s.document.Customers.ByName(name).Limited() {
+		return 0
+	}
+	return s.demandOf(name, s.now)
+}
 
 // shareRequest describes a request to the shares of its service. They are nil for one that they
 // do not decide: it was sent before, or came through another VM.
@@ -83,7 +89,7 @@
 }
 
 // askShare denies a request whose customer had its share where servers are short.
-func (s *State) askShare(r *relay.Request, slotRequest dispatch.SlotRequest, choice placing.Choice) (dispatch.Answer, bool) {
+func (s *State) askShare(r *relay.Request, choice placing.Choice) (dispatch.Answer, bool) {
 	shares, request := s.shareRequest(r)
 	if shares == nil {
 		return dispatch.Answer{}, false
@@ -94,12 +100,17 @@
 	if admitted {
 		return dispatch.Answer{}, false
 	}
-	choice.RetryAfter = retryAfter
-	return s.denyRequest(r, slotRequest, dispatch.ReasonFairShare, choice,
-		Field{"customer", r.Customer},
-		Field{"demand", shares.Demand(request, s.now)},
-		Field{"fair_level", shares.Level(r.Rank, s.now)},
-	), true
+	s.emit(Decision{Code: CodeFairShareRefused, Request: r.ID, Outcome: string(dispatch.ReasonFairShare), Fields: []Field{
+		{"route", r.Route.Name},
+		{"service", r.Service},
+		{"customer", r.Customer},
+		{"rank", int64(r.Rank)},
+		{"demand", shares.Demand(request, s.now)},
+		{"fair_level", shares.Level(r.Rank, s.now)},
+		{"retry_after", retryAfter},
+		{"document", int64(s.documentAt.Index)},
+	}})
+	return dispatch.Answer{Denial: &dispatch.Denial{Reason: dispatch.ReasonFairShare, RetryAfter: retryAfter}}, true
 }
 
 // notePlaced notes what placing decided about a request.
--- a/internal/reducer/share_test.go
+++ b/internal/reducer/share_test.go
@@ -52,11 +52,13 @@
 		"sent before":         {customers, relay.Request{Customer: "large", Grant: &dispatch.Grant{}}, false},
 		"from another VM":     {customers, relay.Request{Customer: "large", TakenOver: true}, false},
 		"without a customer":  {customers, relay.Request{}, false},
+		"large in its domain": {[]document.Customer{{Name: "domain", Rate: 1}}, relay.Request{Customer: "domain"}, true},
 		"no customers at all": {nil, relay.Request{Customer: "large"}, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			s, route, now := shortVM(t, test.customers...)
+			s.demandOf = func(string, time.Time) float64 { return 1e6 }
 			refused := 0
 			for call := range uint64(10) {
 				r := test.request
