--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -59,6 +59,7 @@
 	CodeAllowance             Code = 1054
 	CodeTokensMoved           Code = 1055
 	CodeFairShare             Code = 1060
+	CodeFairShareRefused      Code = 1061
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -124,6 +125,7 @@
 	{CodeAllowance, "info", "request refused for the allowance of its customer"},
 	{CodeTokensMoved, "info", "parts of customers' allowances were lent between failure domains"},
 	{CodeFairShare, "warn", "servers are short: requests of customers above their share are refused, or no longer"},
+	{CodeFairShareRefused, "info", "request refused: servers are short, and its customer had its share"},
 }
 
 // Info returns the catalogue entry of a code.
--- a/internal/reducer/document.go
+++ b/internal/reducer/document.go
@@ -302,9 +302,9 @@
 	s.configurePools()
 	s.configurePlacingPools()
 	s.followCustomers(e.Document)
-	s.configureShares()
 	s.tickPlan()
 	s.tickOwners()
+	s.configureShares()
 }
 
 // recordInForce records which document is in force on this VM; control VMs also
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -1,7 +1,6 @@
 package reducer
 
 import (
-	"slices"
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/dispatch"
@@ -124,14 +123,14 @@
 			reason, choice.RetryAfter = dispatch.ReasonStopping, stoppingRetry
 		}
 		if reason == dispatch.ReasonQueueFull {
-			if denial, denied := s.askShare(r, slotRequest, choice); denied {
+			if denial, denied := s.askShare(r, choice); denied {
 				return denial, helper{}
 			}
 			s.notePlaced(r, share.Refused)
 		}
 		return s.denyRequest(r, slotRequest, reason, choice), helper{}
 	}
-	if denial, denied := s.askShare(r, slotRequest, choice); denied {
+	if denial, denied := s.askShare(r, choice); denied {
 		return denial, helper{}
 	}
 	s.notePlaced(r, shareResult(choice.Server, s.now))
@@ -209,8 +208,8 @@
 	suspectedRetry   = 500 * time.Millisecond // by then the run in progress has shown whether it crashes its server
 )
 
-func (s *State) denyRequest(r *relay.Request, slotRequest dispatch.SlotRequest, reason dispatch.Reason, choice placing.Choice, extra ...Field) dispatch.Answer {
-	s.emit(Decision{Code: CodeNotPlaced, Request: r.ID, Outcome: string(reason), Fields: slices.Concat(customerFields(r), []Field{
+func (s *State) denyRequest(r *relay.Request, slotRequest dispatch.SlotRequest, reason dispatch.Reason, choice placing.Choice) dispatch.Answer {
+	s.emit(Decision{Code: CodeNotPlaced, Request: r.ID, Outcome: string(reason), Fields: append(customerFields(r), []Field{
 		{"route", r.Route.Name},
 		{"service", r.Service},
 		{"rank", int64(r.Rank)},
@@ -221,7 +220,7 @@
 		{"excluded", int64(len(slotRequest.Exclude))},
 		{"retry_after", choice.RetryAfter},
 		{"document", int64(s.documentAt.Index)},
-	}, extra)})
+	}...)})
 	return dispatch.Answer{Denial: &dispatch.Denial{Reason: reason, RetryAfter: choice.RetryAfter}}
 }
 
@@ -316,6 +315,7 @@
 		return
 	}
 	delete(s.placedRuns, r.Grant.Ticket)
+	s.noteReport(r, run.load)
 	if result == routing.ResultOK || result == routing.ResultError {
 		s.quarantine.RecordSurvival(r.Fingerprint)
 	} else {
--- a/internal/reducer/share_test.go
+++ b/internal/reducer/share_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/dispatch"
+	"github.com/heatherwood/heatherwood/internal/placing"
 	"github.com/heatherwood/heatherwood/internal/relay"
 	"github.com/heatherwood/heatherwood/internal/share"
 	"github.com/heatherwood/heatherwood/pkg/document"
@@ -87,6 +88,25 @@
 	}
 }
 
+// A customer whose callers use many entries was refused at none of them: each saw a small part of
+// its demand.
+func TestDemandOfTheDomainCounts(t *testing.T) {
+	s, route, now := shortVM(t, document.Customer{Name: "limited", Rate: 1}, document.Customer{Name: "unlimited"})
+	s.demandOf = func(string, time.Time) float64 { return 1e6 }
+	for name, want := range map[string]bool{"limited": true, "unlimited": false} {
+		refused := 0
+		for range 10 {
+			r := &relay.Request{Service: "web", Customer: name, Route: route, Deadline: now.Add(time.Minute)}
+			if _, denied := s.askShare(r, placing.Choice{}); denied {
+				refused++
+			}
+		}
+		if refused > 0 != want {
+			t.Errorf("%d of 10 requests of customer %q were refused", refused, name)
+		}
+	}
+}
+
 // An operator could not see that, or for whom, servers are short.
 func TestShortageIsReported(t *testing.T) {
 	s, route, now := shortVM(t, document.Customer{Name: "large"})
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -6,15 +6,16 @@
 	"time"
 )
 
-// Control of the level. Every entry moves its level by the same law from the same reference, and
+// Control of the level; docs/design/fairshare.md has the trials. Every entry moves its level by the same law from the same reference, and
 // the load of the servers, which causes the refusals, is common to all, so that the levels of
 // entries stay close together without messages.
 const (
-	pressureGain    = 1.5              // fall of the logarithm of the level in a second if placing refuses all; higher ones oscillate with the delay of the servers' queues
+	pressureGain    = 1.5              // fall of the logarithm of the level in a second if placing refuses all; a higher one widens the differences between entries, each of which sees few refusals
 	highRefusalGain = 10.0             // added in proportion to the refused share, so that a sudden shortage is met within a second or two
-	pressureLeak    = 0.008            // part of the pressure lost in a second; sets the share, 1% to 2%, that placing still refuses when the level is steady
-	roomRecovery    = 2.0              // fall of the pressure in a second if all requests meet free slots
-	usualRoom       = 0.15             // part of the requests that meet free slots though servers are short, as some objects are asked for less
+	pressureLeak    = 0.004            // loss of pressure in a second, times its square; brings the levels of entries together, and sets the share that placing still refuses
+	roomRecovery    = 0.5              // loss of pressure in a second if all requests meet free slots; with 2, placing refused twice as much in a flood
+	usualRoom       = 0.5              // part of the requests that meet free slots though servers are short, as some objects are asked for less
+	reportsExpected = 5 * time.Second  // after the last report of a load, in which estimates at the choice of a server don't count
 	maxPressure     = 14.0             // the level is then a millionth of the reference
 	minRequestRate  = 2.0              // requests a second by which one refusal is weighed at least; bounds what one can do on an idle entry
 	rateTime        = time.Second      // time constant of the request rates that weigh refusals
@@ -33,7 +34,7 @@
 // Limits.
 const (
 	minOwed       = -2.0                   // requests that a customer got beyond its level on free slots and that count against it
-	maxCustomers  = 512                    // remembered; the requests of further ones are counted together, 80 KB in all
+	maxCustomers  = 512                    // remembered; the requests of further ones are counted together; about 100 KB for a service
 	maxRoutes     = 128                    // remembered
 	maxRanks      = 8                      // as in the steering document
 	minRetryAfter = 200 * time.Millisecond // as for refusals by placing
@@ -65,9 +66,12 @@
 	changedAt time.Time
 	asked     rate // requests that placing decided
 	refused   rate // those that it refused
-	room      rate // requests placed on servers with free slots
+	seen      rate // servers seen with or without a free slot
+	room      rate // those with one
 	refusedAt time.Time
-	count     int64 // requests refused for fair share
+
+	reportedAt time.Time // last report of a load
+	count      int64     // requests refused for fair share
 }
 
 // customer is what is known of a customer's requests.
@@ -155,13 +159,34 @@
 		r.refused.add(1, rateTime, now)
 		r.refusedAt = now
 		r.pressure = min(r.pressure+(pressureGain+highRefusalGain*share*share)/asked, maxPressure)
-	case Room:
-		if share := r.room.add(1, rateTime, now) / asked; share > usualRoom {
-			r.pressure = max(r.pressure-roomRecovery*(share-usualRoom)/(1-usualRoom)/asked, 0)
+	default:
+		if r.reportedAt.IsZero() || now.Sub(r.reportedAt) > reportsExpected {
+			r.noteRoom(result == Room, now)
 		}
 	}
 }
 
+// Reported notes that a server reported its load at the end of a request, and whether it has a
+// free slot. The load that Room in a request goes by may be many seconds old where an entry sends
+// little to each of many servers.
+func (s *Shares) Reported(rankNumber int, room bool, now time.Time) {
+	r := s.rank(rankNumber)
+	r.advance(now)
+	r.reportedAt = now
+	r.noteRoom(room, now)
+}
+
+// noteRoom lowers the pressure while most requests meet free slots.
+func (r *rank) noteRoom(room bool, now time.Time) {
+	seen := max(r.seen.add(1, rateTime, now), minRequestRate)
+	if !room {
+		return
+	}
+	if share := r.room.add(1, rateTime, now) / seen; share > usualRoom {
+		r.pressure = max(r.pressure-roomRecovery*(share-usualRoom)/(1-usualRoom)/seen, 0)
+	}
+}
+
 // Level returns the demand up to which customers of a rank are refused nothing: for less urgent
 // ranks it is never above that for more urgent ones.
 func (s *Shares) Level(rankNumber int, now time.Time) float64 {
