--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -141,7 +141,7 @@
 
 // describeCause explains in one sentence why the request ended as it did.
 func (r Report) describeCause() string {
-	var notPlaced, sendFailed, placed, left, ended *Line
+	var notPlaced, sendFailed, placed, left, ended, allowance *Line
 	for i := range r.Lines {
 		line := &r.Lines[i]
 		switch line.Event {
@@ -155,6 +155,8 @@
 			left = line
 		case eventID(reducer.CodeRequestEnded):
 			ended = line
+		case eventID(reducer.CodeAllowance):
+			allowance = line
 		}
 	}
 	switch {
@@ -169,6 +171,8 @@
 	case ended.stringField("decided") == "other-vm":
 		return fmt.Sprintf("another VM refused it (%s), and its caller was told with status %.0f that it did not run; it had been sent to %s",
 			ended.Outcome, ended.numberField("status"), ended.stringField("sends"))
+	case allowance != nil:
+		return describeAllowance(allowance)
 	case notPlaced != nil && sendFailed != nil:
 		return fmt.Sprintf("the send to server %s ended %s after %.0f ms (%s); then %s",
 			sendFailed.stringField("server"), sendFailed.Outcome, sendFailed.numberField("took_ms"), describeEvidence(sendFailed), describeRefusal(notPlaced))
@@ -222,6 +226,18 @@
 		cmp.Or(stages[left.Outcome], left.Outcome), left.VM, left.numberField("unread_ms"), left.numberField("took_ms"), sent)
 }
 
+// describeAllowance describes a line that logs that a request got no allowance.
+func describeAllowance(line *Line) string {
+	of := fmt.Sprintf("customer %s, which has an allowance of %.4g requests/s and a burst of %.4g in the document with log index %.0f",
+		line.stringField("customer"), line.numberField("rate"), line.numberField("burst"), line.numberField("document"))
+	if line.Outcome == reducer.ReasonAllowanceUnknown {
+		return fmt.Sprintf("it waited %.0f ms for an allowance of %s; VM %s, which hands them out, did not answer",
+			line.numberField("waited_ms"), of, line.stringField("allocator"))
+	}
+	return fmt.Sprintf("there was no allowance left of %s; its failure domain saw about %.4g requests/s, and the caller was told to return after %.0f ms",
+		of, line.numberField("demand"), line.numberField("retry_after_ms"))
+}
+
 // describeRefusal describes a line that logs that no server was chosen.
 func describeRefusal(notPlaced *Line) string {
 	limits := ""
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -150,6 +150,14 @@
 	fmt.Fprintf(w, "heatherwood_claims %d\n", status.Claims)
 	fmt.Fprintf(w, "heatherwood_limited_servers %d\n", len(status.Limits))
 	fmt.Fprintf(w, "heatherwood_detours_for_others %d\n", status.Helped)
+	for _, c := range status.Customers {
+		for _, outcome := range []struct {
+			name  string
+			count int64
+		}{{"asked", c.Asked}, {"allowed", c.Allowed}, {"refused", c.Refused}, {"no-room", c.NoRoom}, {"served", c.Served}, {"late", c.Late}} {
+			fmt.Fprintf(w, "heatherwood_customer_requests{customer=%q,outcome=%q} %d\n", c.Customer, outcome.name, outcome.count)
+		}
+	}
 	for _, way := range status.Ways {
 		fmt.Fprintf(w, "heatherwood_way_open{domain=%q} %d\n", way.Domain, gaugeValue(way.Way == reach.Open.String()))
 	}
--- a/internal/reducer/customer.go
+++ b/internal/reducer/customer.go
@@ -19,8 +19,8 @@
 
 // Reasons for which a request of a customer is refused.
 const (
-	reasonOverAllowance    = "over-allowance"
-	reasonAllowanceUnknown = "allowance-unknown"
+	ReasonOverAllowance    = "over-allowance"
+	ReasonAllowanceUnknown = "allowance-unknown"
 )
 
 // Timings of the allowances of customers.
@@ -130,7 +130,7 @@
 	}
 	wait, parked := c.credit.Park(r.Customer, e.Call, s.now)
 	if !parked {
-		s.refuseAllowance(e, http.StatusTooManyRequests, reasonOverAllowance, wait, 0)
+		s.refuseAllowance(e, http.StatusTooManyRequests, ReasonOverAllowance, wait, 0)
 		return false
 	}
 	c.parked[e.Call] = parkedRequest{e, s.now}
@@ -143,7 +143,7 @@
 	r := e.Request
 	s.customers.counts.Of(r.Customer).Refused++
 	detail := "the customer sends more requests than its allowance"
-	if reason == reasonAllowanceUnknown {
+	if reason == ReasonAllowanceUnknown {
 		detail = "the VM that hands out the customer's allowances did not answer"
 	}
 	limit, _ := s.limitOf(r.Customer)
@@ -193,7 +193,7 @@
 	for _, call := range c.credit.Expired(s.now) {
 		if p, found := s.unpark(call); found {
 			jitter := time.Duration(xxhash.Sum64String(p.began.Request.ID) % uint64(unknownRetryJitter))
-			s.refuseAllowance(p.began, statusUnavailable, reasonAllowanceUnknown, unknownRetry+jitter, s.now.Sub(p.at))
+			s.refuseAllowance(p.began, statusUnavailable, ReasonAllowanceUnknown, unknownRetry+jitter, s.now.Sub(p.at))
 		}
 	}
 	s.sendAllowances(true)
@@ -336,7 +336,7 @@
 	}
 	for _, refusal := range refused {
 		if p, found := s.unpark(refusal.Call); found {
-			s.refuseAllowance(p.began, http.StatusTooManyRequests, reasonOverAllowance, refusal.Wait, s.now.Sub(p.at))
+			s.refuseAllowance(p.began, http.StatusTooManyRequests, ReasonOverAllowance, refusal.Wait, s.now.Sub(p.at))
 		}
 	}
 	s.sendAllowances(false)
