--- a/internal/customer/allocator.go
+++ b/internal/customer/allocator.go
@@ -56,6 +56,31 @@
 	lenders    []lender
 	usedAt     time.Time
 	changed    bool
+	answered   recent // questions of entries
+	lent       recent // questions of other domains
+}
+
+// recent holds the last questions, of which a repeated one is not answered again: its
+// tokens would be lost. A repetition follows its message closely.
+type recent struct {
+	ids  [4]questionID
+	next int
+}
+
+type questionID struct {
+	peer string
+	id   uint64
+}
+
+// repeats reports whether a question is one of the last ones, and notes it.
+func (r *recent) repeats(peer string, id uint64) bool {
+	q := questionID{peer, id}
+	if slices.Contains(r.ids[:], q) {
+		return true
+	}
+	r.ids[r.next%len(r.ids)] = q
+	r.next++
+	return false
 }
 
 // question is a request that waits for loans.
@@ -208,10 +233,13 @@
 	}
 }
 
-// Allow answers a question. It returns false if the answer has to wait for loans; Answers
-// returns it then.
+// Allow answers a question. It returns false for a repeated one, and if the answer has to
+// wait for loans; Answers returns it then.
 func (a *Allocator) Allow(r Request, l Limit, now time.Time) (Grant, bool) {
 	b := a.bucketOf(l, now)
+	if b.answered.repeats(r.Peer, r.ID) {
+		return Grant{}, false
+	}
 	b.usedAt = now
 	b.demand.add(r.Arrived, now)
 	a.markChanged(b)
@@ -419,10 +447,14 @@
 	return best, tokens
 }
 
-// Lend answers the question of another domain's allocator. It keeps what its own entries
+// Lend answers the question of another domain's allocator, or returns false for a repeated
+// one. It keeps what its own entries
 // are expected to use within the time in which the bucket fills.
-func (a *Allocator) Lend(r LoanRequest, l Limit, now time.Time) LoanGrant {
+func (a *Allocator) Lend(r LoanRequest, l Limit, now time.Time) (LoanGrant, bool) {
 	b := a.bucketOf(l, now)
+	if b.lent.repeats(r.Peer, r.ID) {
+		return LoanGrant{}, false
+	}
 	b.usedAt = now
 	rate, _ := a.shareOf(b)
 	demand := b.demand.rate(now)
@@ -440,7 +472,7 @@
 		Count:    n,
 		Left:     spare - float64(n),
 		Gain:     rate - demand,
-	}
+	}, true
 }
 
 // TakeLoan takes the answer of a lender, once and only to the last question.
--- a/internal/reducer/customer.go
+++ b/internal/reducer/customer.go
@@ -356,8 +356,9 @@
 	}
 	a := s.customers.allocator
 	a.SetShare(s.members.HeardShare(), s.now)
-	loan := a.Lend(r, limit, s.now)
-	s.transmit(r.Peer, Message{CustomerLoan: &loan})
+	if loan, lent := a.Lend(r, limit, s.now); lent {
+		s.transmit(r.Peer, Message{CustomerLoan: &loan})
+	}
 }
 
 func (s *State) receiveCustomerLoan(g customer.LoanGrant) {
