--- a/internal/customer/fleet_test.go
+++ b/internal/customer/fleet_test.go
@@ -51,7 +51,8 @@
 	lag           time.Duration // by which it learns of others later than at best
 	dead          bool
 	quietSince    time.Duration // since when it is dead or frozen; 0 for neither
-	startedAt     time.Duration // last start, or end of a freeze
+	startedAt     time.Duration
+	backAt        time.Duration // since when others may hear it again
 	frozenUntil   time.Duration // it runs nothing until then
 	view          uint64        // of the fleet, as its allocator was told last
 }
@@ -83,7 +84,7 @@
 		f.domains = append(f.domains, fmt.Sprint("d", d))
 	}
 	for i := range entries {
-		v := &vm{domain: i % domains, index: i / domains, startedAt: -time.Minute, lag: time.Duration(f.random.Int64N(int64(longestLag)))}
+		v := &vm{domain: i % domains, index: i / domains, startedAt: -time.Minute, backAt: -time.Minute, lag: time.Duration(f.random.Int64N(int64(longestLag)))}
 		f.start(v, testStart.Add(-time.Minute))
 		f.vms = append(f.vms, v)
 		if i < domains {
@@ -134,7 +135,7 @@
 	case f.cut != nil && f.cut(v, other) && f.now > f.cutAt+silent+v.lag:
 		return false
 	}
-	return other.quietSince > 0 || f.now > other.startedAt+v.lag
+	return other.quietSince > 0 || f.now > other.backAt+v.lag
 }
 
 // owner returns the VM of a domain that allocates the customer, as far as a VM knows.
@@ -187,7 +188,7 @@
 func (f *fleet) kill(v *vm, downFor time.Duration) {
 	v.dead, v.quietSince, f.faulty = true, f.now, true
 	f.after(downFor, func() {
-		v.dead, v.quietSince, v.startedAt = false, 0, f.now
+		v.dead, v.quietSince, v.startedAt, v.backAt = false, 0, f.now, f.now
 		f.start(v, f.time())
 	})
 }
@@ -197,6 +198,9 @@
 	v.frozenUntil, v.quietSince, f.faulty = f.now+d, f.now, true
 	f.after(d, func() {
 		v.quietSince = 0
+		if d >= deadTime {
+			v.backAt = f.now
+		}
 		if d >= pausedAtLeast {
 			v.credit.Reset()
 			v.allocator.Reset(f.time())
