--- a/internal/customer/fleet_test.go
+++ b/internal/customer/fleet_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -18,7 +18,7 @@
 type fleet struct {
 	random   *rand.Rand
 	now      time.Duration
-	events   events
+	events   []event // the next one last
 	sequence int
 	terms    Terms
 	document uint64
@@ -36,6 +36,7 @@
 	refused  int
 	unknown  int
 	messages int
+	requests int
 }
 
 // dispatched is a request that was sent to a server.
@@ -51,7 +52,8 @@
 	lag           time.Duration // by which it learns of others later than at best
 	dead          bool
 	quietSince    time.Duration // since when it is dead or frozen; 0 for neither
-	startedAt     time.Duration // last start, or end of a freeze
+	startedAt     time.Duration
+	backAt        time.Duration // since when others may hear it again
 	frozenUntil   time.Duration // it runs nothing until then
 	view          uint64        // of the fleet, as its allocator was told last
 }
@@ -65,24 +67,15 @@
 	pausedAtLeast = 700 * time.Millisecond
 )
 
+// event is something that happens at a time; those of one time in the order of their numbers.
 type event struct {
-	at       time.Duration
-	sequence int
-	run      func()
+	at     time.Duration
+	number int
+	run    func()
 }
 
-type events []event
-
-func (e events) Len() int      { return len(e) }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e events) Less(i, j int) bool {
-	return cmp.Or(cmp.Compare(e[i].at, e[j].at), cmp.Compare(e[i].sequence, e[j].sequence)) < 0
-}
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
+func (e event) compare(other event) int {
+	return cmp.Or(cmp.Compare(e.at, other.at), cmp.Compare(e.number, other.number))
 }
 
 func newFleet(entries, domains int, terms Terms, seed uint64) *fleet {
@@ -92,7 +85,7 @@
 		f.domains = append(f.domains, fmt.Sprint("d", d))
 	}
 	for i := range entries {
-		v := &vm{domain: i % domains, index: i / domains, startedAt: -time.Minute, lag: time.Duration(f.random.Int64N(int64(longestLag)))}
+		v := &vm{domain: i % domains, index: i / domains, startedAt: -time.Minute, backAt: -time.Minute, lag: time.Duration(f.random.Int64N(int64(longestLag)))}
 		f.start(v, testStart.Add(-time.Minute))
 		f.vms = append(f.vms, v)
 		if i < domains {
@@ -116,7 +109,9 @@
 
 func (f *fleet) after(d time.Duration, run func()) {
 	f.sequence++
-	heap.Push(&f.events, event{f.now + d, f.sequence, run})
+	e := event{f.now + d, f.sequence, run}
+	i, _ := slices.BinarySearchFunc(f.events, e, func(a, b event) int { return b.compare(a) })
+	f.events = slices.Insert(f.events, i, e)
 }
 
 func (f *fleet) time() time.Time { return testStart.Add(f.now) }
@@ -141,7 +136,7 @@
 	case f.cut != nil && f.cut(v, other) && f.now > f.cutAt+silent+v.lag:
 		return false
 	}
-	return other.quietSince > 0 || f.now > other.startedAt+v.lag
+	return other.quietSince > 0 || f.now > other.backAt+v.lag
 }
 
 // owner returns the VM of a domain that allocates the customer, as far as a VM knows.
@@ -170,13 +165,8 @@
 			others = append(others, name)
 		}
 	}
-	far := func(name string) int {
-		if f.region(slices.Index(f.domains, name)) != f.region(v.domain) {
-			return 1
-		}
-		return 0
-	}
-	slices.SortStableFunc(others, func(a, b string) int { return cmp.Compare(far(a), far(b)) })
+	isNear := func(name string) bool { return f.region(slices.Index(f.domains, name)) == f.region(v.domain) }
+	slices.SortStableFunc(others, func(a, b string) int { return strings.Compare(fmt.Sprint(isNear(b)), fmt.Sprint(isNear(a))) })
 	if view != v.view {
 		v.view = view
 		v.allocator.Restart(f.time())
@@ -194,7 +184,7 @@
 func (f *fleet) kill(v *vm, downFor time.Duration) {
 	v.dead, v.quietSince, f.faulty = true, f.now, true
 	f.after(downFor, func() {
-		v.dead, v.quietSince, v.startedAt = false, 0, f.now
+		v.dead, v.quietSince, v.startedAt, v.backAt = false, 0, f.now, f.now
 		f.start(v, f.time())
 	})
 }
@@ -204,6 +194,9 @@
 	v.frozenUntil, v.quietSince, f.faulty = f.now+d, f.now, true
 	f.after(d, func() {
 		v.quietSince = 0
+		if d >= deadTime {
+			v.backAt = f.now
+		}
 		if d >= pausedAtLeast {
 			v.credit.Reset()
 			v.allocator.Reset(f.time())
@@ -221,9 +214,6 @@
 		copies = 2
 	}
 	for range copies {
-		if f.random.Float64() < f.lost {
-			continue
-		}
 		latency := 200 * time.Microsecond
 		switch {
 		case from == to:
@@ -235,7 +225,7 @@
 		}
 		latency += time.Duration(f.random.ExpFloat64() * float64(300*time.Microsecond)) // messages overtake each other
 		f.after(latency, func() {
-			if f.cut == nil || !f.cut(from, to) {
+			if isLost := f.random.Float64() < f.lost; !isLost && (f.cut == nil || !f.cut(from, to)) {
 				f.runOn(to, deliver)
 			}
 		})
@@ -268,19 +258,28 @@
 func (f *fleet) flush(v *vm, all bool) {
 	for _, r := range v.credit.Ask(f.time()) {
 		to := f.owner(v.domain, v)
-		f.transmit(v, to, func() { f.allow(to, v, r) })
+		f.transmit(v, to, func() {
+			if !f.allocates(to) {
+				return
+			}
+			if g, answered := to.allocator.Allow(r, f.limit(), f.time()); answered {
+				f.answer(to, Answer{r.Peer, g})
+			}
+			f.flush(to, false)
+		})
 	}
 	for _, r := range v.allocator.Wanted(all, f.time()) {
 		to := f.owner(slices.Index(f.domains, r.Domain), v)
 		f.transmit(v, to, func() {
-			if f.owner(to.domain, to) != to || f.now < to.startedAt+settleTime {
+			if !f.allocates(to) {
 				return
 			}
-			g := to.allocator.Lend(r, f.limit(), f.time())
-			f.transmit(to, v, func() {
-				v.allocator.TakeLoan(g, f.time())
-				f.flush(v, false)
-			})
+			if g, lent := to.allocator.Lend(r, f.limit(), f.time()); lent {
+				f.transmit(to, v, func() {
+					v.allocator.TakeLoan(g, f.time())
+					f.flush(v, false)
+				})
+			}
 		})
 	}
 	for _, answer := range v.allocator.Answers(f.time()) {
@@ -289,30 +288,19 @@
 }
 
 func (f *fleet) answer(v *vm, a Answer) {
-	var to *vm
-	for _, other := range f.vms {
-		if other.credit.Peer == a.Peer {
-			to = other
-		}
-	}
-	f.transmit(v, to, func() { f.receive(to, a.Grant) })
-}
-
-func (f *fleet) allow(to, from *vm, r Request) {
-	if f.owner(to.domain, to) != to || f.now < to.startedAt+settleTime {
-		return
-	}
-	if g, answered := to.allocator.Allow(r, f.limit(), f.time()); answered {
-		f.answer(to, Answer{from.credit.Peer, g})
-	}
-	f.flush(to, false)
+	i := slices.IndexFunc(f.vms, func(to *vm) bool { return to.credit.Peer == a.Peer })
+	to := f.vms[i]
+	f.transmit(v, to, func() {
+		ready, refused := to.credit.Receive(a.Grant, f.time())
+		f.serve(to, len(ready))
+		f.refused += len(refused)
+		f.flush(to, false)
+	})
 }
 
-func (f *fleet) receive(v *vm, g Grant) {
-	ready, refused := v.credit.Receive(g, f.time())
-	f.serve(v, len(ready))
-	f.refused += len(refused)
-	f.flush(v, false)
+// allocates reports whether a VM takes itself for the allocator.
+func (f *fleet) allocates(v *vm) bool {
+	return f.owner(v.domain, v) == v && f.now >= v.startedAt+settleTime
 }
 
 func (f *fleet) serve(v *vm, n int) {
@@ -322,20 +310,18 @@
 }
 
 func (f *fleet) request(v *vm) {
+	f.requests++
 	if f.measures != nil {
 		f.measures(v)
 	}
 	f.runOn(v, func() {
 		if v.credit.Take(f.limit(), f.time()) {
 			f.serve(v, 1)
-			return
-		}
-		f.sequence++
-		if _, parked := v.credit.Park("acme", uint64(f.sequence), f.time()); !parked {
+		} else if _, parked := v.credit.Park("acme", uint64(f.requests), f.time()); parked {
+			f.flush(v, false)
+		} else {
 			f.refused++
-			return
 		}
-		f.flush(v, false)
 	})
 }
 
@@ -346,12 +332,10 @@
 		if f.now >= until {
 			return
 		}
-		if chosen := domains(); len(chosen) > 0 {
-			d := chosen[f.random.IntN(len(chosen))]
-			v := f.members[d][f.random.IntN(len(f.members[d]))]
-			if !v.dead {
-				f.request(v)
-			}
+		chosen := domains()
+		members := f.members[chosen[f.random.IntN(len(chosen))]]
+		if v := members[f.random.IntN(len(members))]; !v.dead {
+			f.request(v)
 		}
 		f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), next)
 	}
@@ -359,8 +343,9 @@
 }
 
 func (f *fleet) run(until time.Duration) {
-	for len(f.events) > 0 && f.events[0].at <= until {
-		e := heap.Pop(&f.events).(event)
+	for f.events[len(f.events)-1].at <= until { // the ticks never end
+		e := f.events[len(f.events)-1]
+		f.events = f.events[:len(f.events)-1]
 		f.now = e.at
 		e.run()
 	}
@@ -386,10 +371,6 @@
 	allowed             int
 }
 
-func newReference(t Terms, part float64) *reference {
-	return &reference{tokens: t.Burst * part, rate: t.Rate * part, burst: t.Burst * part}
-}
-
 func (r *reference) arrive(now time.Duration) {
 	r.tokens = math.Min(r.burst, r.tokens+r.rate*(now-r.at).Seconds())
 	r.at = now
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -40,6 +40,14 @@
 			requestLine("HW1061", "03.000", `"service":"web","customer":"acme","demand":60,"fair_level":12.5,"retry_after_ms":300,"outcome":"fair-share"`) + ended("503", "fair-share"),
 			`servers of web were short (fair-share): customer "acme" sent 60.0 requests/s, of which 12.5 were its share, and the caller was told to return after 300 ms`,
 		},
+		"over the allowance": {
+			requestLine("HW1054", "03.000", `"customer":"acme","rate":530,"burst":530,"demand":188.2,"retry_after_ms":212,"document":41,"outcome":"over-allowance"`) + ended("429", "over-allowance"),
+			"no allowance left of customer acme, which has an allowance of 530 requests/s and a burst of 530 in the document with log index 41; its failure domain saw about 188.2",
+		},
+		"allowance unknown": {
+			requestLine("HW1054", "03.000", `"customer":"acme","rate":530,"burst":530,"allocator":"e7","waited_ms":310,"document":41,"outcome":"allowance-unknown"`) + ended("503", "allowance-unknown"),
+			"it waited 310 ms for an allowance of customer acme",
+		},
 		"no server chosen after a crash":       {placed + sendFailed + notPlaced + ended("503", "queue-full"), "ended broken after 1000 ms (EOF); then no server was chosen"},
 		"late, load report was old":            {placed + ended("200", "answered"), "200 ms were expected of server s1 from a load of 3.0 that was 900 ms old"},
 		"late, server did not know the object": {placedCold + ended("200", "answered"), "was not known to have handled the object"},
