Bound what messages of a faulty VM can do to allowances

Cause: a loan of more tokens than were asked for was taken in full, and a demand that is not a number stayed in the shares of a customer, which refused it from then on.

Change: loans and counts are limited to what can be true; numbers that are not finite count as 0.

--- a/internal/customer/allocator.go
+++ b/internal/customer/allocator.go
@@ -214,6 +214,7 @@
 // Allow answers a question. It returns false if the answer has to wait for loans; Answers
 // returns it then.
 func (a *Allocator) Allow(r Request, l Limit, now time.Time) (Grant, bool) {
+	r.Waiting, r.Ahead, r.Arrived = inBounds(r.Waiting), inBounds(r.Ahead), inBounds(r.Arrived)
 	b := a.bucketOf(l, now)
 	b.usedAt = now
 	b.demand.add(r.Arrived, now)
@@ -458,10 +459,11 @@
 			continue
 		}
 		l.id, l.silentTo = 0, time.Time{}
-		l.left, l.gain, l.answeredAt = g.Left, g.Gain, now
+		l.left, l.gain, l.answeredAt = finite(g.Left), finite(g.Gain), now
 		if until := l.askedAt.Add(b.division.TTL); g.Count > 0 && now.Before(until) {
-			b.borrowed = append(dropEnded(b.borrowed, now), lot{g.Count, until})
-			a.loans.Borrowed += g.Count
+			count := min(g.Count, l.asked)
+			b.borrowed = append(dropEnded(b.borrowed, now), lot{count, until})
+			a.loans.Borrowed += count
 		}
 		l.refusals = min(l.refusals+1, maxProbeWaits)
 		if g.Count > 0 {
--- a/internal/customer/credit.go
+++ b/internal/customer/credit.go
@@ -168,7 +168,7 @@
 	default:
 		return nil, nil
 	}
-	a.domainDemand, a.demandHeardAt = g.Demand, now
+	a.domainDemand, a.demandHeardAt = finite(g.Demand), now
 	a.lots = dropEnded(a.lots, now)
 	if until := q.at.Add(a.division.TTL); g.Count > 0 && now.Before(until) {
 		a.lots = append(a.lots, lot{g.Count, until})
@@ -195,7 +195,7 @@
 // fills, so that a flood is not passed on to it.
 func (a *account) refuseFrom(g Grant, now time.Time) {
 	a.refusesUntil = now.Add(min(g.Wait, maxRefusalKept, a.division.refillTime()/4))
-	a.nextTurn, a.spacing = now.Add(g.Wait), g.Spacing
+	a.nextTurn, a.spacing = now.Add(g.Wait), max(g.Spacing, 0)
 }
 
 // turn returns when there is room for the next request.
--- a/internal/customer/meter.go
+++ b/internal/customer/meter.go
@@ -105,3 +105,19 @@
 	}
 	return taken
 }
+
+// maxCount is above the requests of a customer that wait or arrive at one VM at a time; a message
+// with more is faulty.
+const maxCount = 1 << 20
+
+// inBounds returns a count of a message, limited to what can be true: a negative one would create
+// tokens.
+func inBounds(count int) int { return min(max(count, 0), maxCount) }
+
+// finite returns a number of a message, and 0 for one that would remain in all sums and comparisons.
+func finite(x float64) float64 {
+	if math.IsNaN(x) || math.IsInf(x, 0) {
+		return 0
+	}
+	return x
+}
