Let the end of a download not wait for other downloads

Cause: a read of the end of an answer, without bytes, waited for its turn among the downloads: up to their whole backlog, and callers learn of the end of an answer of unknown length only after it.

Change: the end waits for the bytes of its own download at most.

--- a/internal/callerhttp/download.go
+++ b/internal/callerhttp/download.go
@@ -46,11 +46,11 @@
 	return &linkShare{clock: c, rate: megabits * bytesPerMegabit * downloadLinkShare}
 }
 
-// take reserves n bytes and returns how long to wait before they may be written. Streams that
-// write at the same time get turns in the order in which they ask.
-func (l *linkShare) take(n int) time.Duration {
+// take reserves n bytes and returns how long to wait before they may be written, and when they have
+// left. Streams that write at the same time get turns in the order in which they ask.
+func (l *linkShare) take(n int) (wait time.Duration, leftAt time.Time) {
 	if l.rate <= 0 {
-		return 0
+		return 0, time.Time{}
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -58,24 +58,31 @@
 	if l.freeAt.Before(now) {
 		l.freeAt = now
 	}
-	wait := l.freeAt.Sub(now) - downloadBurst
+	wait = l.freeAt.Sub(now) - downloadBurst
 	l.freeAt = l.freeAt.Add(time.Duration(float64(n) / l.rate * float64(time.Second)))
-	return max(0, wait)
+	return max(0, wait), l.freeAt
 }
 
 // pacedBody is the body of a download, read as fast as the link may take it: what is not read waits
 // at the server.
 type pacedBody struct {
 	io.ReadCloser
-	ctx  context.Context
-	link *linkShare
+	ctx    context.Context
+	link   *linkShare
+	leftAt time.Time // when all bytes that were read have left
 }
 
 // Read implements io.Reader.
 func (b *pacedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	wait := b.link.take(n)
-	if wait == 0 {
+	wait := time.Duration(0)
+	if n > 0 {
+		wait, b.leftAt = b.link.take(n)
+	} else if !b.leftAt.IsZero() {
+		// The end follows the bytes before it; it need not wait for those of other downloads.
+		wait = b.leftAt.Sub(b.link.clock.Now()) - downloadBurst
+	}
+	if wait <= 0 {
 		return n, err
 	}
 	select {
--- a/internal/callerhttp/download_test.go
+++ b/internal/callerhttp/download_test.go
@@ -75,3 +75,18 @@
 func (stoppedClock) Now() time.Time { return time.Unix(0, 0) }
 
 func (stoppedClock) After(time.Duration) <-chan time.Time { return nil }
+
+// A caller learns of the end of an answer without a known length when that end has been read, which
+// must not wait for the other downloads.
+func TestEndOfADownloadDoesNotWaitForTheLink(t *testing.T) {
+	clock := &steppedClock{now: time.Unix(0, 0)}
+	link := newLinkShare(clock, 5.1)
+	link.take(1 << 20)
+	body := &pacedBody{ReadCloser: io.NopCloser(bytes.NewReader(nil)), ctx: context.Background(), link: link}
+	if _, err := body.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("read ended with %v, want the end of the answer", err)
+	}
+	if waited := clock.now.Sub(time.Unix(0, 0)); waited > 0 {
+		t.Errorf("the end waited %v", waited)
+	}
+}
