--- a/internal/customer/allocator.go
+++ b/internal/customer/allocator.go
@@ -117,6 +117,9 @@
 func (a *Allocator) SetFleet(f Fleet, now time.Time) {
 	a.SetShare(f.Share, now)
 	renamed := !slices.Equal(a.fleet.Domains, f.Domains)
+	if renamed && len(a.fleet.Domains) > 0 {
+		a.Restart(now) // this domain may hold a share that others held until now
+	}
 	a.fleet = f
 	if !renamed {
 		return
@@ -236,6 +239,7 @@
 // Allow answers a question. It returns false for a repeated one, and if the answer has to
 // wait for loans; Answers returns it then.
 func (a *Allocator) Allow(r Request, l Limit, now time.Time) (Grant, bool) {
+	r.Waiting, r.Ahead, r.Arrived = inBounds(r.Waiting), inBounds(r.Ahead), inBounds(r.Arrived)
 	b := a.bucketOf(l, now)
 	if b.answered.repeats(r.Peer, r.ID) {
 		return Grant{}, false
@@ -487,10 +491,11 @@
 			continue
 		}
 		l.id, l.silentTo = 0, time.Time{}
-		l.left, l.gain, l.answeredAt = g.Left, g.Gain, now
+		l.left, l.gain, l.answeredAt = finite(g.Left), finite(g.Gain), now
 		if until := l.askedAt.Add(b.division.TTL); g.Count > 0 && now.Before(until) {
-			b.borrowed = append(dropEnded(b.borrowed, now), lot{g.Count, until})
-			a.loans.Borrowed += g.Count
+			count := min(g.Count, l.asked)
+			b.borrowed = append(dropEnded(b.borrowed, now), lot{count, until})
+			a.loans.Borrowed += count
 		}
 		l.refusals = min(l.refusals+1, maxProbeWaits)
 		if g.Count > 0 {
