--- a/internal/callerhttp/customer_test.go
+++ b/internal/callerhttp/customer_test.go
@@ -343,3 +343,14 @@
 		})
 	}
 }
+
+// A customer that used another one's Idempotency-Key got the answer stored for that one.
+func TestClaimsOfCustomersDiffer(t *testing.T) {
+	digest := func(customer string) uint64 { return (&inbound{identity: identity{customer: customer}}).claimDigest(1) }
+	if digest("acme") == digest("other") || digest("acme") == digest("") {
+		t.Error("claims of two customers compare as equal")
+	}
+	if digest("") != 1 {
+		t.Error("the claim of a request without a customer changed")
+	}
+}
--- a/internal/reducer/customerkeys_test.go
+++ b/internal/reducer/customerkeys_test.go
@@ -327,3 +327,33 @@
 		t.Errorf("%d sets held, want at most %d", held, maxRegionSets)
 	}
 }
+
+// Owners grant slots without regard to the customer, so that requests ran in regions that it forbids.
+func TestSlotOutsideTheRegionsOfTheCustomerIsNotUsed(t *testing.T) {
+	for name, helped := range map[string]bool{"another VM is in an allowed region": true, "none is": false} {
+		t.Run(name, func(t *testing.T) {
+			v := newCustomersVM(t)
+			v.Apply(v.now, ServerAnnounced{Call: 900, Announcement: routing.Announcement{ID: "q1", Service: "queue", Address: "10.0.0.9:80", State: routing.StateServing, Slots: 1}})
+			v.loadRegions(6, "acme", "south")
+			if helped {
+				gossip := member.Gossip{
+					From:    member.VM{ID: "b1", Peer: "b1:1", Entry: "b1:2", Domain: "b", Region: "south", Document: 6},
+					Domains: []member.Domain{{Name: "b", Region: "south", Version: 9, Document: 6, Entries: []member.EntryRef{{ID: "b1", Peer: "b1:1", Entry: "b1:2", Ready: true}}}},
+				}
+				v.Apply(v.now, Received{Message{Gossip: &gossip}})
+			}
+			r := &relay.Request{ID: "q", Service: "queue", Holder: "a1", Replayable: true, Deadline: v.now.Add(20 * time.Second), Customer: "acme", KeyDigest: keyOfAcme}
+			step := v.apply(1, RequestBegan{Call: 1, Request: r})
+			switch {
+			case helped && (step.Detour == nil || step.Detour.VM != "b1"):
+				t.Errorf("step %+v, want it passed on to b1", step)
+			case !helped && (step.Refuse == nil || step.Refuse.Status != statusUnavailable || step.Refuse.Run != relay.RunNo):
+				t.Errorf("step %+v, want 503", step)
+			}
+			other := &relay.Request{ID: "o", Service: "queue", Holder: "a1", Replayable: true, Deadline: v.now.Add(20 * time.Second), Fingerprint: 2}
+			if step := v.apply(2, RequestBegan{Call: 2, Request: other}); step.Send == nil {
+				t.Errorf("the next request got %+v, want the slot", step)
+			}
+		})
+	}
+}
