Try late repeatable requests on a second server

Cause: 3% of the work takes seven times as long, and a server may hang: a request waited for its first server until its deadline, though another warm one had free slots. Change: where servers report their speed, a send without an answer after twice its expected time gets a second try on a warm server with a free slot that is expected to answer within 0.75 of what is left of the target, within the route's tries and the retry budget. The first whole answer counts, the other try's connection is closed, and it counts as slow, not as failed. HW1060 and heatherwood_hedges_total show second tries. Sends of other services take the same path as before.

--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -113,6 +114,7 @@
 	detour      *detourInfo // nil for a request that the caller sent to this VM
 	caller      callerWatch
 	shares      []*intake.Share // of what the request holds, until its end
+	sharesMutex sync.Mutex      // guards shares: two tries of a request may read their answers at a time
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -36,9 +36,19 @@
 		step, err := in.exchange.ReportSend(context.WithoutCancel(ctx), reducer.RequestSent{Result: routing.ResultUnused, Evidence: relay.EvidenceNothingWritten, Cause: "the deadline passed before the send"})
 		return step, err, false
 	}
-	sendCtx, abandon := context.WithCancelCause(withOpenOnly(ctx, grant.OpenOnly))
-	defer abandon(nil)
-	in.exchange.OnAbandon(func() { abandon(errAbandoned) })
+	a := in.newAttempt(ctx, grant, sentAt)
+	in.exchange.OnAbandon(func() { a.abandon(errAbandoned) })
+	if grant.HedgeAfter > 0 {
+		a = in.tryHedged(ctx, a)
+	} else {
+		a.sent = in.try(a.ctx, grant)
+	}
+	defer a.abandon(nil)
+	return in.finishSend(ctx, a)
+}
+
+// try sends the request to one server, and checks and buffers the answer.
+func (in *inbound) try(sendCtx context.Context, grant *dispatch.Grant) sendResult {
 	chosen := choice{at: grant.ChosenAt, cold: grant.Cold}
 	sent := in.roundTrip(sendCtx, in.relay.Transport, &in.relay.ConnectTimeout, chosen, in.outbound(sendCtx, grant.Address, grant.Server))
 	response, result := sent.response, sent.Result
@@ -68,13 +78,19 @@
 			response, sent.Evidence = nil, relay.EvidenceWritten
 		}
 	}
-	in.relay.Node.Metrics.CountSend(string(sent.Evidence))
-	in.relay.Node.Metrics.CountBelief(grant.Cold, grant.Word)
-	in.noteSend(grant.Server, sent.Evidence)
+	sent.response, sent.Result = response, result
+	return sent
+}
+
+// finishSend reports the end of a send, and passes the answer on if that is the next step.
+func (in *inbound) finishSend(ctx context.Context, a *attempt) (relay.Step, error, bool) {
+	grant, sendCtx, sent := a.grant, a.ctx, a.sent
+	response, result := sent.response, sent.Result
+	in.countAttempt(a)
 	if result != routing.ResultOK || relay.StatusMeansNotRun(sent.Status) {
 		sent.Conn = sent.connect.localAddress()
 	}
-	latency := in.relay.Node.Clock.Now().Sub(sentAt)
+	latency := in.relay.Node.Clock.Now().Sub(a.sentAt)
 	sent.Result, sent.Latency = result, latency
 	in.exchange.OnAbandon(nil)
 	sent.BodyMissing = response == nil && sent.Evidence == relay.EvidenceWritten && in.body.isMissing(result)
@@ -231,7 +247,7 @@
 		return routing.ResultBroken, err.Error()
 	}
 	share := in.relay.answers.Open(nil)
-	in.shares = append(in.shares, share)
+	in.keepShare(share)
 	body, err := share.ReadAll(io.LimitReader(response.Body, bufferedAnswerBytes+1), bufferedAnswerBytes+1)
 	full := errors.Is(err, intake.ErrFull)
 	if err != nil && !full {
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -32,6 +32,8 @@
 	Word     string    // on whose word it counts as cold or warm
 
 	Limit routing.Limit // of the server, as the owner knows it
+
+	HedgeAfter time.Duration // after the send, a second try is due; 0 for never
 }
 
 // Reason states why a request got no slot.
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -104,6 +104,19 @@
 	return x.applyAndAwait(ctx, result)
 }
 
+// ReportLate reports that the HedgeAfter of the send has passed, and returns the grant of a second
+// try, or nil.
+func (x *Exchange) ReportLate(ctx context.Context) (*dispatch.Grant, error) {
+	step, err := x.applyAndAwait(ctx, reducer.RequestLate{Call: x.call})
+	return step.Send, err
+}
+
+// ReportHedge reports the end of the try that does not bring the answer.
+func (x *Exchange) ReportHedge(result reducer.RequestHedged) {
+	result.Call = x.call
+	x.node.Apply(result)
+}
+
 // End reports that the exchange is over. The result and latency matter only if an
 // answer was streamed.
 func (x *Exchange) End(result routing.Result, latency time.Duration) {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -123,6 +123,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_sends_by_belief_total{cold="%v",word=%q}`, cold, word)).Inc()
 }
 
+// CountHedge counts a second try of a request by whether its answer came first.
+func (m *Metrics) CountHedge(won bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`heatherwood_hedges_total{won="%v"}`, won)).Inc()
+}
+
 // CountPromise counts an answer that callers take to mean that their request did not run, by whose
 // decision it was and the weakest evidence of the sends before it.
 func (m *Metrics) CountPromise(status int, decided, evidence string) {
--- a/internal/placing/estimate.go
+++ b/internal/placing/estimate.go
@@ -9,6 +9,8 @@
 	cold float64 // on a server that did not handle the object recently
 	warm float64 // on one that did
 
+	warmRuns int // counted in warm
+
 	longest float64 // of late runs: each shorter one brings it closer to itself
 }
 
--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -8,7 +8,7 @@
 
 // Begin counts a request that is sent to the server.
 func (p *Pool) Begin(s *Server, now time.Time) {
-	if s.running == s.partial {
+	if s.running == s.partial && !s.lateLast {
 		s.silentSince = now
 	}
 	s.running++
@@ -41,6 +41,7 @@
 	Load     Load
 
 	PaceAtSend float64 // of the server as it was expected then; 0 if unknown
+	Late       bool    // cancelled because the answer of a second try came first
 }
 
 // End removes the request from the server's load and updates the estimates and
@@ -52,7 +53,7 @@
 	}
 	p.RecordReport(s, e.Load, now)
 	if e.Result == routing.ResultOK || e.Result == routing.ResultError || e.Result == routing.ResultShed {
-		s.silentSince = now
+		s.silentSince, s.lateLast = now, false
 	}
 	switch e.Result {
 	case routing.ResultOK:
@@ -76,6 +77,8 @@
 		if s.countFailure(now, dialTimeoutsToEject); s.Ejected(now) {
 			p.doubt(s, now)
 		}
+	case routing.ResultCancelled:
+		p.noteLate(s, e)
 	case routing.ResultTimeout:
 		s.countFailure(now, failuresToEject)
 		s.slowness += slownessWeight * (maxSlowness - s.slowness)
@@ -144,6 +147,7 @@
 		r.cold += coldRunWeight * (min(run, 2*r.cold) - r.cold)
 		return
 	}
+	r.warmRuns++
 	// A run that waited in a queue unnoticed looks longer than it was, never
 	// shorter, so the average follows short runs faster.
 	weight := longerRunWeight
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -39,6 +39,7 @@
 	slowness         float64   // moving average of the ratio of warm runs to the usual warm run
 	meanRunRatio     float64   // moving average of the ratio of all runs, warm or cold, to the usual warm run; a queued request waits for such runs
 	silentSince      time.Time // time of the last answer, or of the first send to an idle server
+	lateLast         bool      // a late try was cancelled, and no answer has come since: silentSince goes on
 	failureRate      float64   // moving average of the share of failed answers
 	doubt            doubt
 	answeredAt       time.Time // last good answer, or answer to a question
--- a/internal/placing/simulation_test.go
+++ b/internal/placing/simulation_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/heatherwood/heatherwood/internal/hedge"
 	"github.com/heatherwood/heatherwood/internal/routing"
 	"github.com/heatherwood/heatherwood/internal/virtual"
 )
@@ -34,6 +35,7 @@
 	routes  []simRoute // if empty, one with the run times and limits above
 	uneven  bool       // some runs take longer than others, and servers run slower at times
 	reports bool       // servers report their present speed
+	hedges  bool       // late requests are tried on a second server
 	asks    bool       // entries ask servers for their load before they choose
 }
 
@@ -69,6 +71,8 @@
 	maxColdPerSecond int // most requests that a cold server got within one second
 	fullSends        int // sends that reached a server whose slots were all in use
 	questions        int // of entries to servers
+	hedged           int // second tries
+	hedgesWon        int // whose answers came first
 }
 
 type fakeServer struct {
@@ -238,6 +242,31 @@
 		sm.count(entry, arrivedAt, func(t *tally) { t.refused++ })
 		return
 	}
+	done := false
+	sm.send(entry, route, object, req, arrivedAt, retries, choice, &done)
+	if !sm.hedges {
+		return
+	}
+	sm.clock.Schedule(hedge.Delay(choice.Expected), func() {
+		now := sm.clock.Now()
+		if done || !pool.MayHedge(req, now) {
+			return
+		}
+		req.Target, req.Remaining, req.Exclude = arrivedAt.Add(route.target).Sub(now), arrivedAt.Add(route.timeout).Sub(now), []string{choice.Server.ID}
+		second, found := pool.ChooseHedge(req, now)
+		if !found {
+			return
+		}
+		sm.hedged++
+		sm.send(entry, route, object, req, arrivedAt, 0, second, &done)
+	})
+}
+
+// send sends a request to the chosen server; done is set by the first answer, and a later one of a
+// request that is tried twice only ends its run.
+func (sm *simulation) send(entry int, route *simRoute, object string, req Request, arrivedAt time.Time, retries int, choice Choice, done *bool) {
+	pool, now := sm.pools[entry], sm.clock.Now()
+	sentAt := now
 	unqueued, pace := choice.Server.Load(now) <= float64(choice.Server.Slots), choice.Server.Pace(now)
 	pool.Begin(choice.Server, now)
 	server := sm.server(choice.Server.ID)
@@ -250,12 +279,24 @@
 	end := func(result routing.Result, load Load) {
 		sm.clock.Schedule(oneWay, func() {
 			now := sm.clock.Now()
+			if *done {
+				pool.End(choice.Server, Outcome{Class: route.class, Target: route.target, Result: routing.ResultCancelled, Late: true, Latency: now.Sub(sentAt)}, now)
+				return
+			}
+			*done = true
 			if result == routing.ResultDialFailed {
 				pool.End(choice.Server, Outcome{Class: route.class, Object: object, Result: result}, now)
 				sm.request(entry, route, object, arrivedAt, retries)
 				return
 			}
-			pool.End(choice.Server, Outcome{Class: route.class, Object: object, Target: route.target, Unqueued: unqueued, Result: result, Latency: now.Sub(arrivedAt), Load: load, PaceAtSend: pace}, now)
+			if len(req.Exclude) > 0 {
+				sm.hedgesWon++
+			}
+			latency := now.Sub(arrivedAt)
+			if sm.hedges {
+				latency = now.Sub(sentAt)
+			}
+			pool.End(choice.Server, Outcome{Class: route.class, Object: object, Target: route.target, Unqueued: unqueued, Result: result, Latency: latency, Load: load, PaceAtSend: pace}, now)
 			sm.count(entry, arrivedAt, func(t *tally) {
 				switch took := now.Sub(arrivedAt); {
 				case result != routing.ResultOK || took > route.timeout:
--- a/internal/placing/uneven_test.go
+++ b/internal/placing/uneven_test.go
@@ -39,6 +39,7 @@
 	warm, burst              tally
 	worstSecond, worstDomain float64
 	asked                    float64 // questions per second of an entry
+	hedged, hedgesWon        int     // second tries, and those whose answers came first
 }
 
 func runUneven(change func(*scenario)) fleetRun {
@@ -60,6 +61,7 @@
 	for _, domain := range sm.byDomain {
 		r.worstDomain = min(r.worstDomain, domain.share())
 	}
+	r.hedged, r.hedgesWon = sm.hedged, sm.hedgesWon
 	r.asked = float64(sm.questions) / sm.duration.Seconds() / float64(sm.entries)
 	return r
 }
@@ -108,3 +110,32 @@
 		}
 	}
 }
+
+// Of work with a target of several run times, a request that takes seven times as long must be
+// served by a second try in time, and few second tries may be for nothing.
+func TestHedgesServeLateRequests(t *testing.T) {
+	run := func(hedges bool) fleetRun {
+		return runUneven(func(sc *scenario) {
+			sc.reports, sc.asks, sc.hedges = true, true, hedges
+			long := simRoute{class: "e", rate: 500, coldRun: 5200 * time.Millisecond, warmRun: 1560 * time.Millisecond, target: 6 * time.Second, timeout: 25 * time.Second}
+			sc.routes = append(sc.routes[1:], long)
+			sc.rate = func(time.Duration) float64 { return 1000 }
+		})
+	}
+	plain, hedged := run(false), run(true)
+	t.Logf("in target %.4f and %.4f with second tries: %d of them, %d answered first", plain.burst.share(), hedged.burst.share(), hedged.hedged, hedged.hedgesWon)
+	if hedged.burst.share() < plain.burst.share()+0.002 {
+		t.Errorf("%.4f in target, want 0.002 more than %.4f", hedged.burst.share(), plain.burst.share())
+	}
+	if float64(hedged.hedgesWon) < 0.6*float64(hedged.hedged) || hedged.hedged == 0 {
+		t.Errorf("%d of %d second tries answered first, want 0.6", hedged.hedgesWon, hedged.hedged)
+	}
+}
+
+// Where the target is less than three run times, a second try would be late as well.
+func TestNoHedgeThatWouldBeLate(t *testing.T) {
+	r := runUneven(func(sc *scenario) { sc.reports, sc.asks, sc.hedges = true, true, true })
+	if r.hedged > 50 {
+		t.Errorf("%d second tries that come too late", r.hedged)
+	}
+}
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -56,6 +56,7 @@
 	CodeCallerLeft            Code = 1049
 	CodeLibraryMessage        Code = 1050
 	CodeContact               Code = 1051
+	CodeHedge                 Code = 1060
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -118,6 +119,7 @@
 	{CodeCallerLeft, "info", "caller left before its request was answered"},
 	{CodeLibraryMessage, "info", "HTTP library reports a fault of a connection"},
 	{CodeContact, "info", "backend server may have started again, or what it says about that"},
+	{CodeHedge, "info", "late request was tried on a second server, or one of two tries ended"},
 }
 
 // Info returns the catalogue entry of a code.
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -132,6 +132,19 @@
 	routing.Notice                // of the server about itself
 }
 
+// RequestLate reports that the HedgeAfter of a send has passed; answered by relay.Step, with a send if
+// the request is to be tried on a second server as well.
+type RequestLate struct{ Call uint64 }
+
+// RequestHedged reports the end of the try of a request, of two, that does not bring the answer; the
+// other one is reported by RequestSent.
+type RequestHedged struct {
+	Call  uint64
+	Won   bool // the second try goes on
+	Late  bool // the loser was cancelled because it was slower
+	Loser RequestSent
+}
+
 // RequestDetoured reports the header of the answer of a VM that a request was passed on to,
 // or that this failed; answered by relay.Step.
 type RequestDetoured struct {
@@ -229,6 +242,8 @@
 func (ContactsOpen) reducerEvent()          {}
 func (ServerAnswered) reducerEvent()        {}
 func (RequestEnded) reducerEvent()          {}
+func (RequestLate) reducerEvent()           {}
+func (RequestHedged) reducerEvent()         {}
 func (RequestDetoured) reducerEvent()       {}
 func (ServerProbed) reducerEvent()          {}
 func (PeerUnreachable) reducerEvent()       {}
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -163,6 +163,8 @@
 		ChosenAt: s.now,
 		Cold:     cold,
 		Word:     string(word.Source),
+
+		HedgeAfter: s.hedgeAfter(r, pool, choice.Expected),
 	}}, helper{}
 }
 
@@ -242,7 +244,7 @@
 	phase := quarantine.Clear
 	cut := s.ways.Way(run.server.Domain).IsCut()
 	if e.ServerDied && !cut {
-		phase = s.markSuspected(r, run.server.ID)
+		phase = s.markSuspected(r, r.Grant.Ticket, run.server.ID)
 	}
 	step := r.HandleSendResult(relay.SendEnd{Result: e.Result, Status: e.Status, Suspicion: phase, BodyMissing: e.BodyMissing}, s.now, s.retryBudget(r))
 	s.logSend(r, e, step, Field{"expected", run.expected})
@@ -289,9 +291,9 @@
 
 // markSuspected notes that a server died while it ran the request, and returns
 // the phase of the request's fingerprint.
-func (s *State) markSuspected(r *relay.Request, server string) quarantine.Phase {
+func (s *State) markSuspected(r *relay.Request, ticket uint64, server string) quarantine.Phase {
 	before, _ := s.quarantine.Find(r.Fingerprint)
-	phase := s.quarantine.RecordDeath(r.Fingerprint, r.Grant.Ticket, s.now)
+	phase := s.quarantine.RecordDeath(r.Fingerprint, ticket, s.now)
 	if phase != before.Phase {
 		s.handleQuarantineChange(dispatch.QuarantineChange{Service: r.Service, Fingerprint: r.Fingerprint, Phase: phase, Server: server})
 	}
@@ -306,15 +308,21 @@
 }
 
 func (s *State) endRun(r *relay.Request, result routing.Result, latency time.Duration) {
-	run, found := s.placedRuns[r.Grant.Ticket]
+	s.endTicket(r.Grant.Ticket, r, result, latency, false)
+}
+
+// endTicket ends one run of a request; late means that it was cancelled because another one of the
+// request was faster.
+func (s *State) endTicket(ticket uint64, r *relay.Request, result routing.Result, latency time.Duration, late bool) {
+	run, found := s.placedRuns[ticket]
 	if !found {
 		return
 	}
-	delete(s.placedRuns, r.Grant.Ticket)
+	delete(s.placedRuns, ticket)
 	if result == routing.ResultOK || result == routing.ResultError {
 		s.quarantine.RecordSurvival(r.Fingerprint)
 	} else {
-		s.quarantine.EndTrial(r.Fingerprint, r.Grant.Ticket)
+		s.quarantine.EndTrial(r.Fingerprint, ticket)
 	}
 	run.pool.End(run.server, placing.Outcome{
 		Partial:  !r.Replayable,
@@ -327,6 +335,7 @@
 		Load:     run.load,
 
 		PaceAtSend: run.pace,
+		Late:       late,
 	}, s.now)
 }
 
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -83,13 +83,14 @@
 	formerPools  map[string]formerPool    // the same, of services that left the document
 	routeSplits  map[*document.Route]*placing.Split
 
-	closures      map[document.Closure]bool // of the document in force
-	earlyClosures []earlyClosure            // newer than the document in force, in order of arrival
-	addedClosures []document.Closure        // by the log entries being applied
-	placedRuns    map[uint64]placedRun      // by ticket
-	lastTicket    uint64                    // of placedRuns
-	loadQuestions map[uint64]loadQuestion   // by call of the request that waits, or was asked for
-	askBudget     placing.AskBudget         // of loadQuestions
+	closures      map[document.Closure]bool  // of the document in force
+	earlyClosures []earlyClosure             // newer than the document in force, in order of arrival
+	addedClosures []document.Closure         // by the log entries being applied
+	placedRuns    map[uint64]placedRun       // by ticket
+	lastTicket    uint64                     // of placedRuns
+	hedges        map[uint64]*dispatch.Grant // of second tries that are under way, by call
+	loadQuestions map[uint64]loadQuestion    // by call of the request that waits, or was asked for
+	askBudget     placing.AskBudget          // of loadQuestions
 	replicaSet    replicaset.State
 	allocator     allowance.Allocator // of servers that name a limit
 	ways          reach.Tracker       // to backend servers
@@ -199,6 +200,7 @@
 		formerPools:      make(map[string]formerPool),
 		routeSplits:      make(map[*document.Route]*placing.Split),
 		placedRuns:       make(map[uint64]placedRun),
+		hedges:           make(map[uint64]*dispatch.Grant),
 		loadQuestions:    make(map[uint64]loadQuestion),
 		detourRuns:       make(map[uint64]string),
 		takenOver:        make(map[uint64]bool),
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -33,6 +33,10 @@
 		}
 	case RequestSent:
 		s.handleSent(e)
+	case RequestLate:
+		s.handleLate(e)
+	case RequestHedged:
+		s.handleHedged(e)
 	case RequestDetoured:
 		s.handleDetoured(e)
 	case RequestEnded:
@@ -339,6 +343,7 @@
 	}
 	delete(s.requests, e.Call)
 	delete(s.loadQuestions, e.Call)
+	s.endHedge(e.Call, r)
 	delete(s.takenOver, e.Call)
 	s.ways.End(e.Call)
 	s.endDetour(e.Call, false)
--- a/internal/reducer/ways.go
+++ b/internal/reducer/ways.go
@@ -21,6 +21,10 @@
 // noteWay takes what the end of a send says about the way to its server.
 func (s *State) noteWay(grant *dispatch.Grant, e RequestSent) {
 	s.ways.End(e.Call)
+	s.noteWayOf(grant, e)
+}
+
+func (s *State) noteWayOf(grant *dispatch.Grant, e RequestSent) {
 	if e.ConnectTime > 0 {
 		s.ways.Connected(grant.Domain, grant.Address, s.now)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,6 +56,7 @@
 	triedHelpers   []string // VMs that were asked to serve the request
 	mayHaveRun     bool     // this request, or an earlier one with its key
 	runsOnce       bool     // a newer document forbids to repeat it
+	hedged         bool     // it was sent to a second server while the first one ran it
 }
 
 // Evidence is what is known of whether a request ran, once a send of it has ended.
