Stop asking servers for their load while answers are late

Cause: where health checks wait for a slot, or the VM lacks the processor, each question would delay a request by 25 ms for nothing. Change: after 8 answers in a row that are late or missing, the VM asks nothing for 5 s.

--- a/internal/placing/question.go
+++ b/internal/placing/question.go
@@ -82,16 +82,32 @@
 
 // AskBudget bounds the questions of one VM for the load of servers.
 type AskBudget struct {
-	tokens float64
-	at     time.Time
+	tokens  float64
+	at      time.Time
+	late    int       // answers in a row that came too late, or not at all
+	pausing time.Time // until then, nothing is asked
 }
 
 // A question costs about 0.5 KB on the link of the VM, of the 17 KB/s that control traffic may take.
 const (
 	asksPerSecond = 16.0
 	maxSavedAsks  = 4.0 // questions that unused tokens can pay for
+
+	maxLateAnswers = 8               // in a row, after which questions only delay requests
+	askPause       = 5 * time.Second // without questions then
 )
 
+// NoteAnswer notes whether an answer came in time.
+func (b *AskBudget) NoteAnswer(inTime bool, now time.Time) {
+	b.late++
+	if inTime {
+		b.late = 0
+	}
+	if b.late >= maxLateAnswers {
+		b.late, b.pausing = 0, now.Add(askPause)
+	}
+}
+
 // Take spends a token on a question; it returns false when none is left.
 func (b *AskBudget) Take(now time.Time) bool {
 	if b.at.IsZero() {
@@ -100,7 +116,7 @@
 		b.tokens = min(maxSavedAsks, b.tokens+now.Sub(b.at).Seconds()*asksPerSecond)
 	}
 	b.at = now
-	if b.tokens < 1 {
+	if b.tokens < 1 || now.Before(b.pausing) {
 		return false
 	}
 	b.tokens--
--- a/internal/placing/uneven_test.go
+++ b/internal/placing/uneven_test.go
@@ -159,3 +159,19 @@
 		t.Errorf("%d second tries that come too late", r.hedged)
 	}
 }
+
+// Where health checks are answered late, questions must not delay one request after another.
+func TestQuestionsPauseWhereAnswersAreLate(t *testing.T) {
+	var b AskBudget
+	asked := 0
+	for i := range 200 { // in 10 s
+		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		if b.Take(now) {
+			asked++
+			b.NoteAnswer(false, now)
+		}
+	}
+	if asked > 3*maxLateAnswers || asked < maxLateAnswers {
+		t.Errorf("%d questions, want at most %d", asked, 3*maxLateAnswers)
+	}
+}
--- a/internal/reducer/contact.go
+++ b/internal/reducer/contact.go
@@ -86,7 +86,7 @@
 // takeAnswer takes what a server itself says about its cold time, and tells the other VMs that
 // it is cold.
 func (s *State) takeAnswer(e ServerAnswered) {
-	defer s.goOn(e.Question.Call)
+	defer s.goOn(e.Question.Call, e.Why == "")
 	q := e.Question
 	pool := s.placingPools[q.Service]
 	if pool == nil || e.Why != "" {
--- a/internal/reducer/loadquestion.go
+++ b/internal/reducer/loadquestion.go
@@ -46,13 +46,14 @@
 	return true
 }
 
-// goOn places the request that waited for an answer.
-func (s *State) goOn(call uint64) {
+// goOn places the request that waited for an answer, which came in time or not.
+func (s *State) goOn(call uint64, inTime bool) {
 	r, q := s.requests[call], s.loadQuestions[call]
 	if call == 0 || r == nil || q.answered || q.askedAt.IsZero() {
 		return
 	}
 	q.answered = true
+	s.askBudget.NoteAnswer(inTime, s.now)
 	s.loadQuestions[call] = q
 	s.runStep(call, r, r.RequestSlot(s.now))
 }
@@ -61,7 +62,7 @@
 func (s *State) endLateQuestions() {
 	for _, call := range slices.Sorted(maps.Keys(s.loadQuestions)) {
 		if s.now.Sub(s.loadQuestions[call].askedAt) > 2*loadQuestionWait {
-			s.goOn(call)
+			s.goOn(call, false)
 		}
 	}
 }
