Let entries hold allowances of large customers, and wait longer for answers

An entry now holds standing allowances without an end of customers whose burst pays for some at every entry, and asks for more in the background. A request waits a quarter of the time left, 0.3 to 1 s, and a question is repeated after 250 ms instead of 100. The bound holds as before: standing allowances are taken from the capacity of the buckets.

--- a/internal/customer/allocator.go
+++ b/internal/customer/allocator.go
@@ -179,7 +179,7 @@
 		a.ordered = append(a.ordered, b)
 	}
 	a.refill(b, now)
-	if l.Document >= b.limit.Document && l.Terms != b.limit.Terms {
+	if l.Document >= b.limit.Document && (l.Terms != b.limit.Terms || l.Entries != b.limit.Entries) {
 		b.limit = l
 		a.divide(b)
 	}
@@ -189,7 +189,7 @@
 
 // divide applies the division of the customer's allowance to its bucket.
 func (a *Allocator) divide(b *bucket) {
-	b.division = Divide(b.limit.Terms)
+	b.division = Divide(b.limit.Terms, b.limit.Entries)
 	chosen := holders(b.limit.Customer, a.fleet.Domains, b.division.Holders)
 	b.holds = slices.Contains(chosen, a.fleet.Domain)
 	known := b.lenders
--- a/internal/customer/credit.go
+++ b/internal/customer/credit.go
@@ -7,8 +7,10 @@
 
 // Timings of an entry's questions.
 const (
-	askAgainAfter  = 100 * time.Millisecond // without an answer: far above the 0.4 ms within a domain
-	unknownAfter   = 300 * time.Millisecond // from when a request was parked
+	askAgainAfter  = 250 * time.Millisecond // without an answer: on links at their capacity one takes 100 to 200 ms, and more questions add to the load
+	askMoreAfter   = 100 * time.Millisecond // after an answer without standing allowances
+	minPatience    = 300 * time.Millisecond // that a parked request waits, at least
+	maxPatience    = time.Second            // the same, at most
 	maxWait        = 4 * time.Second        // that a refused caller is told
 	maxRefusalKept = 50 * time.Millisecond  // for which an answer without allowances holds for later requests
 	forgetAfter    = 30 * time.Second       // without a request of the customer
@@ -20,6 +22,7 @@
 	Customer string
 	Document uint64 // log index
 	Terms    Terms
+	Entries  int // VMs that send requests, as far as this one knows; 0 if unknown
 }
 
 // Credit holds the allowances of one entry, and the requests that wait for some.
@@ -27,6 +30,7 @@
 	Peer     string // host:port of this VM for calls between VMs
 	accounts map[string]*account
 	waiting  []*account // with requests that wait
+	short    []*account // that lack standing allowances
 	lastID   uint64
 }
 
@@ -36,6 +40,9 @@
 	limit    Limit
 	division Division
 	lots     []lot
+	standing int // allowances without an end
+	isShort  bool
+	moreAt   time.Time // when standing allowances may be asked for again
 	parked   []parked
 	demand   meter
 	arrived  int // since the last question
@@ -59,9 +66,13 @@
 
 type parked struct {
 	call  uint64
-	since time.Time
+	until time.Time
 }
 
+// Patience returns how long a request waits for an allowance: a quarter of the time left, so
+// that one that is refused in the end may still be served when it returns.
+func Patience(left time.Duration) time.Duration { return min(max(left/4, minPatience), maxPatience) }
+
 // Refusal tells a caller when there is room for its request.
 type Refusal struct {
 	Call uint64
@@ -85,8 +96,9 @@
 // none.
 func (c *Credit) Take(l Limit, now time.Time) bool {
 	a := c.account(l.Customer)
-	if a.limit.Terms != l.Terms {
-		a.division = Divide(l.Terms)
+	if a.limit.Terms != l.Terms || a.limit.Entries != l.Entries {
+		a.division = Divide(l.Terms, l.Entries)
+		a.standing = min(a.standing, a.division.Standing)
 	}
 	a.limit = l
 	a.usedAt = now
@@ -96,12 +108,34 @@
 		return false
 	}
 	a.lots = dropEnded(a.lots, now)
-	return takeFrom(a.lots, 1) == 1
+	if takeFrom(a.lots, 1) == 1 {
+		return true
+	}
+	taken := a.standing > 0
+	if taken {
+		a.standing--
+	}
+	if a.lacksStanding() && !a.isShort {
+		a.isShort = true
+		c.short = append(c.short, a)
+	}
+	return taken
+}
+
+// lacksStanding reports whether half of the standing allowances or more are used up.
+func (a *account) lacksStanding() bool { return 2*a.standing < a.division.Standing }
+
+// mayAskMore reports whether standing allowances are to be asked for now.
+func (a *account) mayAskMore(now time.Time) bool {
+	return a.lacksStanding() && len(a.parked) == 0 && a.question.id == 0 && !now.Before(a.moreAt)
 }
 
+// Short reports whether standing allowances may be asked for.
+func (c *Credit) Short() bool { return len(c.short) > 0 }
+
 // Park makes a request that got no allowance wait for one. It returns false, and when
 // there is room, if the allocator has just answered that it has none.
-func (c *Credit) Park(customer string, call uint64, now time.Time) (time.Duration, bool) {
+func (c *Credit) Park(customer string, call uint64, patience time.Duration, now time.Time) (time.Duration, bool) {
 	a := c.account(customer)
 	if now.Before(a.refusesUntil) {
 		return a.turn(now), false
@@ -109,7 +143,7 @@
 	if len(a.parked) == 0 {
 		c.waiting = append(c.waiting, a)
 	}
-	a.parked = append(a.parked, parked{call, now})
+	a.parked = append(a.parked, parked{call, now.Add(patience)})
 	return 0, true
 }
 
@@ -123,33 +157,44 @@
 	c.dropIdle()
 }
 
-// Ask returns the questions that are due: for requests that wait without one, and those
-// that were not answered.
+// Ask returns the questions that are due: for requests that wait without one, those that
+// were not answered, and for standing allowances.
 func (c *Credit) Ask(now time.Time) []Request {
 	var requests []Request
 	for _, a := range c.waiting {
-		if a.question.id != 0 && now.Sub(a.question.at) < askAgainAfter {
-			continue
+		if a.question.id == 0 || now.Sub(a.question.at) >= askAgainAfter {
+			requests = append(requests, c.ask(a, now))
 		}
-		c.lastID++
-		a.earlier = a.question
-		a.question = asked{c.lastID, now, len(a.parked)}
-		requests = append(requests, Request{
-			ID:       a.question.id,
-			Peer:     c.Peer,
-			Customer: a.customer,
-			Document: a.limit.Document,
-			Rate:     a.limit.Terms.Rate,
-			Burst:    a.limit.Terms.Burst,
-			Waiting:  len(a.parked),
-			Ahead:    surely(a.demand.rate(now) * a.division.TTL.Seconds()),
-			Arrived:  a.arrived,
-		})
-		a.arrived = 0
 	}
+	c.short = slices.DeleteFunc(c.short, func(a *account) bool {
+		if a.mayAskMore(now) {
+			requests = append(requests, c.ask(a, now))
+		}
+		a.isShort = a.lacksStanding()
+		return !a.isShort
+	})
 	return requests
 }
 
+func (c *Credit) ask(a *account, now time.Time) Request {
+	c.lastID++
+	a.earlier = a.question
+	a.question = asked{c.lastID, now, len(a.parked)}
+	r := Request{
+		ID:       a.question.id,
+		Peer:     c.Peer,
+		Customer: a.customer,
+		Document: a.limit.Document,
+		Rate:     a.limit.Terms.Rate,
+		Burst:    a.limit.Terms.Burst,
+		Waiting:  len(a.parked),
+		Ahead:    max(surely(a.demand.rate(now)*a.division.TTL.Seconds()), a.division.Standing-a.standing),
+		Arrived:  a.arrived,
+	}
+	a.arrived = 0
+	return r
+}
+
 // Receive takes the answer to a question, once, and returns the parked requests that go on
 // and those that are refused. An answer to the question before the last one may have
 // crossed the last one on its way; it refuses nothing.
@@ -179,6 +224,12 @@
 		ready = append(ready, p.call)
 	}
 	a.parked = a.parked[n:]
+	if more := a.division.Standing - a.standing; more > 0 {
+		a.standing += takeFrom(a.lots, more)
+	}
+	if a.lacksStanding() {
+		a.moreAt = now.Add(askMoreAfter)
+	}
 	if g.Count < q.waiting {
 		a.refuseFrom(g, now)
 		for _, p := range a.parked {
@@ -210,7 +261,7 @@
 	var calls []uint64
 	for _, a := range c.waiting {
 		n := 0
-		for n < len(a.parked) && now.Sub(a.parked[n].since) >= unknownAfter {
+		for n < len(a.parked) && !now.Before(a.parked[n].until) {
 			calls = append(calls, a.parked[n].call)
 			n++
 		}
@@ -236,7 +287,7 @@
 		return 0
 	}
 	a.lots = dropEnded(a.lots, now)
-	return countOf(a.lots)
+	return countOf(a.lots) + a.standing
 }
 
 // Demand returns the requests a second of a customer in the failure domain, as its
@@ -266,7 +317,7 @@
 // again.
 func (c *Credit) Reset() {
 	for _, a := range c.accounts {
-		a.lots, a.question, a.earlier, a.refusesUntil = nil, asked{}, asked{}, time.Time{}
+		a.lots, a.standing, a.question, a.earlier, a.refusesUntil = nil, 0, asked{}, asked{}, time.Time{}
 	}
 }
 
--- a/internal/customer/division.go
+++ b/internal/customer/division.go
@@ -14,6 +14,8 @@
 	minTTL         = 200 * time.Millisecond // covers a question across regions, 40 ms, on busy VMs
 	maxTTL         = 2 * time.Second        // demand moves between regions within this time
 	handoverTime   = time.Second            // two VMs of a domain may take themselves for its allocator at a time
+	maxStanding    = 8                      // standing allowances of an entry: enough for answers that take a second where it sends 8 requests a second
+	standingPart   = 0.5                    // of the burst that entries may hold; the rest moves to where the demand is
 	tokensPerShare = 2                      // with fewer, the fractions that all domains hold back are most of a small allowance
 )
 
@@ -36,13 +38,16 @@
 	Capacity float64       // tokens in all domains
 	Holders  int           // domains that hold an equal share of both
 	TTL      time.Duration // of an allowance, and of a borrowed token, from when it was asked for
+	Standing int           // allowances that each entry may hold without an end
 }
 
 // Divide returns the division under which the requests of any window stay within the
 // bound, whatever becomes of messages and VMs: of the tokens that it permits beyond the
-// rate, the buckets hold the burst, and the rest pays for lifetimes and changes of an
-// allocator.
-func Divide(t Terms) Division {
+// rate, the buckets and entries hold the burst, and the rest pays for lifetimes and changes
+// of an allocator. With standing allowances an entry need not ask before it sends: on links
+// at their capacity an answer takes hundreds of milliseconds. There are none for a customer
+// whose burst is too small for all entries, and where their number is unknown, 0.
+func Divide(t Terms, entries int) Division {
 	domains := max(1, t.Domains)
 	spare := t.Bound() - t.Rate*t.Window.Seconds()
 	wanted := max(t.Burst, float64(tokensPerShare*domains))
@@ -64,6 +69,11 @@
 		left := spare - d.Capacity - t.Rate*handoverTime.Seconds()/float64(holders)
 		d.TTL = min(max(seconds(left/(2*t.Rate)), minTTL), maxTTL)
 	}
+	if entries > 0 {
+		spare := (d.Capacity - float64(tokensPerShare*holders)) * standingPart
+		d.Standing = max(0, min(int(spare/float64(entries)), maxStanding))
+		d.Capacity -= float64(d.Standing * entries)
+	}
 	return d
 }
 
--- a/internal/reducer/customer.go
+++ b/internal/reducer/customer.go
@@ -82,7 +82,7 @@
 	if !held.Limited() {
 		return customer.Limit{}, false
 	}
-	return customer.Limit{Customer: name, Document: s.documentAt.Index, Terms: s.termsOf(held.Rate, held.Burst)}, true
+	return customer.Limit{Customer: name, Document: s.documentAt.Index, Terms: s.termsOf(held.Rate, held.Burst), Entries: s.knownEntries()}, true
 }
 
 func (s *State) termsOf(rate, burst float64) customer.Terms {
@@ -97,6 +97,15 @@
 	}
 }
 
+// knownEntries returns the number of VMs that may hold standing allowances, those out of sight
+// included; 0 while this VM does not know it.
+func (s *State) knownEntries() int {
+	if !s.entriesKnown {
+		return 0
+	}
+	return s.entryCount
+}
+
 // limitFor returns the allowance of a customer that another VM asks for, by the newer of
 // the two documents.
 func (s *State) limitFor(name string, index uint64, rate, burst float64) (customer.Limit, bool) {
@@ -106,7 +115,7 @@
 	if index <= s.documentAt.Index {
 		return s.limitOf(name)
 	}
-	return customer.Limit{Customer: name, Document: index, Terms: s.termsOf(rate, burst)}, rate > 0
+	return customer.Limit{Customer: name, Document: index, Terms: s.termsOf(rate, burst), Entries: s.knownEntries()}, rate > 0
 }
 
 // awaitAllowance takes the allowance of a new request; it returns false if the request
@@ -128,9 +137,12 @@
 	}
 	if c.credit.Take(limit, s.now) {
 		count.Allowed++
+		if c.credit.Short() {
+			s.sendAllowances(false)
+		}
 		return true
 	}
-	wait, parked := c.credit.Park(r.Customer, e.Call, s.now)
+	wait, parked := c.credit.Park(r.Customer, e.Call, customer.Patience(r.Deadline.Sub(s.now)), s.now)
 	if !parked {
 		s.refuseAllowance(e, http.StatusTooManyRequests, ReasonOverAllowance, wait, 0)
 		return false
