--- a/internal/customer/fleet_test.go
+++ b/internal/customer/fleet_test.go
@@ -116,7 +116,9 @@
 
 func (f *fleet) time() time.Time { return testStart.Add(f.now) }
 
-func (f *fleet) limit() Limit { return Limit{Customer: "acme", Document: f.document, Terms: f.terms, Entries: len(f.vms)} }
+func (f *fleet) limit() Limit {
+	return Limit{Customer: "acme", Document: f.document, Terms: f.terms, Entries: len(f.vms)}
+}
 
 // start gives a VM an empty state.
 func (f *fleet) start(v *vm, now time.Time) {
