Look for questions and second tries only where servers report their speed

Cause: each placed request was described to package placing once more, also in services whose servers report no speed, where nothing can follow from it. Change: Pool.ReportsPace is asked first, and replaces Pool.MayHedge. No decision changes. Measured: tests of second tries, questions and caches in placing, reducer and callerhttp pass.

--- a/internal/placing/hedge.go
+++ b/internal/placing/hedge.go
@@ -16,7 +16,7 @@
 // whose servers do not is served as before.
 func (p *Pool) ChooseHedge(req Request, now time.Time) (Choice, bool) {
 	usual := p.usualRunTimes(req)
-	if !p.MayHedge(req, now) || usual.warmRuns < minWarmRuns {
+	if !p.ReportsPace(now) || req.Object == "" || usual.warmRuns < minWarmRuns {
 		return Choice{}, false
 	}
 	preferred := p.preferredServers(req, now)
@@ -35,11 +35,6 @@
 	return Choice{Server: best.server, Expected: seconds(best.expected), Warm: true}, best.server != nil
 }
 
-// MayHedge reports whether a request may get a second try.
-func (p *Pool) MayHedge(req Request, now time.Time) bool {
-	return p.reportsPace(now) && req.Object != ""
-}
-
 // noteLate learns from a try that was cancelled because another server answered first: the run would
 // have taken as long at least. It is no failure.
 func (p *Pool) noteLate(s *Server, e Outcome) {
--- a/internal/placing/question.go
+++ b/internal/placing/question.go
@@ -12,8 +12,8 @@
 	firstOfOthers  = 1                      // the same in other pools
 )
 
-// reportsPace reports whether servers of the pool report their pace.
-func (p *Pool) reportsPace(now time.Time) bool {
+// ReportsPace reports whether servers of the pool report their pace.
+func (p *Pool) ReportsPace(now time.Time) bool {
 	return !p.paceReportedAt.IsZero() && now.Sub(p.paceReportedAt) < paceReportsFor
 }
 
@@ -22,7 +22,7 @@
 // a first one that is slow or full just now: the cold runs that this costs are fewer than the late answers.
 func (p *Pool) isWarm(s *Server, position int, req Request, now time.Time) bool {
 	first := firstOfOthers
-	if p.reportsPace(now) {
+	if p.ReportsPace(now) {
 		first = firstOfPaced
 	}
 	return req.Object != "" && (position < first || s.ranObject(req.Object, now))
@@ -32,7 +32,7 @@
 // request, or nil: the one that would be chosen, where another warm one could take the request, where
 // little is known of its present load, and the question takes little time.
 func (p *Pool) WorthAsking(req Request, now time.Time) *Server {
-	if !p.reportsPace(now) || req.Object == "" {
+	if !p.ReportsPace(now) || req.Object == "" {
 		return nil
 	}
 	usual := p.usualRunTimes(req)
--- a/internal/placing/simulation_test.go
+++ b/internal/placing/simulation_test.go
@@ -261,7 +261,7 @@
 	}
 	sm.clock.Schedule(hedge.Delay(choice.Expected), func() {
 		now := sm.clock.Now()
-		if done || !pool.MayHedge(req, now) {
+		if done {
 			return
 		}
 		req.Target, req.Remaining, req.Exclude = arrivedAt.Add(route.target).Sub(now), arrivedAt.Add(route.timeout).Sub(now), []string{choice.Server.ID}
--- a/internal/reducer/hedge.go
+++ b/internal/reducer/hedge.go
@@ -13,7 +13,7 @@
 
 // hedgeAfter returns the time after the send at which a second try of the request is due; 0 for never.
 func (s *State) hedgeAfter(r *relay.Request, pool *placing.Pool, expected time.Duration) time.Duration {
-	if !r.MayHedge(s.now) || !pool.MayHedge(placing.Request{Object: r.Object}, s.now) {
+	if !r.MayHedge(s.now) || !pool.ReportsPace(s.now) || r.Object == "" {
 		return 0
 	}
 	return hedge.Delay(expected)
--- a/internal/reducer/loadquestion.go
+++ b/internal/reducer/loadquestion.go
@@ -28,7 +28,7 @@
 		return false
 	}
 	pool := s.placingPools[r.Service]
-	if pool == nil {
+	if pool == nil || !pool.ReportsPace(s.now) {
 		return false
 	}
 	server := pool.WorthAsking(s.placingRequest(r, slotRequest), s.now)
