--- a/internal/reducer/contact.go
+++ b/internal/reducer/contact.go
@@ -100,8 +100,11 @@
 		s.endReplaced(server)
 		return
 	}
-	pool.RecordReport(server, e.Load, s.now)
-	if !pool.TakeAnswer(server, q.AskedAt, e.ColdFor, s.now) && !pool.HearCold(server, e.ColdFor, s.now) {
+	if e.Load.Pace > 0 {
+		pool.RecordReport(server, e.Load, s.now)
+	}
+	heardCold := q.Call != 0 && pool.HearCold(server, e.ColdFor, s.now)
+	if !pool.TakeAnswer(server, q.AskedAt, e.ColdFor, s.now) && !heardCold {
 		return
 	}
 	outcome := "warm"
