--- a/internal/customer/allocator.go
+++ b/internal/customer/allocator.go
@@ -1,6 +1,7 @@
 package customer
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -458,7 +459,8 @@
 	b.usedAt = now
 	rate, _ := a.shareOf(b)
 	demand := b.demand.rate(now)
-	spare := b.tokens - demand*min(b.division.refillTime(), maxTTL).Seconds()
+	// Whole requests: a fraction would hold back the only token of a small customer.
+	spare := b.tokens - math.Round(demand*min(b.division.refillTime(), maxTTL).Seconds())
 	n := 0
 	if len(b.held) == 0 {
 		n = max(0, min(r.Count, int(spare)))
