Allocate the allowances of customers on control VMs where one is live

Loans between domains came too late to serve a question.

A control VM has no callers, and its link has room. A question passes only the link of the entry, and loans none. Where no control VM of the domain is live, any VM allocates as before. 0.4 of a burst, not half, may lie with entries.

Measured: tests of internal/member, customer, reducer.

--- a/internal/customer/division.go
+++ b/internal/customer/division.go
@@ -15,7 +15,7 @@
 	maxTTL         = 2 * time.Second        // demand moves between regions within this time
 	handoverTime   = time.Second            // two VMs of a domain may take themselves for its allocator at a time
 	maxStanding    = 8                      // standing allowances of an entry: enough for answers that take a second where it sends 8 requests a second
-	standingPart   = 0.5                    // of the burst that entries may hold; the rest moves to where the demand is
+	standingPart   = 0.4                    // of the burst that entries may hold; the rest moves to where the demand is
 	tokensPerShare = 2                      // with fewer, the fractions that all domains hold back are most of a small allowance
 )
 
--- a/internal/member/domain.go
+++ b/internal/member/domain.go
@@ -244,6 +244,27 @@
 	return best
 }
 
+// ControlOwner returns the control VM of the own failure domain that Owner would return if there
+// were no other VMs, and what Owner returns where no control VM is live that is not stopping.
+func (s *State) ControlOwner(key string) VM {
+	var best VM
+	consider := func(vm VM) {
+		if vm.Control && !vm.Stopping && (best.ID == "" || ownerHash(key, vm.ID) > ownerHash(key, best.ID)) {
+			best = vm
+		}
+	}
+	consider(s.Self)
+	for _, r := range s.records {
+		if !r.dead {
+			consider(r.VM)
+		}
+	}
+	if best.ID == "" {
+		return s.Owner(key)
+	}
+	return best
+}
+
 // Owner returns the VM of another failure domain that Owner there most likely returns,
 // or the zero value if none is known.
 func (d Domain) Owner(key string) EntryRef {
@@ -256,6 +277,21 @@
 	return best
 }
 
+// ControlOwner returns the VM of another failure domain that ControlOwner there most likely
+// returns, or the zero value if none is known.
+func (d Domain) ControlOwner(key string) EntryRef {
+	var best EntryRef
+	for _, entry := range d.Entries {
+		if entry.Control && (best.ID == "" || ownerHash(key, entry.ID) > ownerHash(key, best.ID)) {
+			best = entry
+		}
+	}
+	if best.ID == "" {
+		return d.Owner(key)
+	}
+	return best
+}
+
 // HeardShare returns the share of the VMs of the own failure domain, this one included,
 // that this VM takes for alive. VMs that stopped as planned do not count. Where a cut
 // divides the domain, the shares of its parts add up to 1 at most.
--- a/internal/reducer/customer.go
+++ b/internal/reducer/customer.go
@@ -166,7 +166,7 @@
 		{"rate", limit.Terms.Rate},
 		{"burst", limit.Terms.Burst},
 		{"demand", s.customers.credit.Demand(r.Customer, s.now)},
-		{"allocator", s.members.Owner(customerKey(r.Customer)).ID},
+		{"allocator", s.customerOwner(r.Customer).ID},
 		{"waited", waited},
 		{"retry_after", wait},
 		{"document", int64(s.documentAt.Index)},
@@ -273,9 +273,16 @@
 
 func customerKey(name string) string { return "customer\x00" + name }
 
+// customerOwner returns the allocator of a customer in the own failure domain: a control VM where one
+// is live. Entries may have links that callers' requests fill, and questions between two of them
+// wait behind these at both; control VMs have no callers.
+func (s *State) customerOwner(name string) member.VM {
+	return s.members.ControlOwner(customerKey(name))
+}
+
 // allocatesCustomer reports whether this VM allocates a customer in its failure domain.
 func (s *State) allocatesCustomer(name string) bool {
-	return s.members.Owner(customerKey(name)).ID == s.Settings.VM
+	return s.customerOwner(name).ID == s.Settings.VM
 }
 
 // sendAllowances sends the questions and answers that are due; with all, also those that
@@ -288,7 +295,7 @@
 	for _, request := range c.allocator.Wanted(all, s.now) {
 		for _, domain := range s.members.Domains(s.now) {
 			if domain.Name == request.Domain {
-				s.transmit(domain.Owner(customerKey(request.Customer)).Peer, Message{CustomerLoanRequest: &request})
+				s.transmit(domain.ControlOwner(customerKey(request.Customer)).Peer, Message{CustomerLoanRequest: &request})
 			}
 		}
 	}
@@ -308,7 +315,7 @@
 // forwardToAllocator passes a message for a customer's allocator on if this VM is not the
 // one, and reports whether it is.
 func (s *State) forwardToAllocator(name string, m Message) bool {
-	owner := s.members.Owner(customerKey(name))
+	owner := s.customerOwner(name)
 	if owner.ID == s.Settings.VM {
 		// A VM that has just started does not know the others, one of which may allocate.
 		return s.now.Sub(s.startedAt) >= membershipSettleTime
@@ -454,7 +461,7 @@
 		status := CustomerStatus{Customer: named.Customer, Count: named.Count, Tokens: -1}
 		if limit, limited := s.limitOf(named.Customer); limited {
 			status.Rate, status.Burst = limit.Terms.Rate, limit.Terms.Burst
-			status.Allocator = s.members.Owner(customerKey(named.Customer)).ID
+			status.Allocator = s.customerOwner(named.Customer).ID
 			status.Held = s.customers.credit.Held(named.Customer, s.now)
 			if bucket, found := s.customers.allocator.Bucket(named.Customer, s.now); found {
 				status.Tokens, status.Borrowed = bucket.Tokens, bucket.Borrowed
--- a/internal/reducer/customerfaults_test.go
+++ b/internal/reducer/customerfaults_test.go
@@ -58,7 +58,7 @@
 // customerOwnedBy returns the name of a customer that a VM allocates in the own failure domain.
 func (v *customersVM) customerOwnedBy(id string) string {
 	for i := 0; ; i++ {
-		if name := fmt.Sprint("customer", i); v.members.Owner(customerKey(name)).ID == id {
+		if name := fmt.Sprint("customer", i); v.members.ControlOwner(customerKey(name)).ID == id {
 			return name
 		}
 	}
@@ -115,7 +115,7 @@
 			v := newCustomersVM(t)
 			v.change(6, document.Customer{Name: "acme", Keys: []document.KeyDigest{keyOfAcme}, Rate: 1, Burst: 1})
 			// Another VM allocates; it does not answer.
-			for i := 2; v.members.Owner(customerKey("acme")).ID == "a1"; i++ {
+			for i := 2; v.members.ControlOwner(customerKey("acme")).ID == "a1"; i++ {
 				v.hearVM(fmt.Sprint("a", i), 1, false)
 			}
 			call, step := v.begin(document.KindRepeat)
