Ask a server beside the first request on a connection opened when none was open

Cause: a VM whose connections to a server had all ended as stated (Connection: close, Keep-Alive, closed by the VM) has no contact to lose. Change: the first request on such a connection renews the contact. If the VM sends to the server more often than the rate of a cold one allows, or as soon as it does, the server is asked at once, and gets one request at a time until it answers. Not so if its last bytes came less than 20 ms before the connection was opened, or if it said within 1 to 2 s (by chance, so that VMs ask at different times) that it is warm. A server that does not answer is doubted so once in 30 s.

--- a/internal/callerhttp/contact.go
+++ b/internal/callerhttp/contact.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -22,7 +23,8 @@
 	base  time.Time // times of bytes are kept as distances from it, which no step of the clock changes
 
 	// onLost is told that no connection to an address is left, of which the last one ended
-	// without an explanation. Once it returns, requests are sent there with that in mind.
+	// without an explanation, or that one is used after a time without any. Once it returns, requests
+	// are sent there with that in mind.
 	onLost func(address, why string)
 
 	mutex     sync.Mutex
@@ -41,10 +43,19 @@
 	idleEnd   time.Duration // for which the connection was idle whose end was last not explained; 0 if it was not
 	warmIdle  time.Duration // idleEnd before the last answer that the server is warm
 	usedAt    time.Time
+
+	knownAt time.Time // last bytes on a connection with requests that has ended, or last answer that the server is warm
+	warmEnd time.Time // until then it is not asked again; see noteState
 }
 
+// whyNoneOpen is the cause of a possible restart between two connections.
+const whyNoneOpen = "none was open"
+
 const (
 	pruneInterval   = time.Minute             // between two looks for contacts that nobody uses
+	contactMemory   = 10 * time.Minute        // for which a contact that nobody uses is kept: its server may start again unnoticed
+	minRestartTime  = 20 * time.Millisecond   // between the last bytes of a process and the first connection to the next one, at least
+	warmAnswerAge   = 2 * time.Second         // of an answer that the server is warm, up to which it is not asked again because of a new connection
 	vouchAge        = 2 * time.Second         // age of the last bytes up to which a connection shows that the server lives
 	idleCloseMargin = time.Second             // by which a server may close an idle connection before the time that it states, at most
 	minIdleTimeout  = 200 * time.Millisecond  // that a server may have without stating it
@@ -93,7 +104,7 @@
 	}
 	c.pruneDue = now.Add(pruneInterval)
 	for address, k := range c.byAddress {
-		if len(k.open) == 0 && k.telling == 0 && now.Sub(k.usedAt) > pruneInterval && now.Sub(k.lostAt) > pruneInterval {
+		if len(k.open) == 0 && k.telling == 0 && now.Sub(k.usedAt) > contactMemory && now.Sub(k.lostAt) > contactMemory {
 			delete(c.byAddress, address)
 		}
 	}
@@ -103,7 +114,18 @@
 func (c *contacts) remove(conn *serverConn) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	delete(conn.contact.open, conn)
+	conn.contact.drop(conn)
+}
+
+// drop forgets a connection that has ended.
+func (k *contact) drop(conn *serverConn) {
+	if _, open := k.open[conn]; !open {
+		return
+	}
+	delete(k.open, conn)
+	if at := conn.lastByte(); conn.used && at.After(k.knownAt) {
+		k.knownAt = at
+	}
 }
 
 // ended notes a connection that the other end has closed or reset.
@@ -113,7 +135,7 @@
 		c.mutex.Unlock()
 		return
 	}
-	delete(conn.contact.open, conn)
+	conn.contact.drop(conn)
 	now := c.clock.Now()
 	explained := conn.endExplained(now)
 	conn.contact.idleEnd = 0
@@ -159,7 +181,7 @@
 			continue
 		}
 		if closed, err := conn.socket.PeerClosed(); closed || err != nil {
-			delete(k.open, conn)
+			k.drop(conn)
 			unexplained = unexplained || !conn.endExplained(now)
 			continue
 		}
@@ -176,10 +198,27 @@
 	if !conn.used {
 		conn.used = true
 		vouched, unexplained := c.look(k, conn)
-		c.tell(k, !vouched && unexplained, "closed unnoticed")
+		lost := !vouched && unexplained
+		if !lost && k.telling == 0 && !k.lostAt.After(chosen.at) && k.isRenewedBy(conn, c.clock.Now()) {
+			// This request goes on: withholding it would cost the callers of each server that closes idle
+			// connections a try. The ones after it wait for what the server says.
+			c.tell(k, true, whyNoneOpen)
+			c.mutex.Lock()
+			defer c.mutex.Unlock()
+			return c.isOld(chosen)
+		}
+		c.tell(k, lost, "closed unnoticed")
 		c.mutex.Lock()
 	}
 	defer c.mutex.Unlock()
+	if chosen.at.IsZero() || chosen.cold {
+		return c.isOld(chosen)
+	}
+	return k.telling > 0 || k.lostAt.After(chosen.at) || c.isOld(chosen)
+}
+
+// isOld reports whether too long has passed since the choice for a request to be sent by it.
+func (c *contacts) isOld(chosen choice) bool {
 	age := c.clock.Now().Sub(chosen.at)
 	switch {
 	case chosen.at.IsZero():
@@ -187,17 +226,43 @@
 	case chosen.cold:
 		return age > maxColdChoice
 	default:
-		return k.telling > 0 || k.lostAt.After(chosen.at) || age > maxChoiceAge
+		return age > maxChoiceAge
 	}
 }
 
+// isRenewedBy reports whether the connection may lead to another process than the one that the
+// connections before it led to: these have all ended, and long enough ago for a restart.
+func (k *contact) isRenewedBy(conn *serverConn, now time.Time) bool {
+	known := k.knownAt
+	if k.lostAt.After(known) {
+		known = k.lostAt // a start before that is in doubt already
+	}
+	if known.IsZero() || conn.openedAt.Sub(known) < minRestartTime || now.Before(k.warmEnd) {
+		return false
+	}
+	for other := range k.open {
+		if other != conn && (other.used || !other.openedAt.After(known)) {
+			return false
+		}
+	}
+	return true
+}
+
 // noteState notes whether the server says that it is warm, after a loss of contact. One that is, and
 // that has closed idle connections at the same age twice, does so without having started again.
 func (c *contacts) noteState(address string, warm bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	k := c.byAddress[address]
-	if k == nil || k.idleEnd == 0 {
+	if k == nil {
+		return
+	}
+	if warm {
+		// VMs that asked together ask apart from then on: the first answer that the server is cold is told to all.
+		k.knownAt = c.clock.Now()
+		k.warmEnd = k.knownAt.Add(warmAnswerAge/2 + rand.N(warmAnswerAge/2))
+	}
+	if k.idleEnd == 0 {
 		return
 	}
 	idle, before := k.idleEnd, k.warmIdle
--- a/internal/callerhttp/contact_test.go
+++ b/internal/callerhttp/contact_test.go
@@ -313,3 +313,68 @@
 	}
 	v.wantLosses(t, 1)
 }
+
+func TestNewConnectionWhereNoneWasOpenIsToldOnlyIfTheServerMayHaveStartedAgain(t *testing.T) {
+	tests := map[string]struct {
+		play func(*testing.T, *contactVM) *serverConn // that the request is sent on
+		want int                                      // losses of contact
+	}{
+		"all ended as stated": {func(t *testing.T, v *contactVM) *serverConn {
+			return v.dial(t, true)
+		}, 1},
+		"another one is open": {func(t *testing.T, v *contactVM) *serverConn {
+			v.withholds(v.dial(t, true), choice{})
+			return v.dial(t, true)
+		}, 1}, // at the other one
+		"the last bytes came a moment before it was opened": {func(t *testing.T, v *contactVM) *serverConn {
+			c := v.dial(t, true)
+			c.openedAt = c.contact.knownAt.Add(minRestartTime / 2)
+			return c
+		}, 0},
+		"it was opened while the last one was": {func(t *testing.T, v *contactVM) *serverConn {
+			c := v.dial(t, true)
+			c.openedAt = c.contact.knownAt.Add(-time.Second)
+			return c
+		}, 0},
+		"the server has just said that it is warm": {func(t *testing.T, v *contactVM) *serverConn {
+			v.noteState(v.server.address, true)
+			return v.dial(t, true)
+		}, 0},
+		"the server has just said that it is cold": {func(t *testing.T, v *contactVM) *serverConn {
+			v.noteState(v.server.address, false)
+			return v.dial(t, true)
+		}, 1},
+		"one that it was asked on is still open": {func(t *testing.T, v *contactVM) *serverConn {
+			v.dial(t, true)
+			v.noteState(v.server.address, true)
+			v.find(v.server.address).warmEnd = time.Time{}
+			time.Sleep(2 * minRestartTime)
+			return v.dial(t, true)
+		}, 0},
+		"the VM remembers it for some minutes": {func(t *testing.T, v *contactVM) *serverConn {
+			k := v.find(v.server.address)
+			k.usedAt, v.pruneDue = time.Now().Add(-2*pruneInterval), time.Time{}
+			return v.dial(t, true)
+		}, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := newContactVM(t)
+			first := v.dial(t, true)
+			v.withholds(first, choice{at: time.Now()})
+			first.noteAnswer(&http.Response{Close: true})
+			v.server.conns[0].Close()
+			v.awaitEnd(t, first)
+			time.Sleep(2 * minRestartTime)
+			c := test.play(t, v)
+			told, early := len(v.losses), choice{at: time.Now()}
+			if v.withholds(c, early) {
+				t.Error("the request is withheld")
+			}
+			v.wantLosses(t, test.want)
+			if got := v.withholds(v.dial(t, true), early); got != (test.want > told) {
+				t.Errorf("another one, chosen as early, is withheld: %v", got)
+			}
+		})
+	}
+}
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -82,7 +82,9 @@
 		peers:   newPeerTransport(n, idlePerHost, maxAnswerHeader),
 		watcher: watcher{clock: n.Clock, callers: make(map[*callerWatch]struct{})},
 	}
-	l.contacts = newContacts(n.Clock, func(address, why string) { n.Apply(reducer.ContactLost{Address: address, Why: why}) })
+	l.contacts = newContacts(n.Clock, func(address, why string) {
+		n.Apply(reducer.ContactLost{Address: address, Why: why, Renewed: why == whyNoneOpen})
+	})
 	n.ProbeServer, n.AskServer, n.OpenContacts = l.probeServer, l.askServer, l.contacts.alive
 	return l
 }
--- a/internal/placing/doubt.go
+++ b/internal/placing/doubt.go
@@ -14,7 +14,7 @@
 	until    time.Time
 	answered bool // a good answer has come since then, or the VM stood still before, which bounds the start
 	ofPause  bool // the VM stood still, and nothing else: an open connection ends the doubt
-	ofStart  bool // the VM has just started, and nothing else: requests are sent one at a time
+	single   bool // requests are sent one at a time, but not paced: the VM has just started, or contact was renewed
 	wanted   bool // a request would have gone there since the last question
 	asked    int  // questions since the doubt began
 	askDue   time.Time
@@ -57,7 +57,7 @@
 		return false
 	}
 	if s.doubt.lasts(now) && !s.doubt.answered {
-		s.doubt.since, s.doubt.until, s.doubt.ofStart = now, now.Add(maxDoubt), false
+		s.doubt.since, s.doubt.until, s.doubt.single = now, now.Add(maxDoubt), false
 		return false
 	}
 	if !s.isPaced(now) {
@@ -97,6 +97,59 @@
 	}
 }
 
+// RenewContact notes that a request was sent to the server at an address on a connection that was
+// opened when none was open: the server may have started again before. A server that gets requests
+// from this VM less often than a cold one may is not doubted before the next one. It returns the server
+// if it is doubted now.
+func (p *Pool) RenewContact(address string, now time.Time) *Server {
+	i := slices.IndexFunc(p.Servers, func(s *Server) bool { return s.Address == address })
+	if i < 0 || p.Policy.ColdRate <= 0 || !p.Servers[i].CanAsk || p.Servers[i].isPaced(now) {
+		return nil
+	}
+	s := p.Servers[i]
+	s.renewedAt = now
+	if !s.wasBusy(now) || !p.doubtRenewed(s, now) {
+		return nil
+	}
+	return s
+}
+
+// wasBusy reports whether the request before the last one was sent so lately that the rate of a cold
+// server, if it applied, would not have allowed the last one.
+func (s *Server) wasBusy(now time.Time) bool {
+	return !s.begunBefore.IsZero() && now.Sub(s.begunBefore) < seconds(1/s.policy.ColdRate)
+}
+
+// noteBegin notes that a request is sent, and doubts a server whose contact was renewed for another
+// request within the cold time: a second one may be too many for it.
+func (p *Pool) noteBegin(s *Server, now time.Time) {
+	s.begunBefore, s.begunAt = s.begunAt, now
+	if s.renewedAt.IsZero() || s.isPaced(now) {
+		return
+	}
+	if p.Policy.ColdRate > 0 && now.Sub(s.renewedAt) < p.ColdTime() && s.wasBusy(now) {
+		p.doubtRenewed(s, now)
+	}
+	s.renewedAt = time.Time{}
+}
+
+// doubtRenewed has a server asked that may have started again before its contact was renewed. One that
+// did not answer before is not doubted again for a while: without answers, pacing it would not end. It
+// returns whether the server is doubted now.
+func (p *Pool) doubtRenewed(s *Server, now time.Time) bool {
+	renewedAt := s.renewedAt
+	s.renewedAt = time.Time{}
+	if !s.askedRenewed.IsZero() && now.Sub(s.askedRenewed) < maxDoubt || !p.doubt(s, now) {
+		return false
+	}
+	s.askedRenewed = now
+	s.doubt.noteAnswer(p.ColdTime(), renewedAt)
+	// A server that ends each connection is asked once a second: paced until its answer, it would refuse
+	// callers on calm days. VMs renew their contacts at different times, so that they need not ask in turn.
+	s.doubt.single, s.doubt.wanted, s.doubt.askDue = true, true, now
+	return true
+}
+
 // ColdTime returns how long a server that started just now may be cold.
 func (p *Pool) ColdTime() time.Duration { return max(p.Policy.ColdTime, PresumedColdTime) }
 
@@ -140,7 +193,7 @@
 func (p *Pool) doubtUnknown(s *Server, now time.Time) bool {
 	isNew := now.Before(p.Policy.InformedAt) && s.CanAsk && s.answeredAt.IsZero() && !s.doubt.lasts(now) && p.doubt(s, now)
 	if isNew {
-		s.doubt.until, s.doubt.wanted, s.doubt.ofStart = p.Policy.InformedAt, true, true
+		s.doubt.until, s.doubt.wanted, s.doubt.single = p.Policy.InformedAt, true, true
 	}
 	return isNew
 }
@@ -189,7 +242,7 @@
 	if !s.doubt.open || askedAt.Before(s.doubt.since) {
 		return false
 	}
-	s.doubt, s.answeredAt = doubt{}, now
+	s.doubt, s.answeredAt, s.askedRenewed = doubt{}, now, time.Time{}
 	if coldFor > 0 {
 		s.heardColdUntil, s.heardColdAt = now.Add(coldFor), now
 		p.markCold(s)
--- a/internal/placing/doubt_test.go
+++ b/internal/placing/doubt_test.go
@@ -289,3 +289,78 @@
 		})
 	}
 }
+
+func TestServerToWhichNoConnectionWasOpenIsDoubtedWhereRequestsAreOften(t *testing.T) {
+	const share = 1250 * time.Millisecond // between requests to a cold server
+	tests := map[string]struct {
+		before []time.Duration // requests, by their distance from the one on the new connection
+		after  []time.Duration // the same
+		rate   float64
+		mute   bool // it cannot be asked
+		want   bool
+	}{
+		"requests come often":                    {before: []time.Duration{200 * time.Millisecond}, rate: 1 / share.Seconds(), want: true},
+		"the last one was long ago":              {before: []time.Duration{20 * time.Second}, rate: 1 / share.Seconds()},
+		"it is the first one ever":               {rate: 1 / share.Seconds()},
+		"the last one was long ago, next soon":   {before: []time.Duration{20 * time.Second}, after: []time.Duration{time.Second}, rate: 1 / share.Seconds(), want: true},
+		"the last one was long ago, next late":   {before: []time.Duration{20 * time.Second}, after: []time.Duration{2 * time.Second}, rate: 1 / share.Seconds()},
+		"next after the cold time, if any":       {after: []time.Duration{4 * time.Second, 4*time.Second + time.Millisecond}, rate: 1 / share.Seconds()},
+		"cold servers have no rate":              {before: []time.Duration{200 * time.Millisecond}},
+		"it cannot say whether it is cold":       {before: []time.Duration{200 * time.Millisecond}, rate: 1 / share.Seconds(), mute: true},
+		"this VM's share of the rate is smaller": {before: []time.Duration{5 * time.Second}, rate: 0.1, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p, info := doubtPool(Policy{ColdRate: test.rate})
+			info.CanAsk = !test.mute
+			p.Update([]ServerInfo{info})
+			now := start.Add(time.Minute)
+			for _, d := range test.before {
+				serve(p, now.Add(-d))
+			}
+			serve(p, now)
+			p.RenewContact("a", now)
+			for _, d := range test.after {
+				now = start.Add(time.Minute + d)
+				serve(p, now)
+			}
+			if asked := p.Questions(2, now); (len(asked) == 1) != test.want {
+				t.Errorf("%d questions, want one: %v", len(asked), test.want)
+			}
+			p.Servers[0].running++ // one that has no answer yet
+			if sent := sentWithin(p, now.Add(time.Millisecond), 500*time.Millisecond); (sent == 0) != test.want {
+				t.Errorf("%d requests beside another one in half a second, want none: %v", sent, test.want)
+			}
+			p.Servers[0].running--
+			if sent := sentWithin(p, now.Add(time.Second), 500*time.Millisecond); sent == 0 {
+				t.Error("no request is sent after another one has ended")
+			}
+		})
+	}
+}
+
+func TestServerThatDoesNotSayWhetherItIsColdIsNotPacedAtEachNewConnection(t *testing.T) {
+	p, info := doubtPool(Policy{ColdRate: 1 / 1.02})
+	info.CanAsk = true
+	p.Update([]ServerInfo{info})
+	doubts, last := 0, time.Time{}
+	for at := time.Duration(0); at < maxDoubt; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		if serve(p, now) {
+			p.RenewContact("a", now)
+		}
+		if asked := p.Servers[0].askedRenewed; asked != last {
+			doubts, last = doubts+1, asked
+		}
+	}
+	if doubts != 1 {
+		t.Errorf("doubted %d times, want once", doubts)
+	}
+	p.TakeAnswer(p.Servers[0], start, 0, start) // too late to count
+	now := start.Add(maxDoubt + time.Second)
+	serve(p, now)
+	serve(p, now)
+	if p.RenewContact("a", now) == nil {
+		t.Error("not doubted again after maxDoubt")
+	}
+}
--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -13,6 +13,7 @@
 	}
 	s.running++
 	p.doubtUnknown(s, now)
+	p.noteBegin(s, now)
 	if s.Limit.Named {
 		s.quota.use(now)
 	}
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -42,6 +42,10 @@
 	failureRate      float64   // moving average of the share of failed answers
 	doubt            doubt
 	answeredAt       time.Time // last good answer, or answer to a question
+	begunAt          time.Time // last request that was sent
+	begunBefore      time.Time // the request before that
+	renewedAt        time.Time // a request was sent after a time without connections, and none since; zero otherwise
+	askedRenewed     time.Time // first question because of that since the last answer to a question
 	heardColdUntil   time.Time // end of its cold time by its answer to a question
 	heardColdAt      time.Time // of that answer
 	inColdOrder      bool      // it is left out of the orders of objects because it is cold
@@ -128,7 +132,7 @@
 
 // MayPace reports whether the rate of a cold server, if it applies, allows a request now.
 func (s *Server) MayPace(now time.Time) bool {
-	if s.doubt.ofStart && s.doubt.lasts(now) && !s.isCold(now) {
+	if s.doubt.single && s.doubt.lasts(now) && !s.isCold(now) {
 		return s.running == 0
 	}
 	return !s.isPaced(now) || s.pace.allows(s.policy, s.idHash, now)
--- a/internal/reducer/contact.go
+++ b/internal/reducer/contact.go
@@ -21,8 +21,17 @@
 // loseContact limits a server that may have started again to the rate of a cold one.
 func (s *State) loseContact(e ContactLost) {
 	for _, pool := range s.placingPools {
-		if server := pool.LoseContact(e.Address, s.now); server != nil {
-			s.logContact(server, "lost", Field{"why", e.Why})
+		doubt := pool.LoseContact
+		if e.Renewed {
+			doubt = pool.RenewContact
+		}
+		server := doubt(e.Address, s.now)
+		if server == nil {
+			continue
+		}
+		s.logContact(server, "lost", Field{"why", e.Why})
+		if e.Renewed {
+			s.askServers(pool, maxQuestionsOfRequest)
 		}
 	}
 }
--- a/internal/reducer/contact_test.go
+++ b/internal/reducer/contact_test.go
@@ -202,3 +202,32 @@
 		t.Errorf("known from %s %q, want from VM a7", word.Source, word.VM)
 	}
 }
+
+func TestServerIsAskedAtOnceWhereNoConnectionWasOpenBefore(t *testing.T) {
+	tests := map[string]struct {
+		earlier time.Duration // since the request before
+		want    int           // questions
+	}{
+		"requests come often":  {earlier: 200 * time.Millisecond, want: 1},
+		"requests come rarely": {earlier: time.Minute},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := newContactVM(t)
+			pool := v.placingPools["web"]
+			s1 := pool.Find("s1")
+			pool.Begin(s1, v.now.Add(-test.earlier))
+			pool.Begin(s1, v.now)
+			asked := questions(v.Apply(v.now, ContactLost{Address: "10.0.0.1:81", Why: "none was open", Renewed: true}))
+			if len(asked) != test.want || v.isCold("s1") != (test.want == 1) || v.isCold("s2") {
+				t.Fatalf("%d questions, want %d; s1 counts as cold: %v, s2: %v", len(asked), test.want, v.isCold("s1"), v.isCold("s2"))
+			}
+			for _, q := range asked {
+				v.Apply(v.now, ServerAnswered{Question: q, ID: "s1"})
+			}
+			if v.isCold("s1") {
+				t.Error("s1 counts as cold though it says that it is warm")
+			}
+		})
+	}
+}
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -152,6 +152,7 @@
 type ContactLost struct {
 	Address string
 	Why     string
+	Renewed bool // all ended as stated, and a request is sent on a new one
 }
 
 // ContactsOpen reports the addresses of the servers to which connections are open, in answer
