Keep serving after a VM lacked the processor: use connections that came, pass on what is in doubt

Cause, traced by kept logs of failed runs of TestCallersThatStayAreServed: an entry that got the processor again refused all callers with no-servers for 2 s, because it doubted all servers, which this site's servers cannot end by a health check. Four ways led there: a request chosen before the pause was withheld on the one connection that was older than the pause, and the transport closed it; time-outs of connections (0.3 s, and the 1 s of a dial, which counted as refused) were noticed before connections that had come meanwhile, twice in a row ejects and doubts a server; probes likewise, by which a way counted as lost; and no older connection was left at all. Change: a request chosen long ago is sent on a connection that is older than the choice and open. A time-out that is noticed 5 ms late or more is extended by 50 ms, up to four times, for sends, dials and probes; a dial that times out counts as late, not as refused. A request that only servers in doubt could run goes to another VM.

--- a/internal/callerhttp/ask.go
+++ b/internal/callerhttp/ask.go
@@ -19,9 +19,12 @@
 	if isOpenOnly(ctx) {
 		return nil, errOpenOnly
 	}
-	ctx, cancel := context.WithTimeout(ctx, maxConnectTimeout)
-	defer cancel()
+	ctx, end := l.withConnectTimeout(ctx, maxConnectTimeout)
+	defer end()
 	conn, err := l.Node.DialServer(ctx, address)
+	if err != nil && errors.Is(context.Cause(ctx), errNoConnection) {
+		return nil, fmt.Errorf("dial %s: %w", address, errNoConnection)
+	}
 	if err != nil {
 		l.contacts.failedToConnect(address, err)
 		return nil, err
@@ -31,6 +34,24 @@
 	return followed, nil
 }
 
+var errNoConnection = errors.New("no connection in time")
+
+// withConnectTimeout returns a context that ends by errNoConnection once the time for a connection is
+// over, and a little later where this VM notices that late.
+func (l *Relay) withConnectTimeout(ctx context.Context, timeout time.Duration) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	now := l.Node.Clock.Now
+	due := now().Add(timeout)
+	timer := time.AfterFunc(timeout, func() {
+		graceUntilOnTime(ctx, due, now)
+		cancel(errNoConnection)
+	})
+	return ctx, func() {
+		timer.Stop()
+		cancel(nil)
+	}
+}
+
 var errNoHealth = errors.New("servers of this site do not say in their health checks whether they are cold")
 
 // askServer asks a server by a health check which one it is and how long it stays cold.
--- a/internal/callerhttp/connecttimeout.go
+++ b/internal/callerhttp/connecttimeout.go
@@ -19,7 +19,10 @@
 	maxConnectTimeout = time.Second            // callers wait as long for their own connections
 	meanWeight        = 1.0 / 8
 	deviationWeight   = 1.0 / 4
-	deviationsAllowed = 4 // mean deviations above the mean that the timeout allows
+	deviationsAllowed = 4                     // mean deviations above the mean that the timeout allows
+	lateTimer         = 5 * time.Millisecond  // by which a timer is late on a VM that lacks the processor, at least
+	connectGrace      = 50 * time.Millisecond // within it, a VM that has the processor again notices its connections
+	maxConnectGraces  = 4                     // of one wait
 )
 
 // ConnectTimeout estimates how long a request should wait for a connection before
@@ -138,11 +141,27 @@
 func (c *connectAttempt) roundTrip(transport http.RoundTripper, request *http.Request) (*http.Response, error) {
 	c.limit = c.timeout.Current()
 	ctx, cancel := context.WithCancel(request.Context())
-	timer := time.AfterFunc(c.limit, func() { c.expire(cancel) })
+	due := c.now().Add(c.limit)
+	timer := time.AfterFunc(c.limit, func() {
+		graceUntilOnTime(ctx, due, c.now)
+		c.expire(cancel)
+	})
 	defer timer.Stop()
 	return transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, c.trace())))
 }
 
+// graceUntilOnTime waits a little longer each time that this VM gets the processor late for the end of
+// a wait that was due: the connection may have come meanwhile, and is only not noticed yet.
+func graceUntilOnTime(ctx context.Context, due time.Time, now func() time.Time) {
+	for range maxConnectGraces {
+		if ctx.Err() != nil || now().Sub(due) < lateTimer {
+			return
+		}
+		due = now().Add(connectGrace)
+		time.Sleep(connectGrace)
+	}
+}
+
 // expire ends the wait for a connection, unless the request has one.
 func (c *connectAttempt) expire(cancel func()) {
 	if c.waitEnded.CompareAndSwap(false, true) {
--- a/internal/callerhttp/connecttimeout_test.go
+++ b/internal/callerhttp/connecttimeout_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -114,3 +115,51 @@
 		t.Errorf("%d dials, want the first one's connection to be used", len(dialled))
 	}
 }
+
+// A VM that lacked the processor until its timeout was over took a connection that had come for one that
+// had not, gave up several servers for it and sent them nothing for a while.
+func TestConnectionThatCameWhileTheVMStoodStillIsUsed(t *testing.T) {
+	tests := map[string]struct {
+		late     time.Duration // at which the VM notices that the timeout is over
+		timedOut bool
+	}{
+		"VM stood still":     {late: 200 * time.Millisecond},
+		"VM has a processor": {timedOut: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			defer server.Close()
+			over := make(chan struct{}) // closed once the VM notices that the timeout is over
+			transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				<-over
+				if test.timedOut {
+					time.Sleep(connectGrace)
+				}
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			}}
+			defer transport.CloseIdleConnections()
+			request, err := http.NewRequest(http.MethodGet, server.URL, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			began := time.Now()
+			var once sync.Once
+			var looks atomic.Int64 // at the clock, once the timeout is over
+			c := &connectAttempt{timeout: &ConnectTimeout{}, now: func() time.Time {
+				if now := time.Now(); now.Sub(began) < minConnectTimeout {
+					return now
+				}
+				once.Do(func() { close(over) })
+				return began.Add(minConnectTimeout + test.late*time.Duration(looks.Add(1)))
+			}}
+			response, err := c.roundTrip(transport, request)
+			if err == nil {
+				response.Body.Close()
+			}
+			if c.timedOut.Load() != test.timedOut || (err != nil) != test.timedOut {
+				t.Errorf("timed out: %v, %v; want %v", c.timedOut.Load(), err, test.timedOut)
+			}
+		})
+	}
+}
--- a/internal/callerhttp/contact.go
+++ b/internal/callerhttp/contact.go
@@ -205,29 +205,36 @@
 			c.tell(k, true, whyNoneOpen)
 			c.mutex.Lock()
 			defer c.mutex.Unlock()
-			return c.isOld(chosen)
+			return conn.isTooLate(chosen)
 		}
 		c.tell(k, lost, "closed unnoticed")
 		c.mutex.Lock()
 	}
 	defer c.mutex.Unlock()
 	if chosen.at.IsZero() || chosen.cold {
-		return c.isOld(chosen)
+		return conn.isTooLate(chosen)
 	}
-	return k.telling > 0 || k.lostAt.After(chosen.at) || c.isOld(chosen)
+	return k.telling > 0 || k.lostAt.After(chosen.at) || conn.isTooLate(chosen)
 }
 
-// isOld reports whether too long has passed since the choice for a request to be sent by it.
-func (c *contacts) isOld(chosen choice) bool {
-	age := c.clock.Now().Sub(chosen.at)
+// isTooLate reports whether too long has passed since the choice for the request to be sent on the
+// connection. One that was opened before the choice leads to the process that was chosen: a transport
+// closes a connection on which a request is withheld, and after a pause of the VM it may be the only one
+// that shows that the server did not start again.
+func (c *serverConn) isTooLate(chosen choice) bool {
+	age := c.contacts.clock.Now().Sub(chosen.at)
 	switch {
 	case chosen.at.IsZero():
 		return false
 	case chosen.cold:
 		return age > maxColdChoice
-	default:
-		return age > maxChoiceAge
+	case age <= maxChoiceAge:
+		return false
+	case c.openedAt.After(chosen.at):
+		return true
 	}
+	closed, err := c.socket.PeerClosed()
+	return closed || err != nil
 }
 
 // isRenewedBy reports whether the connection may lead to another process than the one that the
--- a/internal/callerhttp/contact_test.go
+++ b/internal/callerhttp/contact_test.go
@@ -220,6 +220,33 @@
 			play:   func(t *testing.T, v *contactVM) *serverConn { return v.dial(t, true) },
 			want:   true,
 		},
+		"chosen long ago, the connection is older": {
+			chosen: func() choice { return choice{at: time.Now().Add(-2 * time.Second)} },
+			play: func(t *testing.T, v *contactVM) *serverConn {
+				c := v.dial(t, true)
+				c.openedAt = time.Now().Add(-3 * time.Second)
+				return c
+			},
+		},
+		"chosen long ago, the server has closed an older connection": {
+			chosen: func() choice { return choice{at: time.Now().Add(-2 * time.Second)} },
+			play: func(t *testing.T, v *contactVM) *serverConn {
+				c := v.dial(t, false)
+				c.openedAt = time.Now().Add(-3 * time.Second)
+				v.server.restart()
+				return c
+			},
+			want: true,
+		},
+		"a cold one, chosen a while ago, the connection is older": {
+			chosen: func() choice { return choice{at: time.Now().Add(-time.Second), cold: true} },
+			play: func(t *testing.T, v *contactVM) *serverConn {
+				c := v.dial(t, true)
+				c.openedAt = time.Now().Add(-3 * time.Second)
+				return c
+			},
+			want: true,
+		},
 		"a cold one, chosen a while ago": {
 			chosen: func() choice { return choice{at: time.Now().Add(-time.Second), cold: true} },
 			play:   func(t *testing.T, v *contactVM) *serverConn { return v.dial(t, true) },
--- a/internal/callerhttp/detour.go
+++ b/internal/callerhttp/detour.go
@@ -66,8 +66,8 @@
 
 // probeServer opens a connection to a server and closes it; it returns how that failed, or "".
 func (l *Relay) probeServer(address string) reach.Failure {
-	ctx, cancel := context.WithTimeout(context.Background(), l.ConnectTimeout.Current())
-	defer cancel()
+	ctx, end := l.withConnectTimeout(context.Background(), l.ConnectTimeout.Current())
+	defer end()
 	conn, err := l.Node.DialServer(ctx, address)
 	switch {
 	case err == nil:
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -184,6 +184,8 @@
 		sent.Result = routing.ResultWithheld
 	case !headerWritten && in.baseContext.Err() == nil && ctx.Err() == nil && connect.timedOut.Load():
 		sent.Result, sent.Cause = routing.ResultDialTimeout, fmt.Sprintf("no connection within %v", connect.limit)
+	case !headerWritten && in.baseContext.Err() == nil && ctx.Err() == nil && errors.Is(err, errNoConnection):
+		sent.Result = routing.ResultDialTimeout
 	case !headerWritten && in.baseContext.Err() == nil && ctx.Err() == nil:
 		sent.Result = routing.ResultDialFailed
 	case !headerWritten && in.isAbandoned(ctx):
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -53,6 +53,7 @@
 	RetryAfter time.Duration
 	Candidates int // servers that were considered
 	Limited    int // servers that were not, because of the limits that they name
+	Doubted    int // servers that were not, only because this VM doubts them; counted in a refusal
 }
 
 // Refusal states why no server was chosen.
@@ -253,7 +254,7 @@
 	case result.candidates == 0 && result.shortestWait > 0:
 		return Choice{Refused: ServersBusy, RetryAfter: spreadOut(result.shortestWait, req), Limited: result.limited}
 	case result.candidates == 0:
-		return Choice{Refused: NoServers, RetryAfter: minRetryAfter * 2}
+		return Choice{Refused: NoServers, RetryAfter: minRetryAfter * 2, Doubted: result.doubted}
 	case result.best.server == nil || p.tooLate(result.best, req):
 		return Choice{Refused: ServersBusy, RetryAfter: p.retryAfter(result.soonest, usual, req), Candidates: result.candidates, Limited: result.limited}
 	}
@@ -299,6 +300,7 @@
 	candidates int     // servers that may be sent to, even if too loaded
 	soonest    float64 // seconds until the earliest answer, including servers that are too loaded
 
+	doubted      int           // servers that may not be sent to only because of a doubt
 	limited      int           // servers that may not be sent to because of their limits
 	shortestWait time.Duration // until a server that could run the request may take it, if it wants none or is limited; 0 without such a server
 }
@@ -318,6 +320,9 @@
 			result.wait(stay)
 		}
 		p.noteWanted(s, req, now)
+		if s.onlyDoubted(req, now) {
+			result.doubted++
+		}
 		if !s.usable(req, now) || s.unresponsive(usual, req, now) || s.Probing() && !s.cut && p.probeBudget < 1 && !p.allProbing(now) {
 			continue
 		}
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -86,6 +86,12 @@
 		s.MayPace(now)
 }
 
+// onlyDoubted reports whether the server may not run the request now for the one reason that this VM
+// doubts it; a VM that does not may send it there.
+func (s *Server) onlyDoubted(req Request, now time.Time) bool {
+	return s.doubt.lasts(now) && !s.isCold(now) && !s.cut && !s.MayPace(now) && s.eligible(req) && s.StayAway(now) == 0
+}
+
 // unresponsive reports whether the server has running requests, sent to it whole, and answered
 // nothing for longer than any run should take, waiting included: it may have
 // failed without closing its connections.
--- a/internal/reducer/contact_test.go
+++ b/internal/reducer/contact_test.go
@@ -7,6 +7,7 @@
 	"github.com/heatherwood/heatherwood/internal/ledger"
 	"github.com/heatherwood/heatherwood/internal/member"
 	"github.com/heatherwood/heatherwood/internal/placing"
+	"github.com/heatherwood/heatherwood/internal/relay"
 	"github.com/heatherwood/heatherwood/internal/roster"
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
@@ -231,3 +232,43 @@
 		})
 	}
 }
+
+// A VM that stood still refused its callers while it doubted all servers, though other VMs could send to them.
+func TestRequestIsPassedOnWhereAllServersAreInDoubt(t *testing.T) {
+	tests := map[string]struct {
+		doubt func(*contactVM)
+		want  bool
+	}{
+		"none is in doubt":       {doubt: func(*contactVM) {}},
+		"one is in doubt":        {doubt: func(v *contactVM) { v.Apply(v.now, ContactLost{Address: "10.0.0.1:81"}) }},
+		"the VM has stood still": {doubt: func(v *contactVM) { v.now = v.now.Add(3 * time.Second); v.Apply(v.now, Tick{}) }, want: true},
+		"all say that they are cold": {doubt: func(v *contactVM) {
+			for _, s := range v.placingPools["web"].Servers {
+				v.placingPools["web"].LoseContact(s.Address, v.now)
+				v.placingPools["web"].TakeAnswer(s, v.now, coldTimeOfContact, v.now)
+			}
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := newContactVM(t)
+			v.document.Places.Domains = append(v.document.Places.Domains, document.Domain{Name: "b", Region: "north"})
+			test.doubt(v)
+			v.Apply(v.now, Received{Message{Gossip: &member.Gossip{From: member.VM{ID: "a2", Peer: "a2:1", Entry: "a2:2", Domain: "a", Region: "north", Document: 5}}}})
+			route := &document.Route{Name: "browse", To: []document.Target{{Service: "web", Weight: 1}}}
+			passed := false
+			for i := range 4 {
+				r := &relay.Request{ID: "r", Deadline: v.now.Add(time.Second), TargetTime: v.now.Add(time.Second), Replayable: true, Route: route}
+				for _, effect := range v.Apply(v.now, RequestBegan{Call: uint64(i + 1), Request: r}) {
+					if answer, ok := effect.(Answer); ok {
+						step, _ := answer.Value.(relay.Step)
+						passed = passed || step.Detour != nil
+					}
+				}
+			}
+			if passed != test.want {
+				t.Errorf("passed on: %v, want %v", passed, test.want)
+			}
+		})
+	}
+}
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -68,7 +68,11 @@
 func (s *State) placeRequest(call uint64, r *relay.Request, slotRequest dispatch.SlotRequest) {
 	answer, through := s.chooseServer(r, slotRequest, r.TakenOver)
 	if through.VM != "" {
-		s.passOn(call, r, relay.Step{}, through, "no way to the chosen server")
+		why := "no way to the chosen server"
+		if !s.ways.InDoubt(s.now) {
+			why = "servers may have started again"
+		}
+		s.passOn(call, r, relay.Step{}, through, why)
 		return
 	}
 	s.runStep(call, r, r.HandleSlotAnswer(answer, nil, s.now))
@@ -165,11 +169,12 @@
 }
 
 // helperFor returns the VM that a request is passed on to because this one has no way to the
-// chosen server, or none to any; an empty one if there is no such need, or no such VM.
+// chosen server, or none to any, or doubts all that could run it, as after it stood still; an empty
+// one if there is no such need, or no such VM.
 func (s *State) helperFor(r *relay.Request, choice placing.Choice) helper {
 	domain := ""
 	switch {
-	case choice.Server == nil && (choice.Refused != placing.NoServers || !s.ways.InDoubt(s.now)):
+	case choice.Server == nil && (choice.Refused != placing.NoServers || !s.ways.InDoubt(s.now) && choice.Doubted == 0):
 		return helper{}
 	case choice.Server != nil && (!choice.Server.Cut() || s.usesOpenConnections(r, choice.Server)):
 		return helper{}
