--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -43,6 +43,10 @@
 	failureRate      float64   // moving average of the share of failed answers
 	doubt            doubt
 	answeredAt       time.Time // last good answer, or answer to a question
+	begunAt          time.Time // last request that was sent
+	begunBefore      time.Time // the request before that
+	renewedAt        time.Time // a request was sent after a time without connections, and none since; zero otherwise
+	askedRenewed     time.Time // first question because of that since the last answer to a question
 	heardColdUntil   time.Time // end of its cold time by its answer to a question
 	heardColdAt      time.Time // of that answer
 	inColdOrder      bool      // it is left out of the orders of objects because it is cold
@@ -84,6 +88,12 @@
 		s.MayPace(now)
 }
 
+// onlyDoubted reports whether the server may not run the request now for the one reason that this VM
+// doubts it; a VM that does not may send it there.
+func (s *Server) onlyDoubted(req Request, now time.Time) bool {
+	return s.doubt.lasts(now) && !s.isCold(now) && !s.cut && !s.MayPace(now) && s.eligible(req) && s.StayAway(now) == 0
+}
+
 // unresponsive reports whether the server has running requests, sent to it whole, and answered
 // nothing for longer than any run should take, waiting included: it may have
 // failed without closing its connections.
@@ -130,7 +140,7 @@
 
 // MayPace reports whether the rate of a cold server, if it applies, allows a request now.
 func (s *Server) MayPace(now time.Time) bool {
-	if s.doubt.ofStart && s.doubt.lasts(now) && !s.isCold(now) {
+	if s.doubt.single && s.doubt.lasts(now) && !s.isCold(now) {
 		return s.running == 0
 	}
 	return !s.isPaced(now) || s.pace.allows(s.policy, s.idHash, now)
