Judge the silence of a server by the runs in progress there

Cause: a server counted as unresponsive after 1.3 cold runs and half a target of the class that asked for it. One run of 5.2 s made it unusable after 1.75 s for a class with cold runs of 1.04 s and a target of 0.8 s.

Change: the limit is the longest of the classes that this entry has in progress at the server; placing.Run tells the pool the class of a send.

Tests: go test ./internal/placing ./internal/reducer pass. TestLongRunIsNoSilence fails with the former limit.

--- a/internal/placing/estimate.go
+++ b/internal/placing/estimate.go
@@ -17,10 +17,14 @@
 // usualRunTimes returns the measured run times of the request's class, or
 // defaults in proportion to its target before any is measured.
 func (p *Pool) usualRunTimes(req Request) runTimes {
-	if known := p.classes[req.Class]; known != nil {
+	return usualRunTimes(p.classes, req.Class, req.Target)
+}
+
+func usualRunTimes(classes map[string]*runTimes, class string, targetTime time.Duration) runTimes {
+	if known := classes[class]; known != nil {
 		return *known
 	}
-	target := max(req.Target, minRetryAfter).Seconds()
+	target := max(targetTime, minRetryAfter).Seconds()
 	return runTimes{cold: defaultColdTargets * target, warm: defaultWarmTargets * target}
 }
 
--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -6,8 +6,19 @@
 	"github.com/heatherwood/heatherwood/internal/routing"
 )
 
-// Begin counts a request that is sent to the server.
-func (p *Pool) Begin(s *Server, now time.Time) {
+// Begin counts a request of an unknown class that is sent to the server.
+func (p *Pool) Begin(s *Server, now time.Time) { p.begin(s, now) }
+
+// BeginRun counts a request that is sent to the server.
+func (p *Pool) BeginRun(s *Server, run Run, now time.Time) {
+	p.begin(s, now)
+	if run.Partial {
+		s.partial++
+	}
+	s.addRun(run)
+}
+
+func (p *Pool) begin(s *Server, now time.Time) {
 	if s.running == s.partial {
 		s.silentSince = now
 	}
@@ -22,13 +33,6 @@
 	}
 }
 
-// BeginPartial is Begin for a request whose caller still sends its body, so that the server may
-// not be able to answer it.
-func (p *Pool) BeginPartial(s *Server, now time.Time) {
-	p.Begin(s, now)
-	s.partial++
-}
-
 // Outcome describes how a request on a server ended.
 type Outcome struct {
 	Partial  bool // it was begun by BeginPartial
@@ -50,6 +54,7 @@
 	if e.Partial {
 		s.partial = max(0, s.partial-1)
 	}
+	s.removeRun(e.Class, e.Partial)
 	p.RecordReport(s, e.Load, now)
 	if e.Result == routing.ResultOK || e.Result == routing.ResultError || e.Result == routing.ResultShed {
 		s.silentSince = now
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -190,7 +190,7 @@
 		s := p.Find(si.ID)
 		if s == nil || s.Start != si.Start || s.Address != si.Address {
 			replaced := cmp.Or(s, p.findFormer(si.ID))
-			s = &Server{policy: &p.Policy, idHash: xxhash.Sum64String(si.ID), slowness: 1, meanRunRatio: 1, objectAnsweredAt: make(map[string]time.Time)}
+			s = &Server{policy: &p.Policy, classes: p.classes, idHash: xxhash.Sum64String(si.ID), slowness: 1, meanRunRatio: 1, objectAnsweredAt: make(map[string]time.Time)}
 			s.keepDoubt(replaced, si.Address)
 			s.keepPace(replaced)
 		}
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -33,6 +33,8 @@
 	inOwnRegion      bool      // in the region of the entry
 	running          int       // requests sent by this entry that have not ended
 	partial          int       // of these, requests whose callers still send their bodies
+	runs             []classRuns
+	classes          map[string]*runTimes // of the pool
 	othersLoad       float64   // requests of other entries, as last reported
 	othersReportedAt time.Time // of othersLoad
 	meanOthersLoad   float64   // moving average of othersLoad
@@ -84,11 +86,14 @@
 }
 
 // unresponsive reports whether the server has running requests, sent to it whole, and answered
-// nothing for longer than any run should take, waiting included: it may have
+// nothing for longer than any of them should take, waiting included: it may have
 // failed without closing its connections.
 func (s *Server) unresponsive(usual runTimes, req Request, now time.Time) bool {
-	limit := seconds(maxSilentRuns*usual.cold) + req.Target/2
-	return !s.cut && s.running > s.partial && now.Sub(s.silentSince) > max(limit, minSilence)
+	if s.cut || s.running <= s.partial {
+		return false
+	}
+	silent := now.Sub(s.silentSince)
+	return silent > minSilence && silent > s.silenceLimit(usual, req)
 }
 
 // ranObject reports whether the server ran the object recently.
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -138,11 +138,7 @@
 	if verdict == quarantine.Trial {
 		s.quarantine.BeginTrial(slotRequest.Fingerprint, s.lastTicket)
 	}
-	if r.Replayable {
-		pool.Begin(choice.Server, s.now)
-	} else {
-		pool.BeginPartial(choice.Server, s.now)
-	}
+	pool.BeginRun(choice.Server, placing.Run{Class: r.Route.Location(), Target: r.Route.Target.Std(), Partial: !r.Replayable}, s.now)
 	s.placedRuns[s.lastTicket] = placedRun{pool: pool, server: choice.Server, unqueued: choice.Server.Load(s.now) <= float64(choice.Server.Slots), sentAt: s.now, expected: choice.Expected, pace: choice.Server.Pace(s.now)}
 	cold, word := choice.Server.Cold(s.now)
 	s.emit(Decision{Code: CodePlaced, Request: r.ID, Outcome: "sent", Fields: append(customerFields(r), []Field{
