Price waiting at a server with the mix of runs there

Cause: the time in which a queue shortens was taken from the run time of the class that asks. Where routes with long and short runs share servers, a short request expected to wait far too little behind long runs, and a long one too much behind short ones.

Change: the mean run is that of this entry's runs at the server, and for the runs of other entries the mean over what this entry sends to the service, as entries get a similar mix. With one class the price is the same as before.

--- a/internal/placing/estimate.go
+++ b/internal/placing/estimate.go
@@ -41,7 +41,7 @@
 	pace := s.Pace(now)
 	expected := 2*p.oneWay(s) + run*slow*pace
 	if excess := load + 1 - slots; excess > 0 {
-		expected += excess / slots * usual.warm * max(slow, s.meanRunRatio) * pace
+		expected += excess / slots * p.queuedRun(s, usual, req, load, now) * max(slow, s.meanRunRatio) * pace
 		if expected > maxQueueTargets*req.Target.Seconds() && req.Object != "" {
 			return expected, false
 		}
--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -16,6 +16,7 @@
 		s.partial++
 	}
 	s.addRun(run)
+	p.mix.add(run, now)
 }
 
 func (p *Pool) begin(s *Server, now time.Time) {
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -160,6 +160,7 @@
 	limited     []option             // reused between requests: those that only lack an allowance
 	probeBudget float64              // requests that may go to servers on probation
 	classes     map[string]*runTimes // usual run times, by class of requests
+	mix         mix                  // of the classes of the requests sent
 	oneWays     map[string]float64   // seconds one way, by failure domain
 	askedEarly  int                  // servers
 
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -30,18 +30,18 @@
 	limitWeight      float64 // in the orders of objects, while it names a limit; otherwise 0
 	quota            quota
 	idHash           uint64
-	inOwnRegion      bool      // in the region of the entry
-	running          int       // requests sent by this entry that have not ended
-	partial          int       // of these, requests whose callers still send their bodies
+	inOwnRegion      bool // in the region of the entry
+	running          int  // requests sent by this entry that have not ended
+	partial          int  // of these, requests whose callers still send their bodies
 	runs             []classRuns
 	classes          map[string]*runTimes // of the pool
-	othersLoad       float64   // requests of other entries, as last reported
-	othersReportedAt time.Time // of othersLoad
-	meanOthersLoad   float64   // moving average of othersLoad
-	slowness         float64   // moving average of the ratio of warm runs to the usual warm run
-	meanRunRatio     float64   // moving average of the ratio of all runs, warm or cold, to the usual warm run; a queued request waits for such runs
-	silentSince      time.Time // time of the last answer, or of the first send to an idle server
-	failureRate      float64   // moving average of the share of failed answers
+	othersLoad       float64              // requests of other entries, as last reported
+	othersReportedAt time.Time            // of othersLoad
+	meanOthersLoad   float64              // moving average of othersLoad
+	slowness         float64              // moving average of the ratio of warm runs to the usual warm run
+	meanRunRatio     float64              // moving average of the ratio of all runs, warm or cold, to the usual warm run; a queued request waits for such runs
+	silentSince      time.Time            // time of the last answer, or of the first send to an idle server
+	failureRate      float64              // moving average of the share of failed answers
 	doubt            doubt
 	answeredAt       time.Time // last good answer, or answer to a question
 	heardColdUntil   time.Time // end of its cold time by its answer to a question
