Reserve slots for short work where long work shares its servers

Cause: a burst of long runs held all slots of a server for several targets of the short requests that share it, and long requests ran cold on further servers, which takes the slots of three warm runs.

Change: classes whose warm run exceeds the shortest target of the service, and twice its shortest run, are long. They leave R = ceil(m + 1.5 sqrt(m)) slots of a server to short work, m being the mean number that short work uses there, learned from own sends; they ask the server for its load before (AskForSlot), go to servers that are cold for them only once they are late on a warm one, and may wait in a bounded queue of the entry.

--- a/internal/placing/estimate.go
+++ b/internal/placing/estimate.go
@@ -9,6 +9,7 @@
 	cold float64 // on a server that did not handle the object recently
 	warm float64 // on one that did
 
+	mean    float64 // of all runs, cold and warm; 0 before the first
 	longest float64 // of late runs: each shorter one brings it closer to itself
 }
 
@@ -46,6 +47,19 @@
 			return expected, false
 		}
 	}
+	if p.mustSpare(req, usual) {
+		room := slots - float64(p.Reserved(s))
+		if !warm && req.Target.Seconds() > usual.warm {
+			// A warm server may have room in time, and a cold run would take the slots of several warm ones.
+			return expected, false
+		}
+		if !warm {
+			room *= longColdPart
+		}
+		if load+1 > room {
+			return expected, false
+		}
+	}
 	if !warm && req.Object != "" {
 		// A cold run uses as much slot time as several warm ones. When the slots
 		// are nearly all in use, running the object on further servers would only
--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -145,6 +145,10 @@
 // that average. The sender cannot know whether the server was warm: other
 // entries may have sent it the object before.
 func (r *runTimes) record(run float64) {
+	if r.mean == 0 {
+		r.mean = run
+	}
+	r.mean += meanRunWeight * (run - r.mean)
 	r.longest = max(run, r.longest+longestRunWeight*(run-r.longest))
 	if run*run > r.warm*r.cold {
 		r.cold += coldRunWeight * (min(run, 2*r.cold) - r.cold)
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -43,6 +43,7 @@
 	AllowedKey string
 	Fallback   uint64 // hash that orders the servers of a request without an object
 	OwnWay     bool   // no other VM may be asked to send it
+	Waited     bool   // it waited for a slot, and was counted before
 	Certain    bool   // only if a run as long as the longest of late ends before Remaining has passed
 }
 
@@ -54,8 +55,9 @@
 	Warm       bool          // the server is expected to have run the object recently
 	Refused    Refusal
 	RetryAfter time.Duration
-	Candidates int // servers that were considered
-	Limited    int // servers that were not, because of the limits that they name
+	MayWait    bool // it is refused for want of a slot, and worth more if it waits for one
+	Candidates int  // servers that were considered
+	Limited    int  // servers that were not, because of the limits that they name
 }
 
 // Refusal states why no server was chosen.
@@ -109,6 +111,7 @@
 	coldRunWeight    = 0.1  // cold runs
 	shorterRunWeight = 0.15 // warm runs below the average
 	longerRunWeight  = 0.04 // warm runs above it
+	meanRunWeight    = 0.05 // runs, warm or cold
 	longestRunWeight = 0.01 // runs shorter than the longest
 	slownessWeight   = 0.2  // slowness of a server
 	runRatioWeight   = 0.1  // ratio of all runs at a server to a warm one
@@ -161,8 +164,10 @@
 	probeBudget float64              // requests that may go to servers on probation
 	classes     map[string]*runTimes // usual run times, by class of requests
 	mix         mix                  // of the classes of the requests sent
-	oneWays     map[string]float64   // seconds one way, by failure domain
-	askedEarly  int                  // servers
+	reservation reservation
+	Waiting     Waiting            // requests that wait for slots
+	oneWays     map[string]float64 // seconds one way, by failure domain
+	askedEarly  int                // servers
 
 	paceReportedAt time.Time // last report of a pace by any server; zero if there was none
 	cut            []string  // failure domains that this VM cannot connect to, while others can
@@ -246,14 +251,18 @@
 // other servers only if none of them may take the request.
 func (p *Pool) Choose(req Request, now time.Time) Choice {
 	usual := p.usualRunTimes(req)
-	p.probeBudget = min(p.probeBudget+probeShare, maxProbeBudget)
 	p.homes.advance(now)
-	if p.demand.count(now) {
-		p.weighLimited()
+	if !req.Waited {
+		p.probeBudget = min(p.probeBudget+probeShare, maxProbeBudget)
+		if p.demand.count(now) {
+			p.weighLimited()
+		}
 	}
+	p.updateReservation(now)
+	spare := p.mustSpare(req, usual)
 	preferred := p.preferredServers(req, now)
 	result := p.evaluate(p.shortlist, preferred, usual, req, now)
-	if result.best.server == nil {
+	if result.best.server == nil && !(spare && result.candidates > 0) {
 		result = p.evaluate(p.Servers, preferred, usual, req, now)
 	}
 	switch {
@@ -262,7 +271,13 @@
 	case result.candidates == 0:
 		return Choice{Refused: NoServers, RetryAfter: minRetryAfter * 2}
 	case result.best.server == nil || p.tooLate(result.best, req):
-		return Choice{Refused: ServersBusy, RetryAfter: p.retryAfter(result.soonest, usual, req), Candidates: result.candidates, Limited: result.limited}
+		return Choice{
+			Refused:    ServersBusy,
+			RetryAfter: p.retryAfter(result.soonest, usual, req),
+			MayWait:    result.best.server == nil && p.isLong(req.Class),
+			Candidates: result.candidates,
+			Limited:    result.limited,
+		}
 	}
 	if result.best.server.Probing() && !result.best.server.cut {
 		p.probeBudget = max(0, p.probeBudget-1)
@@ -352,6 +367,9 @@
 			result.best = o
 		}
 	}
+	if req.Waited {
+		p.limited = p.limited[:0]
+	}
 	p.countSkipped(result.best)
 	return result
 }
--- a/internal/placing/simulation_test.go
+++ b/internal/placing/simulation_test.go
@@ -34,6 +34,7 @@
 	routes  []simRoute // if empty, one with the run times and limits above
 	uneven  bool       // some runs take longer than others, and servers run slower at times
 	reports bool       // servers report their present speed
+	waits   bool       // long requests wait at the entry for slots
 	asks    bool       // entries ask servers for their load before they choose
 }
 
@@ -43,6 +44,14 @@
 	rate             float64 // requests per second over all entries, relative to the other routes
 	coldRun, warmRun time.Duration
 	target, timeout  time.Duration
+	factor           func(at time.Duration) float64 // of the rate; nil means 1
+}
+
+func (r *simRoute) rateAt(at time.Duration) float64 {
+	if r.factor == nil {
+		return r.rate
+	}
+	return r.rate * r.factor(at)
 }
 
 // tally counts requests by their outcome for the caller.
@@ -66,9 +75,11 @@
 	sends            int
 	otherRegionSends int
 	serverByID       map[string]*fakeServer
-	maxColdPerSecond int // most requests that a cold server got within one second
-	fullSends        int // sends that reached a server whose slots were all in use
-	questions        int // of entries to servers
+	waiting          map[uint64]func()  // tries to place a request that waits for a slot, by its id
+	byRoute          map[string][]tally // by second of arrival
+	maxColdPerSecond int                // most requests that a cold server got within one second
+	fullSends        int                // sends that reached a server whose slots were all in use
+	questions        int                // of entries to servers
 }
 
 type fakeServer struct {
@@ -102,10 +113,11 @@
 		sm.routes = []simRoute{{class: "page", coldRun: sc.coldRun, warmRun: sc.warmRun, target: sc.target, timeout: sc.timeout}}
 	}
 	sm.serverByID = make(map[string]*fakeServer)
+	sm.waiting, sm.byRoute = make(map[uint64]func()), make(map[string][]tally)
 	for domain, count := range sc.domains {
 		for i := range count {
 			sm.servers = append(sm.servers, &fakeServer{
-				ServerInfo: ServerInfo{ID: fmt.Sprintf("s-%d-%d", domain, i), Address: "a", Start: 1, Slots: sc.slots, CanAsk: sc.asks, Site: site(domain)},
+				ServerInfo: ServerInfo{ID: fmt.Sprintf("s-%d-%d", domain, i), Address: "a", Start: 1, Slots: sc.slots, CanAsk: sc.asks || sc.waits, Site: site(domain)},
 				simulation: sm,
 				slow:       1,
 			})
@@ -146,6 +158,9 @@
 		sm.clock.Schedule(at, func() { do(sm) })
 	}
 	sm.clock.Schedule(0, sm.arrive)
+	if sm.waits {
+		sm.clock.Schedule(0, sm.tickWaiting)
+	}
 	sm.clock.RunUntil(start.Add(sm.duration + sm.timeout))
 }
 
@@ -167,13 +182,13 @@
 }
 
 func (sm *simulation) pickRoute() *simRoute {
-	total := 0.0
+	total, now := 0.0, sm.clock.Now().Sub(start)
 	for _, route := range sm.routes {
-		total += route.rate
+		total += route.rateAt(now)
 	}
 	left := sm.random.Float64() * total
 	for i := range sm.routes {
-		if left -= sm.routes[i].rate; left < 0 {
+		if left -= sm.routes[i].rateAt(now); left < 0 {
 			return &sm.routes[i]
 		}
 	}
@@ -204,11 +219,21 @@
 		Target:    arrivedAt.Add(route.target).Sub(now),
 		Fallback:  sm.random.Uint64(),
 	}
+	sm.askAndPlace(entry, route, object, req, arrivedAt, retries)
+}
+
+func (sm *simulation) askAndPlace(entry int, route *simRoute, object string, req Request, arrivedAt time.Time, retries int) {
+	pool, now := sm.pools[entry], sm.clock.Now()
+	var s *Server
 	if sm.asks {
-		if s := pool.WorthAsking(req, now); s != nil && sm.budgets[entry].Take(now) {
-			sm.ask(pool, s, func() { sm.place(entry, route, object, req, arrivedAt, retries) })
-			return
-		}
+		s = pool.WorthAsking(req, now)
+	}
+	if sm.waits && s == nil {
+		s = pool.AskForSlot(req, now)
+	}
+	if s != nil && sm.budgets[entry].Take(now) {
+		sm.ask(pool, s, func() { sm.place(entry, route, object, req, arrivedAt, retries) })
+		return
 	}
 	sm.place(entry, route, object, req, arrivedAt, retries)
 }
@@ -231,13 +256,18 @@
 	pool, now := sm.pools[entry], sm.clock.Now()
 	choice := pool.Choose(req, now)
 	if choice.Server == nil {
+		if sm.wait(entry, route, object, req, arrivedAt, retries, choice) {
+			return
+		}
 		if retries > 0 && now.Add(choice.RetryAfter).Before(arrivedAt.Add(route.timeout)) {
 			sm.clock.Schedule(choice.RetryAfter, func() { sm.request(entry, route, object, arrivedAt, retries-1) })
 			return
 		}
-		sm.count(entry, arrivedAt, func(t *tally) { t.refused++ })
+		sm.count(entry, route, arrivedAt, func(t *tally) { t.refused++ })
 		return
 	}
+	delete(sm.waiting, req.Fallback)
+	pool.Waiting.Remove(req.Fallback)
 	unqueued, pace := choice.Server.Load(now) <= float64(choice.Server.Slots), choice.Server.Pace(now)
 	pool.BeginRun(choice.Server, Run{Class: route.class, Target: route.target}, now)
 	server := sm.server(choice.Server.ID)
@@ -255,8 +285,9 @@
 				sm.request(entry, route, object, arrivedAt, retries)
 				return
 			}
+			defer sm.tryWaiting(entry, true)
 			pool.End(choice.Server, Outcome{Class: route.class, Object: object, Target: route.target, Unqueued: unqueued, Result: result, Latency: now.Sub(arrivedAt), Load: load, PaceAtSend: pace}, now)
-			sm.count(entry, arrivedAt, func(t *tally) {
+			sm.count(entry, route, arrivedAt, func(t *tally) {
 				switch took := now.Sub(arrivedAt); {
 				case result != routing.ResultOK || took > route.timeout:
 					t.failed++
@@ -274,11 +305,59 @@
 	})
 }
 
+// wait lets a request wait at the entry for a slot, and reports whether it does.
+func (sm *simulation) wait(entry int, route *simRoute, object string, req Request, arrivedAt time.Time, retries int, choice Choice) bool {
+	pool := sm.pools[entry]
+	if !sm.waits || !choice.MayWait {
+		return false
+	}
+	if req.Waited {
+		_, waits := sm.waiting[req.Fallback]
+		return waits
+	}
+	now := sm.clock.Now()
+	x := Waiter{ID: req.Fallback, Class: req.Class, Rank: req.Rank, Deadline: now.Add(req.Remaining), TargetTime: now.Add(req.Target)}
+	if !pool.Hold(x, now) {
+		return false
+	}
+	sm.waiting[x.ID] = func() {
+		again := req
+		again.Waited, again.Remaining, again.Target = true, x.Deadline.Sub(sm.clock.Now()), x.TargetTime.Sub(sm.clock.Now())
+		sm.askAndPlace(entry, route, object, again, arrivedAt, 0)
+	}
+	return true
+}
+
+// tryWaiting compares servers again for the requests that wait at an entry.
+func (sm *simulation) tryWaiting(entry int, ended bool) {
+	pool, now := sm.pools[entry], sm.clock.Now()
+	for _, id := range pool.Expired(now) {
+		pool.Waiting.Remove(id)
+		try := sm.waiting[id]
+		delete(sm.waiting, id)
+		try() // the last time
+	}
+	for _, id := range pool.Due(ended, now) {
+		sm.waiting[id]()
+	}
+}
+
+func (sm *simulation) tickWaiting() {
+	for entry := range sm.pools {
+		sm.tryWaiting(entry, false)
+	}
+	sm.clock.Schedule(50*time.Millisecond, sm.tickWaiting)
+}
+
 func (sm *simulation) server(id string) *fakeServer { return sm.serverByID[id] }
 
-func (sm *simulation) count(entry int, arrivedAt time.Time, add func(*tally)) {
+func (sm *simulation) count(entry int, route *simRoute, arrivedAt time.Time, add func(*tally)) {
 	region := (entry % len(sm.domains)) / 2
-	for _, t := range []*tally{&sm.bySecond[int(arrivedAt.Sub(start)/time.Second)], &sm.byRegion[region], &sm.byDomain[entry%len(sm.domains)]} {
+	second := int(arrivedAt.Sub(start) / time.Second)
+	if sm.byRoute[route.class] == nil {
+		sm.byRoute[route.class] = make([]tally, len(sm.bySecond))
+	}
+	for _, t := range []*tally{&sm.bySecond[second], &sm.byRoute[route.class][second], &sm.byRegion[region], &sm.byDomain[entry%len(sm.domains)]} {
 		t.requests++
 		add(t)
 	}
@@ -286,8 +365,12 @@
 
 // between sums the tallies of the seconds from (inclusive) to to (exclusive).
 func (sm *simulation) between(from, to int) tally {
+	return sumOf(sm.bySecond[from:min(to, len(sm.bySecond))])
+}
+
+func sumOf(tallies []tally) tally {
 	var sum tally
-	for _, t := range sm.bySecond[from:min(to, len(sm.bySecond))] {
+	for _, t := range tallies {
 		sum.requests += t.requests
 		sum.inTarget += t.inTarget
 		sum.late += t.late
