Let long requests wait at the entry for a slot

Cause: a long request that found no slot outside the reserved ones was refused, though its caller has many seconds left, and returned to find the same.

Change: it waits in a queue of the service at this VM, of 128 requests and 4 MiB at most, ordered by rank and time left, those first that can still be answered in target. Servers are compared again when a run ends here and, at most every 100 ms, at ticks; the caller's relay just awaits the answer, as for an allowance. The wait ends when the caller leaves, the VM stops, the route leads elsewhere, the key is revoked, or too little time is left. Fair share is asked once, when the wait begins. HW1062, the fields waited_ms, six metrics, the status and explain show waits and reservations. Requests without an object ran cold by the former check, which now looks at the object.

--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -268,6 +268,7 @@
 		KeyRetention: in.service.Keep.Std(),
 		Holder:       in.relay.Node.Settings.ID,
 		Replayable:   in.body.complete(),
+		BodyBytes:    len(in.body.prefix),
 		Route:        in.route,
 		Host:         in.request.Host,
 		Path:         in.request.URL.Path,
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -142,7 +142,7 @@
 
 // describeCause explains in one sentence why the request ended as it did.
 func (r Report) describeCause() string {
-	var notPlaced, sendFailed, placed, left, ended *Line
+	var notPlaced, sendFailed, placed, waits, left, ended *Line
 	for i := range r.Lines {
 		line := &r.Lines[i]
 		switch line.Event {
@@ -152,6 +152,8 @@
 			sendFailed, notPlaced = line, nil
 		case eventID(reducer.CodePlaced):
 			placed = line
+		case eventID(reducer.CodeSlotWait):
+			waits = line
 		case eventID(reducer.CodeCallerLeft):
 			left = line
 		case eventID(reducer.CodeRequestEnded):
@@ -161,6 +163,9 @@
 	switch {
 	case ended == nil && placed != nil:
 		return fmt.Sprintf("it was sent to server %s and no end is logged: the VM died or its last lines were lost", placed.stringField("server"))
+	case ended == nil && waits != nil:
+		return fmt.Sprintf("it waited on %s for a slot of %s, as one of %.0f requests, and no end is logged: it still waits, the VM died or its last lines were lost",
+			waits.VM, waits.stringField("service"), waits.numberField("waiting"))
 	case ended == nil:
 		return "its end is not logged: the VM died or its last lines were lost"
 	case left != nil:
@@ -223,6 +228,9 @@
 		text += fmt.Sprintf("; %.0f ms were expected of server %s from a load of %.1f that was %.0f ms old",
 			placed.numberField("expected_ms"), placed.stringField("server"), placed.numberField("load"), placed.numberField("load_age_ms"))
 	}
+	if placed != nil && placed.numberField("waited_ms") > 0 {
+		text += "; it was sent" + describeWait(placed)
+	}
 	if placed != nil && placed.Fields["warm"] == false {
 		text += "; the server was not known to have handled the object"
 	}
@@ -257,8 +265,16 @@
 	if limited := notPlaced.numberField("limited"); limited > 0 {
 		limits = fmt.Sprintf(", %.0f more would have gone beyond the limits that they name", limited)
 	}
-	return fmt.Sprintf("no server was chosen (%s): %.0f servers of %s could be used%s, %.0f ms were left, and the caller was told to return after %.0f ms",
-		notPlaced.Outcome, notPlaced.numberField("candidates"), notPlaced.stringField("service"), limits, notPlaced.numberField("left_ms"), notPlaced.numberField("retry_after_ms"))
+	return fmt.Sprintf("no server was chosen (%s)%s: %.0f servers of %s could be used%s, %.0f ms were left, and the caller was told to return after %.0f ms",
+		notPlaced.Outcome, describeWait(notPlaced), notPlaced.numberField("candidates"), notPlaced.stringField("service"), limits, notPlaced.numberField("left_ms"), notPlaced.numberField("retry_after_ms"))
+}
+
+// describeWait says how long a request had waited at the VM for a slot, if it had.
+func describeWait(line *Line) string {
+	if waited := line.numberField("waited_ms"); waited > 0 {
+		return fmt.Sprintf(" after it had waited %.0f ms on %s for a slot", waited, line.VM)
+	}
+	return ""
 }
 
 // describeEvidence describes why a send ended, and what that says of whether the request ran.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -44,7 +44,12 @@
 		"late, load report was old":            {placed + ended("200", "answered"), "200 ms were expected of server s1 from a load of 3.0 that was 900 ms old"},
 		"late, server did not know the object": {placedCold + ended("200", "answered"), "was not known to have handled the object"},
 		"VM died":                              {placed, "no end is logged"},
-		"refused before a server was chosen":   {ended("404", "unknown-service"), "it ended with status 404: unknown-service"},
+		"waited for a slot": {
+			requestLine("HW1028", "02.000", `"server":"s1","service":"web","warm":true,"waited_ms":1500,"expected_ms":200,"outcome":"sent"`) + ended("200", "answered"),
+			"it was sent after it had waited 1500 ms on",
+		},
+		"waits for a slot":                   {requestLine("HW1062", "02.000", `"service":"web","waiting":3,"outcome":"waits"`), "for a slot of web, as one of 3 requests, and no end is logged"},
+		"refused before a server was chosen": {ended("404", "unknown-service"), "it ended with status 404: unknown-service"},
 		"refused by an old document": {
 			requestLine("HW1031", "04.000", `"status":503,"took_ms":1,"server":"","host":"shop.example","path":"/new/","document":49,"outcome":"document-outdated"`),
 			"document-outdated; nothing in the document with log index 49, then in force on e1, fits shop.example/new/",
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -174,6 +174,14 @@
 		fmt.Fprintf(w, "heatherwood_fair_share_refused_total{service=%q,rank=\"%d\"} %d\n", share.Service, share.Rank, share.Refused)
 		fmt.Fprintf(w, "heatherwood_fair_share_level{service=%q,rank=\"%d\"} %g\n", share.Service, share.Rank, share.Level)
 	}
+	for _, slots := range status.Slots {
+		fmt.Fprintf(w, "heatherwood_slots_reserved{service=%q} %d\n", slots.Service, slots.Reserved)
+		fmt.Fprintf(w, "heatherwood_slot_waiting{service=%q} %d\n", slots.Service, slots.Waiting)
+		fmt.Fprintf(w, "heatherwood_slot_waiting_bytes{service=%q} %d\n", slots.Service, slots.Bytes)
+		fmt.Fprintf(w, "heatherwood_slot_waits_total{service=%q} %d\n", slots.Service, slots.Waited)
+		fmt.Fprintf(w, "heatherwood_slot_waits_ended_total{service=%q,outcome=\"placed\"} %d\n", slots.Service, slots.Placed)
+		fmt.Fprintf(w, "heatherwood_slot_waits_ended_total{service=%q,outcome=\"refused\"} %d\n", slots.Service, slots.Refused)
+	}
 	for _, service := range status.Services {
 		if len(service.Servers) == 0 && service.Summary.Service == "" {
 			continue
--- a/internal/placing/estimate.go
+++ b/internal/placing/estimate.go
@@ -47,20 +47,21 @@
 			return expected, false
 		}
 	}
+	coldRun := !warm && req.Object != ""
 	if p.mustSpare(req, usual) {
-		room := slots - float64(p.Reserved(s))
-		if !warm && req.Target.Seconds() > usual.warm {
-			// A warm server may have room in time, and a cold run would take the slots of several warm ones.
+		if coldRun && !req.noneWarm && req.Target.Seconds() > usual.warm {
+			// A warm server may have room in time, and a cold run takes the slot time of several warm ones.
 			return expected, false
 		}
-		if !warm {
+		room := slots - float64(p.Reserved(s))
+		if coldRun {
 			room *= longColdPart
 		}
 		if load+1 > room {
 			return expected, false
 		}
 	}
-	if !warm && req.Object != "" {
+	if coldRun {
 		// A cold run uses as much slot time as several warm ones. When the slots
 		// are nearly all in use, running the object on further servers would only
 		// increase the load.
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -44,6 +44,7 @@
 	Fallback   uint64 // hash that orders the servers of a request without an object
 	OwnWay     bool   // no other VM may be asked to send it
 	Waited     bool   // it waited for a slot, and was counted before
+	noneWarm   bool   // no warm server may be sent to
 	Certain    bool   // only if a run as long as the longest of late ends before Remaining has passed
 }
 
@@ -262,7 +263,8 @@
 	spare := p.mustSpare(req, usual)
 	preferred := p.preferredServers(req, now)
 	result := p.evaluate(p.shortlist, preferred, usual, req, now)
-	if result.best.server == nil && !(spare && result.candidates > 0) {
+	if result.best.server == nil && !(spare && result.warm > 0) {
+		req.noneWarm = true
 		result = p.evaluate(p.Servers, preferred, usual, req, now)
 	}
 	switch {
@@ -319,6 +321,7 @@
 type evaluation struct {
 	best       option
 	candidates int     // servers that may be sent to, even if too loaded
+	warm       int     // of these, those that count as warm
 	soonest    float64 // seconds until the earliest answer, including servers that are too loaded
 
 	limited      int           // servers that may not be sent to because of their limits
@@ -353,6 +356,9 @@
 		o := option{server: s, warm: p.isWarm(s, preferred.all.position(s), req, now)}
 		var accepts bool
 		o.expected, accepts = p.estimate(s, req, usual, o.warm, now)
+		if mayUse && o.warm {
+			result.warm++
+		}
 		if mayUse {
 			result.soonest = min(result.soonest, o.expected)
 		}
--- a/internal/placing/reserve.go
+++ b/internal/placing/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -65,14 +66,12 @@
 	r.shortWork = used * float64(max(1, p.Policy.Entries)) / float64(max(1, slots))
 }
 
+// LongClasses returns the classes of long runs that share servers with short ones.
+func (p *Pool) LongClasses() []string { return slices.Clone(p.reservation.long) }
+
 // isLong reports whether the class is one of long runs that shares servers with short ones.
 func (p *Pool) isLong(class string) bool {
-	for _, long := range p.reservation.long {
-		if long == class {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(p.reservation.long, class)
 }
 
 // Reserved returns the slots of the server that are reserved for short work.
--- a/internal/placing/slots_test.go
+++ b/internal/placing/slots_test.go
@@ -152,3 +152,28 @@
 		t.Errorf("%d requests with %d bytes wait after one left, want %d and %d", p.Waiting.Len(), p.Waiting.Bytes(), maxWaiters-1, maxWaiters-5)
 	}
 }
+
+// A long request must not wait for the first server of its order while that one gets no requests.
+func TestLongRequestsLeaveEjectedServers(t *testing.T) {
+	p := noticePool(4)
+	p.classes[longRoute] = &runTimes{cold: 5.2, warm: 1.56}
+	p.classes[shortRoute] = &runTimes{cold: 1.04, warm: 0.312}
+	p.mix.add(Run{Class: longRoute, Target: 6 * time.Second}, start)
+	p.mix.add(Run{Class: shortRoute, Target: 800 * time.Millisecond}, start)
+	req := Request{Class: longRoute, Object: "o", Remaining: 25 * time.Second, Target: 6 * time.Second}
+	first := p.Choose(req, start).Server
+	if first == nil || !p.isLong(longRoute) {
+		t.Fatalf("sent to %v, long classes %v", first, p.LongClasses())
+	}
+	first.Eject(backoff, start)
+	if choice := p.Choose(req, start); choice.Server == nil || choice.Server == first {
+		t.Errorf("sent to %v, want another server than %s", choice.Server, first.ID)
+	}
+	first.ResetFailures()
+	for range first.Slots {
+		p.BeginRun(first, Run{Class: longRoute, Target: 6 * time.Second}, start)
+	}
+	if choice := p.Choose(req, start.Add(backoff.Max)); choice.Server != nil || !choice.MayWait {
+		t.Errorf("sent to %v, want a wait for the warm server", choice.Server)
+	}
+}
--- a/internal/placing/waiting.go
+++ b/internal/placing/waiting.go
@@ -14,7 +14,7 @@
 	Deadline   time.Time
 	TargetTime time.Time // after it, an answer has lost most of its value
 	Bytes      int       // that the entry holds for it
-	Since      time.Time
+	Since      time.Time // zero for a request that has not waited yet
 
 	triedAt time.Time
 }
@@ -56,17 +56,22 @@
 	return x, true
 }
 
-// Hold lets a request wait that found no slot, if a slot is expected while it can still be answered.
+// Hold lets a request wait that found no slot, if a slot is expected while it can still be answered. One
+// that waited before, as Since tells, is let in beyond the bounds of the queue: it counted there.
 func (p *Pool) Hold(x Waiter, now time.Time) bool {
 	w := &p.Waiting
-	if len(w.waiters) >= maxWaiters || w.bytes+x.Bytes > maxWaitingBytes {
-		return false
+	wait := 0.0
+	if x.Since.IsZero() {
+		if len(w.waiters) >= maxWaiters || w.bytes+x.Bytes > maxWaitingBytes {
+			return false
+		}
+		wait = p.waitFor(len(w.waiters)+1, x.Class, now)
+		x.Since = now
 	}
-	usual := p.usualRunTimes(Request{Class: x.Class})
-	if p.waitFor(len(w.waiters)+1, x.Class, now)+usual.warm > maxRemainingShare*x.Deadline.Sub(now).Seconds() {
+	if wait+p.usualRunTimes(Request{Class: x.Class}).warm > maxRemainingShare*x.Deadline.Sub(now).Seconds() {
 		return false
 	}
-	x.Since, x.triedAt = now, now
+	x.triedAt = now
 	w.waiters = append(w.waiters, x)
 	w.bytes += x.Bytes
 	return true
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -60,6 +60,7 @@
 	CodeTokensMoved           Code = 1055
 	CodeFairShare             Code = 1060
 	CodeFairShareRefused      Code = 1061
+	CodeSlotWait              Code = 1062
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -126,6 +127,7 @@
 	{CodeTokensMoved, "info", "parts of customers' allowances were lent between failure domains"},
 	{CodeFairShare, "warn", "servers are short: requests of customers above their share are refused, or no longer"},
 	{CodeFairShareRefused, "info", "request refused: servers are short, and its customer had its share"},
+	{CodeSlotWait, "info", "long request waits at this VM for a slot"},
 }
 
 // Info returns the catalogue entry of a code.
--- a/internal/reducer/document.go
+++ b/internal/reducer/document.go
@@ -305,6 +305,7 @@
 	s.tickPlan()
 	s.tickOwners()
 	s.configureShares()
+	s.retryAllWaits()
 }
 
 // recordInForce records which document is in force on this VM; control VMs also
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -226,6 +226,7 @@
 	Barred    []QuarantineStatus `json:"barred"`
 	Limits    []LimitStatus      `json:"limits"`
 	Shares    []ShareStatus      `json:"shares"`
+	Slots     []SlotStatus       `json:"slots"`
 	LogLength uint64             `json:"logLength"`
 
 	Customers []CustomerStatus `json:"customers"` // the largest, those refused most, and the rest as one
@@ -243,6 +244,18 @@
 	Refused int64   `json:"refused"` // requests since the start
 }
 
+// SlotStatus tells of a service on whose servers this VM reserves slots for short work.
+type SlotStatus struct {
+	Service  string   `json:"service"`
+	Long     []string `json:"long"`     // places of the routes of long work in the document
+	Reserved int      `json:"reserved"` // slots of each server, at most
+	Waiting  int      `json:"waiting"`  // requests that wait here for a slot now
+	Bytes    int      `json:"bytes"`    // that this VM holds for them
+	Waited   int64    `json:"waited"`   // requests that waited, since the start
+	Placed   int64    `json:"placed"`   // of these, those that got a slot
+	Refused  int64    `json:"refused"`  // and those that were refused
+}
+
 // WayStatus is the way to the servers of a failure domain.
 type WayStatus struct {
 	Domain string        `json:"domain"`
--- a/internal/reducer/loadquestion.go
+++ b/internal/reducer/loadquestion.go
@@ -31,7 +31,11 @@
 	if pool == nil {
 		return false
 	}
-	server := pool.WorthAsking(s.placingRequest(r, slotRequest), s.now)
+	request := s.placingRequest(r, slotRequest)
+	server := pool.WorthAsking(request, s.now)
+	if server == nil {
+		server = pool.AskForSlot(request, s.now)
+	}
 	if server == nil {
 		return false
 	}
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -68,29 +68,36 @@
 
 // placeRequest chooses a server for a request, or denies it one.
 func (s *State) placeRequest(call uint64, r *relay.Request, slotRequest dispatch.SlotRequest) {
-	answer, through := s.chooseServer(r, slotRequest, r.TakenOver)
+	answer, through := s.chooseServer(call, r, slotRequest, r.TakenOver)
 	if through.VM != "" {
+		s.endWait(call)
 		s.passOn(call, r, relay.Step{}, through, "no way to the chosen server")
 		return
 	}
+	if answer.Grant == nil && answer.Denial == nil {
+		return // it waits for a slot
+	}
 	s.runStep(call, r, r.HandleSlotAnswer(answer, nil, s.now))
 }
 
 // chooseServer chooses a server for a request, or another VM to pass it on to if this one
-// has no way to that server. With ownWay, only servers that this VM reaches are chosen.
-func (s *State) chooseServer(r *relay.Request, slotRequest dispatch.SlotRequest, ownWay bool) (dispatch.Answer, helper) {
+// has no way to that server. With ownWay, only servers that this VM reaches are chosen. The answer
+// is empty for a request that waits for a slot.
+func (s *State) chooseServer(call uint64, r *relay.Request, slotRequest dispatch.SlotRequest, ownWay bool) (dispatch.Answer, helper) {
 	verdict := s.quarantine.Check(slotRequest.Fingerprint, s.now)
 	switch verdict {
 	case quarantine.Barred:
-		return s.denyRequest(r, slotRequest, dispatch.ReasonQuarantined, placing.Choice{RetryAfter: quarantinedRetry}), helper{}
+		return s.denyRequest(call, r, slotRequest, dispatch.ReasonQuarantined, placing.Choice{RetryAfter: quarantinedRetry}), helper{}
 	case quarantine.Wait:
-		return s.denyRequest(r, slotRequest, dispatch.ReasonSuspected, placing.Choice{RetryAfter: suspectedRetry}), helper{}
+		return s.denyRequest(call, r, slotRequest, dispatch.ReasonSuspected, placing.Choice{RetryAfter: suspectedRetry}), helper{}
 	}
 	pool := s.placingPools[r.Service]
 	if pool == nil {
-		return s.denyRequest(r, slotRequest, dispatch.ReasonNoServers, placing.Choice{RetryAfter: suspectedRetry}), helper{}
+		return s.denyRequest(call, r, slotRequest, dispatch.ReasonNoServers, placing.Choice{RetryAfter: suspectedRetry}), helper{}
 	}
 	regions := s.regionsOf(r)
+	waited := s.waitedForSlot(call)
+	_, hasWaited := s.entryWaits[call]
 	choice := pool.Choose(placing.Request{
 		Class:      r.Route.Location(),
 		Object:     r.Object,
@@ -102,6 +109,7 @@
 		AllowedKey: regions.key,
 		Fallback:   slotRequest.Fingerprint ^ uint64(len(s.requests)),
 		OwnWay:     ownWay,
+		Waited:     hasWaited,
 		Certain:    slotRequest.Remaining < r.Deadline.Sub(s.now),
 	}, s.now)
 	s.askServers(pool, maxQuestionsOfRequest)
@@ -109,7 +117,7 @@
 		return dispatch.Answer{}, h
 	}
 	if choice.Server != nil && choice.Server.Cut() && !s.usesOpenConnections(r, choice.Server) {
-		return s.chooseServer(r, slotRequest, true)
+		return s.chooseServer(call, r, slotRequest, true)
 	}
 	if choice.Server == nil {
 		reason := dispatch.ReasonQueueFull
@@ -123,17 +131,33 @@
 			reason, choice.RetryAfter = dispatch.ReasonStopping, stoppingRetry
 		}
 		if reason == dispatch.ReasonQueueFull {
-			if denial, denied := s.askShare(r, choice); denied {
-				return denial, helper{}
+			if !hasWaited {
+				if denial, denied := s.askShare(r, choice); denied {
+					return denial, helper{}
+				}
+			}
+			if s.holdForSlot(call, r, slotRequest, pool, choice) {
+				return dispatch.Answer{}, helper{}
+			}
+			if s.leaving && choice.MayWait {
+				reason, choice.RetryAfter = dispatch.ReasonStopping, stoppingRetry
+			} else {
+				s.notePlaced(r, share.Refused)
 			}
-			s.notePlaced(r, share.Refused)
 		}
-		return s.denyRequest(r, slotRequest, reason, choice), helper{}
+		if hasWaited {
+			s.slotCount(r.Service).refused++
+		}
+		return s.denyRequest(call, r, slotRequest, reason, choice), helper{}
 	}
-	if denial, denied := s.askShare(r, choice); denied {
-		return denial, helper{}
+	if hasWaited {
+		s.slotCount(r.Service).placed++
+	} else {
+		if denial, denied := s.askShare(r, choice); denied {
+			return denial, helper{}
+		}
+		s.notePlaced(r, shareResult(choice.Server, s.now))
 	}
-	s.notePlaced(r, shareResult(choice.Server, s.now))
 	s.lastTicket++
 	if verdict == quarantine.Trial {
 		s.quarantine.BeginTrial(slotRequest.Fingerprint, s.lastTicket)
@@ -152,6 +176,7 @@
 		{"load_age", choice.Server.LoadAge(s.now)},
 		{"pace", choice.Server.Pace(s.now)},
 		{"left", r.Deadline.Sub(s.now)},
+		{"waited", waited},
 		{"candidates", int64(choice.Candidates)},
 		{"document", int64(s.documentAt.Index)},
 		{"cold", cold},
@@ -204,13 +229,14 @@
 	suspectedRetry   = 500 * time.Millisecond // by then the run in progress has shown whether it crashes its server
 )
 
-func (s *State) denyRequest(r *relay.Request, slotRequest dispatch.SlotRequest, reason dispatch.Reason, choice placing.Choice) dispatch.Answer {
+func (s *State) denyRequest(call uint64, r *relay.Request, slotRequest dispatch.SlotRequest, reason dispatch.Reason, choice placing.Choice) dispatch.Answer {
 	s.emit(Decision{Code: CodeNotPlaced, Request: r.ID, Outcome: string(reason), Fields: append(customerFields(r), []Field{
 		{"route", r.Route.Name},
 		{"service", r.Service},
 		{"rank", int64(r.Rank)},
 		{"object", r.Object},
 		{"left", r.Deadline.Sub(s.now)},
+		{"waited", s.waitedForSlot(call)},
 		{"candidates", int64(choice.Candidates)},
 		{"limited", int64(choice.Limited)},
 		{"excluded", int64(len(slotRequest.Exclude))},
@@ -329,6 +355,7 @@
 
 		PaceAtSend: run.pace,
 	}, s.now)
+	s.retryWaits(run.pool, true)
 }
 
 // retryShare returns the retries per first send that this VM may add to a
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -90,6 +90,8 @@
 	lastTicket    uint64                    // of placedRuns
 	loadQuestions map[uint64]loadQuestion   // by call of the request that waits, or was asked for
 	askBudget     placing.AskBudget         // of loadQuestions
+	entryWaits    map[uint64]entryWait      // by call
+	slotCounts    map[string]*slotCounts    // by service
 	replicaSet    replicaset.State
 	allocator     allowance.Allocator // of servers that name a limit
 	customers     customerState
@@ -209,6 +211,8 @@
 		shares:           make(map[string]*serviceShares),
 		placedRuns:       make(map[uint64]placedRun),
 		loadQuestions:    make(map[uint64]loadQuestion),
+		entryWaits:       make(map[uint64]entryWait),
+		slotCounts:       make(map[string]*slotCounts),
 		detourRuns:       make(map[uint64]string),
 		takenOver:        make(map[uint64]bool),
 		learnedDomains:   make(map[string]bool),
@@ -353,6 +357,7 @@
 	s.tickReplicaSet()
 	s.quarantine.RemoveExpired(s.now)
 	s.tickShares()
+	s.tickWaits()
 	s.checkStale()
 	if !s.now.Before(s.planDue) {
 		s.planDue = s.now.Add(plan.TickInterval)
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -147,6 +147,7 @@
 	if step.Refuse != nil {
 		s.countRefusal(r, step.Refuse)
 	}
+	s.endWait(call)
 	s.emit(Answer{Call: call, Value: step})
 }
 
@@ -361,6 +362,7 @@
 
 func (s *State) endRequest(e RequestEnded) {
 	s.leaveParked(e.Call)
+	s.endWait(e.Call)
 	r := s.requests[e.Call]
 	if r == nil {
 		return
--- /dev/null
+++ b/internal/reducer/slotwait_test.go
@@ -0,0 +1,121 @@
+package reducer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/heatherwood/heatherwood/internal/dispatch"
+	"github.com/heatherwood/heatherwood/internal/placing"
+	"github.com/heatherwood/heatherwood/internal/relay"
+	"github.com/heatherwood/heatherwood/internal/routing"
+	"github.com/heatherwood/heatherwood/pkg/document"
+)
+
+// waitingVM returns a VM at which a long request, call 1, waits for a slot, and the run that
+// holds the only slot that long work may use; the server has four.
+func waitingVM(t *testing.T) (*State, func(now time.Time)) {
+	t.Helper()
+	const short, shortRun, longRun = "short", 100 * time.Millisecond, 1500 * time.Millisecond
+	s := splitVM(t, "web")
+	reports := routeTo("shop.example", "/", "web")
+	reports.Target = document.Duration(6 * time.Second)
+	loaded := splitDocument(5, []string{"web"}, reports)
+	loaded.Document.FillDefaults()
+	s.Apply(testStart, loaded)
+	route, pool := &s.document.Routes.Routes[0], s.placingPools["web"]
+	server, class := pool.Servers[0], route.Location()
+	for range 40 {
+		for class, run := range map[string]time.Duration{short: shortRun, class: longRun} {
+			pool.BeginRun(server, placing.Run{Class: class, Target: 4 * run}, testStart)
+			pool.End(server, placing.Outcome{Class: class, Target: 4 * run, Unqueued: true, Result: routing.ResultOK, Latency: run}, testStart)
+		}
+	}
+	for range 4 {
+		pool.BeginRun(server, placing.Run{Class: class, Target: 6 * time.Second}, testStart)
+	}
+	for _, effect := range s.Apply(testStart, RequestBegan{Call: 1, Request: &relay.Request{
+		ID: "r1", Route: route, Host: "shop.example", Path: "/", BodyBytes: 100,
+		Deadline: testStart.Add(20 * time.Second), TargetTime: testStart.Add(6 * time.Second), Holder: s.Settings.VM, Replayable: true,
+	}}) {
+		if answer, ok := effect.(Answer); ok {
+			t.Fatalf("the request does not wait: %+v", answer.Value)
+		}
+	}
+	if status := s.slotStatus(); len(status) != 1 || status[0].Waiting != 1 || status[0].Bytes != 100 || status[0].Reserved < 1 {
+		t.Fatalf("status %+v, want one request with 100 bytes that waits, and reserved slots", status)
+	}
+	return s, func(now time.Time) {
+		for range 4 {
+			pool.End(server, placing.Outcome{Class: class, Result: routing.ResultCancelled}, now)
+		}
+	}
+}
+
+// A request that waits for a slot must be answered exactly once, whatever ends its wait, and must
+// leave nothing behind.
+func TestWaitForSlotEndsOnce(t *testing.T) {
+	moved := splitDocument(6, []string{"web", "other"}, routeTo("shop.example", "/", "other"))
+	moved.Document.FillDefaults()
+	tests := map[string]struct {
+		event  func(s *State, free func(time.Time), now time.Time) []Effect
+		sent   bool
+		reason string // of a refusal
+	}{
+		"nothing happens": {event: func(s *State, _ func(time.Time), now time.Time) []Effect { return s.Apply(now, Tick{}) }},
+		"room": {sent: true, event: func(s *State, free func(time.Time), now time.Time) []Effect {
+			free(now)
+			return s.Apply(now, Tick{})
+		}},
+		"the caller leaves": {event: func(s *State, free func(time.Time), now time.Time) []Effect {
+			effects := s.Apply(now, RequestEnded{Call: 1, Result: routing.ResultCancelled})
+			free(now)
+			return append(effects, s.Apply(now, Tick{})...)
+		}},
+		"the VM stops": {reason: string(dispatch.ReasonStopping), event: func(s *State, _ func(time.Time), now time.Time) []Effect {
+			s.leaving = true
+			return s.Apply(now, Tick{})
+		}},
+		"the route leads elsewhere": {reason: string(dispatch.ReasonNoServers), event: func(s *State, _ func(time.Time), now time.Time) []Effect {
+			return s.Apply(now, moved)
+		}},
+		"too little time is left": {reason: string(dispatch.ReasonQueueFull), event: func(s *State, _ func(time.Time), now time.Time) []Effect {
+			s.requests[1].Deadline = now.Add(time.Second)
+			w := s.entryWaits[1]
+			w.waiter.Deadline = s.requests[1].Deadline
+			s.entryWaits[1] = w
+			return s.Apply(now, Tick{})
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, free := waitingVM(t)
+			now := testStart.Add(200 * time.Millisecond)
+			effects := test.event(s, free, now)
+			for i := range 4 {
+				effects = append(effects, s.Apply(now.Add(time.Duration(i+1)*200*time.Millisecond), Tick{})...)
+			}
+			var steps []relay.Step
+			for _, effect := range effects {
+				if answer, ok := effect.(Answer); ok {
+					steps = append(steps, answer.Value.(relay.Step))
+				}
+			}
+			switch {
+			case !test.sent && test.reason == "":
+				if len(steps) > 0 {
+					t.Errorf("answered with %+v, want no answer", steps)
+				}
+				return
+			case len(steps) != 1:
+				t.Fatalf("%d answers: %+v", len(steps), steps)
+			case test.sent && steps[0].Send == nil:
+				t.Errorf("answered with %+v, want a send", steps[0])
+			case !test.sent && (steps[0].Refuse == nil || steps[0].Refuse.Reason != test.reason):
+				t.Errorf("answered with %+v, want %s", steps[0].Refuse, test.reason)
+			}
+			if pool := s.placingPools["web"]; len(s.entryWaits) > 0 || pool != nil && pool.Waiting.Len()+pool.Waiting.Bytes() > 0 {
+				t.Errorf("%d waits are left", len(s.entryWaits))
+			}
+		})
+	}
+}
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -65,6 +65,7 @@
 	status.Limits = s.limitStatus()
 	status.Customers = s.customerStatus()
 	status.Shares = s.shareStatus()
+	status.Slots = s.slotStatus()
 	for _, entry := range s.quarantine.Entries {
 		phase := "suspected"
 		if entry.Phase == quarantine.Quarantined {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,6 +35,7 @@
 	KeyRetention time.Duration // how long a key is remembered
 	Holder       string        // id of this VM
 	Replayable   bool          // the whole body is in memory, so that a retry can send it
+	BodyBytes    int           // of the body that this VM held on arrival
 
 	Route         *document.Route    // nil for a request found by the hosts of a service
 	Host, Path    string             // by which it matched the route
