Give refused long requests successive places to return

Cause: callers of long work that were refused were told to return after 3 s at most, all alike.

Change: a long request that may not wait is told when those who wait have started at the rate of this entry's sends, one place after the caller before, up to a third of its time left; beyond that no place is given away.

Tests: go test ./internal/placing ./internal/reducer for waits, slots, shares and refusals pass; TestRefusedLongRequestsGetSuccessivePlaces fails without the places.

--- a/internal/placing/slots_test.go
+++ b/internal/placing/slots_test.go
@@ -177,3 +177,38 @@
 		t.Errorf("sent to %v, want a wait for the warm server", choice.Server)
 	}
 }
+
+// Callers of long requests were all told to return after the same 3 s at most, more of them than the
+// servers had room for then.
+func TestRefusedLongRequestsGetSuccessivePlaces(t *testing.T) {
+	const rate, refused = 4.0, 60
+	p := noticePool(1)
+	now := start
+	for range 60 * int(rate) {
+		now = now.Add(time.Duration(float64(time.Second) / rate))
+		p.mix.add(Run{Class: longRoute, Target: 6 * time.Second}, now)
+	}
+	req := Request{Class: longRoute, Remaining: 24 * time.Second, Target: 6 * time.Second}
+	longest := req.Remaining / retryPart
+	places := make(map[int]int) // by second
+	beyond := 0
+	for range refused {
+		after := p.Promise(req, now)
+		if after < minRetryAfter || after > longest {
+			t.Fatalf("told to return after %v, want %v to %v", after, minRetryAfter, longest)
+		}
+		if after == longest {
+			beyond++
+		} else {
+			places[int(after/time.Second)]++
+		}
+	}
+	for second, count := range places {
+		if float64(count) > rate+1 {
+			t.Errorf("%d callers told to return in second %d, want at most %v", count, second, rate+1)
+		}
+	}
+	if want := refused - int(rate*longest.Seconds()); beyond < want-2 || beyond > want+2 {
+		t.Errorf("%d callers told no place, want %d", beyond, want)
+	}
+}
--- a/internal/placing/waiting.go
+++ b/internal/placing/waiting.go
@@ -29,8 +29,9 @@
 
 // Waiting holds the requests of a service that wait for slots at this entry.
 type Waiting struct {
-	waiters []Waiter
-	bytes   int
+	waiters       []Waiter
+	bytes         int
+	promisedUntil time.Time // when the next refused caller may be asked to return
 }
 
 // Len returns how many requests wait.
@@ -87,6 +88,25 @@
 	return float64(count) / max(rate, 1/mixTime.Seconds())
 }
 
+// retryPart is the part of its time left, 1/n, after which the caller of a refused request returns at
+// the latest, whatever it is told.
+const retryPart = 3
+
+// Promise returns the time after which the caller of a long request that may not wait is asked to return:
+// when those who wait have started, one place after the caller that was told so last. Beyond the time
+// that callers heed no place is given away.
+func (p *Pool) Promise(req Request, now time.Time) time.Duration {
+	w := &p.Waiting
+	place := seconds(p.waitFor(1, req.Class, now))
+	after := max(minRetryAfter, seconds(p.waitFor(len(w.waiters)+1, req.Class, now)), w.promisedUntil.Sub(now))
+	longest := max(minRetryAfter, req.Remaining/retryPart)
+	if after > longest {
+		return longest
+	}
+	w.promisedUntil = now.Add(after + place)
+	return after
+}
+
 // Due returns the waiting requests for which servers should be compared now: first those that can be
 // answered in target, by rank and by the time left for that, then the others by rank and time left.
 // ended tells that a run has ended, so that there may be room.
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -144,6 +144,9 @@
 			} else {
 				s.notePlaced(r, share.Refused)
 			}
+			if choice.MayWait && reason == dispatch.ReasonQueueFull {
+				choice.RetryAfter = pool.Promise(placing.Request{Class: r.Route.Location(), Remaining: slotRequest.Remaining}, s.now)
+			}
 		}
 		if hasWaited {
 			s.slotCount(r.Service).refused++
