Use the turns at cold servers while warm ones are full

Cause: cold servers are in no order of an object, so a request that had to queue at the servers of its order never looked at them: in a burst they got 1.39 of the 10 requests a second that are allowed.

Change: a request that would wait, or be refused, goes to a cold server at which this entry has its turn, if it can be answered there in time. The turns stay as they are, and with them the bound over all entries.

--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -267,6 +267,7 @@
 		req.noneWarm = true
 		result = p.evaluate(p.Servers, preferred, usual, req, now)
 	}
+	p.useColdTurn(&result, preferred, usual, req, now)
 	switch {
 	case result.candidates == 0 && result.shortestWait > 0:
 		return Choice{Refused: ServersBusy, RetryAfter: spreadOut(result.shortestWait, req), Limited: result.limited}
@@ -287,6 +288,21 @@
 	return Choice{Server: result.best.server, Expected: seconds(result.best.expected), Warm: result.best.warm, Candidates: result.candidates}
 }
 
+// useColdTurn chooses a cold server at which this entry has its turn for a request that would wait or be
+// refused: cold servers are in no order of an object, and got nothing where warm ones were full.
+func (p *Pool) useColdTurn(result *evaluation, preferred preferredSet, usual runTimes, req Request, now time.Time) {
+	best := result.best.server
+	if len(p.cold) == 0 || best != nil && (best.isPaced(now) || best.Load(now)+1 <= float64(best.Slots)) {
+		return
+	}
+	req.noneWarm = true
+	paced := p.evaluate(p.cold, preferred, usual, req, now)
+	if paced.best.server == nil || p.tooLate(paced.best, req) {
+		return
+	}
+	result.best, result.candidates = paced.best, max(result.candidates, paced.candidates)
+}
+
 // preferredServers returns the first servers in the order of the object, and puts
 // them and the servers that ran the object recently on the shortlist.
 func (p *Pool) preferredServers(req Request, now time.Time) preferredSet {
