--- a/internal/placing/waiting.go
+++ b/internal/placing/waiting.go
@@ -40,11 +40,6 @@
 // Bytes returns how much the entry holds for them.
 func (w *Waiting) Bytes() int { return w.bytes }
 
-// Has reports whether the request waits.
-func (w *Waiting) Has(id uint64) bool {
-	return slices.ContainsFunc(w.waiters, func(x Waiter) bool { return x.ID == id })
-}
-
 // Remove takes the request out of the queue, and returns it.
 func (w *Waiting) Remove(id uint64) (Waiter, bool) {
 	at := slices.IndexFunc(w.waiters, func(x Waiter) bool { return x.ID == id })
