Renew the allowance of a request that waited for a slot

Cause: a request that waits for a slot took its customer's allowance on arrival. After a shortage those that waited could leave together, beyond the bound on what a customer sends in any time span.

Change: one that has found a slot takes a new allowance, or waits for one as on arrival. Requests that were sent before or came from another VM do not wait, as theirs are not renewed.

Tests: go test ./internal/placing ./internal/reducer ./internal/explain ./internal/node ./internal/relay ./internal/customer ./internal/share pass; TestWaitForSlotNeedsANewAllowance fails without the renewal. go vet and staticcheck are clean; builds for arm64.

--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -154,6 +154,9 @@
 		return s.denyRequest(call, r, slotRequest, reason, choice), helper{}
 	}
 	if hasWaited {
+		if !s.renewAllowance(call, r) {
+			return dispatch.Answer{}, helper{}
+		}
 		s.slotCount(r.Service).placed++
 	} else {
 		if denial, denied := s.askShare(r, choice); denied {
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -59,6 +59,9 @@
 // admitRequest begins a request that has the allowance of its customer.
 func (s *State) admitRequest(e RequestBegan) {
 	r := e.Request
+	if s.resumeWait(e.Call) {
+		return
+	}
 	if r.Route != nil {
 		s.beginRouted(e)
 		return
--- a/internal/reducer/slotwait.go
+++ b/internal/reducer/slotwait.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/http"
 	"slices"
 	"time"
 
@@ -15,21 +16,28 @@
 type entryWait struct {
 	waiter placing.Waiter
 	pool   *placing.Pool
-	queued bool // false while servers are compared again, or one is asked for its load
+	queued bool // false while servers are compared again, one is asked for its load, or an allowance is awaited
+
+	allowedAt time.Time // when it got its last allowance
 }
 
+// maxAllowanceAge is the age of the allowance of a request that waited beyond which it needs a new one: a load
+// question fits into it, and the bound on what a customer sends does not cover waits.
+const maxAllowanceAge = 50 * time.Millisecond
+
 // slotCounts counts the requests of a service that waited for a slot here, since the start.
 type slotCounts struct{ waited, placed, refused int64 }
 
 // holdForSlot lets a request wait that found no slot, and reports whether it does. Its caller gets no
-// answer meanwhile. A VM that stops holds none: another one takes the request.
+// answer meanwhile. A VM that stops holds none: another one takes the request. One that was sent before, or
+// that another VM passed on, does not wait: its allowance is not renewed here.
 func (s *State) holdForSlot(call uint64, r *relay.Request, slotRequest dispatch.SlotRequest, pool *placing.Pool, choice placing.Choice) bool {
-	if !choice.MayWait || s.leaving {
+	if !choice.MayWait || s.leaving || r.Grant != nil || r.TakenOver {
 		return false
 	}
 	w, waited := s.entryWaits[call]
 	if !waited {
-		w = entryWait{pool: pool, waiter: placing.Waiter{
+		w = entryWait{pool: pool, allowedAt: s.now, waiter: placing.Waiter{
 			ID:         call,
 			Class:      r.Route.Location(),
 			Rank:       r.Rank,
@@ -79,6 +87,48 @@
 	return 0
 }
 
+// renewAllowance takes a new allowance for a request that waited for a slot and has found one; it returns false
+// if the request waits for one, or is refused.
+func (s *State) renewAllowance(call uint64, r *relay.Request) bool {
+	w := s.entryWaits[call]
+	limit, limited := s.limitOf(r.Customer)
+	if r.Customer == "" || !limited || s.now.Sub(w.allowedAt) <= maxAllowanceAge {
+		return true
+	}
+	s.observePause()
+	c := &s.customers
+	count := c.counts.Of(r.Customer)
+	count.Asked++
+	if c.credit.Take(limit, s.now) {
+		count.Allowed++
+		return true
+	}
+	began := RequestBegan{Call: call, Request: r}
+	wait, parked := c.credit.Park(r.Customer, call, s.now)
+	if !parked {
+		s.refuseAllowance(began, http.StatusTooManyRequests, reasonOverAllowance, wait, 0)
+		s.endWait(call)
+		return false
+	}
+	c.parked[call] = parkedRequest{began, s.now}
+	s.sendAllowances(false)
+	return false
+}
+
+// resumeWait looks for a slot again for a request that waited for one and now has a new allowance; it returns false
+// for any other request.
+func (s *State) resumeWait(call uint64) bool {
+	w, waited := s.entryWaits[call]
+	r := s.requests[call]
+	if !waited || r == nil {
+		return false
+	}
+	w.allowedAt = s.now
+	s.entryWaits[call] = w
+	s.runStep(call, r, r.RequestSlot(s.now))
+	return true
+}
+
 // endWait forgets that a request waits, or did.
 func (s *State) endWait(call uint64) {
 	if w, waited := s.entryWaits[call]; waited {
@@ -113,9 +163,6 @@
 	if s.placingPools[r.Service] == nil {
 		return false
 	}
-	if r.TakenOver {
-		return true
-	}
 	route := s.document.Routes.Match(r.Host, r.Path)
 	if route == nil {
 		return false
--- a/internal/reducer/slotwait_test.go
+++ b/internal/reducer/slotwait_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/heatherwood/heatherwood/internal/customer"
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/placing"
 	"github.com/heatherwood/heatherwood/internal/relay"
@@ -13,13 +14,17 @@
 
 // waitingVM returns a VM at which a long request, call 1, waits for a slot, and the run that
 // holds the only slot that long work may use; the server has four.
-func waitingVM(t *testing.T) (*State, func(now time.Time)) {
+func waitingVM(t *testing.T, customers ...document.Customer) (*State, func(now time.Time)) {
 	t.Helper()
 	const short, shortRun, longRun = "short", 100 * time.Millisecond, 1500 * time.Millisecond
 	s := splitVM(t, "web")
 	reports := routeTo("shop.example", "/", "web")
 	reports.Target = document.Duration(6 * time.Second)
 	loaded := splitDocument(5, []string{"web"}, reports)
+	for _, c := range customers {
+		c.Keys = []document.KeyDigest{document.DigestKey(c.Name)}
+		loaded.Document.Customers.Customers = append(loaded.Document.Customers.Customers, c)
+	}
 	loaded.Document.FillDefaults()
 	s.Apply(testStart, loaded)
 	route, pool := &s.document.Routes.Routes[0], s.placingPools["web"]
@@ -119,3 +124,47 @@
 		})
 	}
 }
+
+// Requests that waited for a slot were sent on the allowances of their arrival, so that those of a whole
+// shortage could leave together, beyond the bound of their customer.
+func TestWaitForSlotNeedsANewAllowance(t *testing.T) {
+	const name = "acme"
+	for state, enough := range map[string]bool{"allowance left": true, "none left": false} {
+		t.Run(state, func(t *testing.T) {
+			s, free := waitingVM(t, document.Customer{Name: name, Rate: 4, Burst: 4})
+			s.startedAt = testStart.Add(-time.Minute) // the VM allocates
+			s.requests[1].Customer, s.requests[1].KeyDigest = name, document.DigestKey(name)
+			limit, _ := s.limitOf(name)
+			s.customers.allocator.Allow(customer.Request{ID: 1, Peer: "other:1", Customer: name}, limit, testStart) // its bucket fills from now on
+			now := testStart
+			for range 20 { // a VM whose time jumps counts as paused
+				now = now.Add(50 * time.Millisecond)
+				s.Apply(now, Tick{})
+			}
+			taken := 0
+			for !enough && taken < 100 {
+				request := customer.Request{ID: uint64(1000 + taken), Peer: "other:1", Customer: name, Waiting: 1}
+				if grant, _ := s.customers.allocator.Allow(request, limit, now); grant.Count == 0 {
+					break
+				}
+				taken++
+			}
+			free(now)
+			var step relay.Step
+			for range 10 {
+				for _, effect := range s.Apply(now, Tick{}) {
+					if answer, ok := effect.(Answer); ok {
+						step = answer.Value.(relay.Step)
+					}
+				}
+				now = now.Add(50 * time.Millisecond)
+			}
+			if sent := step.Send != nil; sent != enough {
+				t.Errorf("sent: %v (%+v), want %v", sent, step.Refuse, enough)
+			}
+			if !enough && (step.Refuse == nil || step.Refuse.Reason != reasonOverAllowance) {
+				t.Errorf("refused with %+v, want %s", step.Refuse, reasonOverAllowance)
+			}
+		})
+	}
+}
