--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -87,7 +88,9 @@
 
 		refusalLines: lineLimit{clock: n.Clock},
 	}
-	l.contacts = newContacts(n.Clock, func(address, why string) { n.Apply(reducer.ContactLost{Address: address, Why: why}) })
+	l.contacts = newContacts(n.Clock, func(address, why string) {
+		n.Apply(reducer.ContactLost{Address: address, Why: why, Renewed: why == whyNoneOpen})
+	})
 	n.ProbeServer, n.AskServer, n.OpenContacts = l.probeServer, l.askServer, l.contacts.alive
 	return l
 }
@@ -118,6 +121,7 @@
 	detour      *detourInfo // nil for a request that the caller sent to this VM
 	caller      callerWatch
 	shares      []*intake.Share // of what the request holds, until its end
+	sharesMutex sync.Mutex      // guards shares: two tries of a request may read their answers at a time
 
 	identity     identity
 	unidentified bool // refused for want of a known key
--- a/internal/customer/allocator.go
+++ b/internal/customer/allocator.go
@@ -1,6 +1,7 @@
 package customer
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -56,6 +57,31 @@
 	lenders    []lender
 	usedAt     time.Time
 	changed    bool
+	answered   recent // questions of entries
+	lent       recent // questions of other domains
+}
+
+// recent holds the last questions, of which a repeated one is not answered again: its
+// tokens would be lost. A repetition follows its message closely.
+type recent struct {
+	ids  [4]questionID
+	next int
+}
+
+type questionID struct {
+	peer string
+	id   uint64
+}
+
+// repeats reports whether a question is one of the last ones, and notes it.
+func (r *recent) repeats(peer string, id uint64) bool {
+	q := questionID{peer, id}
+	if slices.Contains(r.ids[:], q) {
+		return true
+	}
+	r.ids[r.next%len(r.ids)] = q
+	r.next++
+	return false
 }
 
 // question is a request that waits for loans.
@@ -92,6 +118,9 @@
 func (a *Allocator) SetFleet(f Fleet, now time.Time) {
 	a.SetShare(f.Share, now)
 	renamed := !slices.Equal(a.fleet.Domains, f.Domains)
+	if renamed && len(a.fleet.Domains) > 0 {
+		a.Restart(now) // this domain may hold a share that others held until now
+	}
 	a.fleet = f
 	if !renamed {
 		return
@@ -151,7 +180,7 @@
 		a.ordered = append(a.ordered, b)
 	}
 	a.refill(b, now)
-	if l.Document >= b.limit.Document && l.Terms != b.limit.Terms {
+	if l.Document >= b.limit.Document && (l.Terms != b.limit.Terms || l.Entries != b.limit.Entries) {
 		b.limit = l
 		a.divide(b)
 	}
@@ -161,7 +190,7 @@
 
 // divide applies the division of the customer's allowance to its bucket.
 func (a *Allocator) divide(b *bucket) {
-	b.division = Divide(b.limit.Terms)
+	b.division = Divide(b.limit.Terms, b.limit.Entries)
 	chosen := holders(b.limit.Customer, a.fleet.Domains, b.division.Holders)
 	b.holds = slices.Contains(chosen, a.fleet.Domain)
 	known := b.lenders
@@ -208,10 +237,14 @@
 	}
 }
 
-// Allow answers a question. It returns false if the answer has to wait for loans; Answers
-// returns it then.
+// Allow answers a question. It returns false for a repeated one, and if the answer has to
+// wait for loans; Answers returns it then.
 func (a *Allocator) Allow(r Request, l Limit, now time.Time) (Grant, bool) {
+	r.Waiting, r.Ahead, r.Arrived = inBounds(r.Waiting), inBounds(r.Ahead), inBounds(r.Arrived)
 	b := a.bucketOf(l, now)
+	if b.answered.repeats(r.Peer, r.ID) {
+		return Grant{}, false
+	}
 	b.usedAt = now
 	b.demand.add(r.Arrived, now)
 	a.markChanged(b)
@@ -419,14 +452,19 @@
 	return best, tokens
 }
 
-// Lend answers the question of another domain's allocator. It keeps what its own entries
+// Lend answers the question of another domain's allocator, or returns false for a repeated
+// one. It keeps what its own entries
 // are expected to use within the time in which the bucket fills.
-func (a *Allocator) Lend(r LoanRequest, l Limit, now time.Time) LoanGrant {
+func (a *Allocator) Lend(r LoanRequest, l Limit, now time.Time) (LoanGrant, bool) {
 	b := a.bucketOf(l, now)
+	if b.lent.repeats(r.Peer, r.ID) {
+		return LoanGrant{}, false
+	}
 	b.usedAt = now
 	rate, _ := a.shareOf(b)
 	demand := b.demand.rate(now)
-	spare := b.tokens - demand*min(b.division.refillTime(), maxTTL).Seconds()
+	// Whole requests: a fraction would hold back the only token of a small customer.
+	spare := b.tokens - math.Round(demand*min(b.division.refillTime(), maxTTL).Seconds())
 	n := 0
 	if len(b.held) == 0 {
 		n = max(0, min(r.Count, int(spare)))
@@ -440,7 +478,7 @@
 		Count:    n,
 		Left:     spare - float64(n),
 		Gain:     rate - demand,
-	}
+	}, true
 }
 
 // TakeLoan takes the answer of a lender, once and only to the last question.
@@ -455,10 +493,11 @@
 			continue
 		}
 		l.id, l.silentTo = 0, time.Time{}
-		l.left, l.gain, l.answeredAt = g.Left, g.Gain, now
+		l.left, l.gain, l.answeredAt = finite(g.Left), finite(g.Gain), now
 		if until := l.askedAt.Add(b.division.TTL); g.Count > 0 && now.Before(until) {
-			b.borrowed = append(dropEnded(b.borrowed, now), lot{g.Count, until})
-			a.loans.Borrowed += g.Count
+			count := min(g.Count, l.asked)
+			b.borrowed = append(dropEnded(b.borrowed, now), lot{count, until})
+			a.loans.Borrowed += count
 		}
 		l.refusals = min(l.refusals+1, maxProbeWaits)
 		if g.Count > 0 {
--- a/internal/placing/estimate.go
+++ b/internal/placing/estimate.go
@@ -9,7 +9,9 @@
 	cold float64 // on a server that did not handle the object recently
 	warm float64 // on one that did
 
-	mean    float64 // of all runs, cold and warm; 0 before the first
+	mean     float64 // of all runs, cold and warm; 0 before the first
+	warmRuns int     // counted in warm
+
 	longest float64 // of late runs: each shorter one brings it closer to itself
 }
 
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -59,6 +59,7 @@
 	MayWait    bool // it is refused for want of a slot, and worth more if it waits for one
 	Candidates int  // servers that were considered
 	Limited    int  // servers that were not, because of the limits that they name
+	Doubted    int  // servers that were not, only because this VM doubts them; counted in a refusal
 }
 
 // Refusal states why no server was chosen.
@@ -91,6 +92,7 @@
 	otherRegionCost = 0.10 // links between regions are shared and expensive
 	latePenalty     = 0.50 // an answer after its target has lost most of its value
 	positionCost    = 0.05 // for each position in the order of the object, so that its copies stay on few servers
+	pacedPosition   = 0.02 // the same where servers report their pace: the second one is warm, and 0.05 left a third more sends to full servers
 	failurePenalty  = 1.50 // for a server that fails every request
 )
 
@@ -117,6 +119,7 @@
 	slownessWeight   = 0.2  // slowness of a server
 	runRatioWeight   = 0.1  // ratio of all runs at a server to a warm one
 	othersLoadWeight = 0.1  // load of other entries
+	pacedLoadWeight  = 0.3  // the same of servers that report their pace: in a large fleet, one entry gets few reports of each
 	failureWeight    = 0.15 // failed answers
 	oneWayWeight     = 0.01 // one-way latency above the present average
 )
@@ -272,7 +275,7 @@
 	case result.candidates == 0 && result.shortestWait > 0:
 		return Choice{Refused: ServersBusy, RetryAfter: spreadOut(result.shortestWait, req), Limited: result.limited}
 	case result.candidates == 0:
-		return Choice{Refused: NoServers, RetryAfter: minRetryAfter * 2}
+		return Choice{Refused: NoServers, RetryAfter: minRetryAfter * 2, Doubted: result.doubted}
 	case result.best.server == nil || p.tooLate(result.best, req):
 		return Choice{
 			Refused:    ServersBusy,
@@ -340,6 +343,7 @@
 	warm       int     // of these, those that count as warm
 	soonest    float64 // seconds until the earliest answer, including servers that are too loaded
 
+	doubted      int           // servers that may not be sent to only because of a doubt
 	limited      int           // servers that may not be sent to because of their limits
 	shortestWait time.Duration // until a server that could run the request may take it, if it wants none or is limited; 0 without such a server
 }
@@ -359,6 +363,9 @@
 			result.wait(stay)
 		}
 		p.noteWanted(s, req, now)
+		if s.onlyDoubted(req, now) {
+			result.doubted++
+		}
 		if !s.usable(req, now) || s.unresponsive(usual, req, now) || s.Probing() && !s.cut && p.probeBudget < 1 && !p.allProbing(now) {
 			continue
 		}
@@ -449,7 +456,11 @@
 	if o.expected > req.Target.Seconds() && o.warm {
 		cost += latePenalty * usual.cold
 	}
-	return cost + positionCost*float64(position)*usual.cold
+	step := positionCost
+	if o.server.speed.pace > 0 {
+		step = pacedPosition
+	}
+	return cost + step*float64(position)*usual.cold
 }
 
 // retryAfter returns the time after which the present load should have run, with
--- a/internal/placing/question.go
+++ b/internal/placing/question.go
@@ -12,8 +12,8 @@
 	firstOfOthers  = 1                      // the same in other pools
 )
 
-// reportsPace reports whether servers of the pool report their pace.
-func (p *Pool) reportsPace(now time.Time) bool {
+// ReportsPace reports whether servers of the pool report their pace.
+func (p *Pool) ReportsPace(now time.Time) bool {
 	return !p.paceReportedAt.IsZero() && now.Sub(p.paceReportedAt) < paceReportsFor
 }
 
@@ -22,7 +22,7 @@
 // a first one that is slow or full just now: the cold runs that this costs are fewer than the late answers.
 func (p *Pool) isWarm(s *Server, position int, req Request, now time.Time) bool {
 	first := firstOfOthers
-	if p.reportsPace(now) {
+	if p.ReportsPace(now) {
 		first = firstOfPaced
 	}
 	return req.Object != "" && (position < first || s.ranObject(req.Object, now))
@@ -32,7 +32,7 @@
 // request, or nil: the one that would be chosen, where another warm one could take the request, where
 // little is known of its present load, and the question takes little time.
 func (p *Pool) WorthAsking(req Request, now time.Time) *Server {
-	if !p.reportsPace(now) || req.Object == "" {
+	if !p.ReportsPace(now) || req.Object == "" {
 		return nil
 	}
 	usual := p.usualRunTimes(req)
@@ -82,16 +82,32 @@
 
 // AskBudget bounds the questions of one VM for the load of servers.
 type AskBudget struct {
-	tokens float64
-	at     time.Time
+	tokens  float64
+	at      time.Time
+	late    int       // answers in a row that came too late, or not at all
+	pausing time.Time // until then, nothing is asked
 }
 
 // A question costs about 0.5 KB on the link of the VM, of the 17 KB/s that control traffic may take.
 const (
 	asksPerSecond = 16.0
 	maxSavedAsks  = 4.0 // questions that unused tokens can pay for
+
+	maxLateAnswers = 8               // in a row, after which questions only delay requests
+	askPause       = 5 * time.Second // without questions then
 )
 
+// NoteAnswer notes whether an answer came in time.
+func (b *AskBudget) NoteAnswer(inTime bool, now time.Time) {
+	b.late++
+	if inTime {
+		b.late = 0
+	}
+	if b.late >= maxLateAnswers {
+		b.late, b.pausing = 0, now.Add(askPause)
+	}
+}
+
 // Take spends a token on a question; it returns false when none is left.
 func (b *AskBudget) Take(now time.Time) bool {
 	if b.at.IsZero() {
@@ -100,7 +116,7 @@
 		b.tokens = min(maxSavedAsks, b.tokens+now.Sub(b.at).Seconds()*asksPerSecond)
 	}
 	b.at = now
-	if b.tokens < 1 {
+	if b.tokens < 1 || now.Before(b.pausing) {
 		return false
 	}
 	b.tokens--
--- a/internal/reducer/contact.go
+++ b/internal/reducer/contact.go
@@ -21,8 +21,17 @@
 // loseContact limits a server that may have started again to the rate of a cold one.
 func (s *State) loseContact(e ContactLost) {
 	for _, pool := range s.placingPools {
-		if server := pool.LoseContact(e.Address, s.now); server != nil {
-			s.logContact(server, "lost", Field{"why", e.Why})
+		doubt := pool.LoseContact
+		if e.Renewed {
+			doubt = pool.RenewContact
+		}
+		server := doubt(e.Address, s.now)
+		if server == nil {
+			continue
+		}
+		s.logContact(server, "lost", Field{"why", e.Why})
+		if e.Renewed {
+			s.askServers(pool, maxQuestionsOfRequest)
 		}
 	}
 }
@@ -86,7 +95,7 @@
 // takeAnswer takes what a server itself says about its cold time, and tells the other VMs that
 // it is cold.
 func (s *State) takeAnswer(e ServerAnswered) {
-	defer s.goOn(e.Question.Call)
+	defer s.goOn(e.Question.Call, e.Why == "")
 	q := e.Question
 	pool := s.placingPools[q.Service]
 	if pool == nil || e.Why != "" {
@@ -100,8 +109,11 @@
 		s.endReplaced(server)
 		return
 	}
-	pool.RecordReport(server, e.Load, s.now)
-	if !pool.TakeAnswer(server, q.AskedAt, e.ColdFor, s.now) && !pool.HearCold(server, e.ColdFor, s.now) {
+	if e.Load.Pace > 0 {
+		pool.RecordReport(server, e.Load, s.now)
+	}
+	heardCold := q.Call != 0 && pool.HearCold(server, e.ColdFor, s.now)
+	if !pool.TakeAnswer(server, q.AskedAt, e.ColdFor, s.now) && !heardCold {
 		return
 	}
 	outcome := "warm"
--- a/internal/reducer/customer.go
+++ b/internal/reducer/customer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -19,8 +20,8 @@
 
 // Reasons for which a request of a customer is refused.
 const (
-	reasonOverAllowance    = "over-allowance"
-	reasonAllowanceUnknown = "allowance-unknown"
+	ReasonOverAllowance    = "over-allowance"
+	ReasonAllowanceUnknown = "allowance-unknown"
 )
 
 // Timings of the allowances of customers.
@@ -38,6 +39,7 @@
 	parked    map[uint64]parkedRequest // by call
 	seenAt    time.Time                // last time at which this VM is known to have run
 	vms       uint64                   // hash of the VMs among which allocators are chosen
+	terms     customer.Terms           // in force, without those of a single customer
 	checkDue  time.Time
 }
 
@@ -80,7 +82,7 @@
 	if !held.Limited() {
 		return customer.Limit{}, false
 	}
-	return customer.Limit{Customer: name, Document: s.documentAt.Index, Terms: s.termsOf(held.Rate, held.Burst)}, true
+	return customer.Limit{Customer: name, Document: s.documentAt.Index, Terms: s.termsOf(held.Rate, held.Burst), Entries: s.knownEntries()}, true
 }
 
 func (s *State) termsOf(rate, burst float64) customer.Terms {
@@ -95,6 +97,15 @@
 	}
 }
 
+// knownEntries returns the number of VMs that may hold standing allowances, those out of sight
+// included; 0 while this VM does not know it.
+func (s *State) knownEntries() int {
+	if !s.entriesKnown {
+		return 0
+	}
+	return s.entryCount
+}
+
 // limitFor returns the allowance of a customer that another VM asks for, by the newer of
 // the two documents.
 func (s *State) limitFor(name string, index uint64, rate, burst float64) (customer.Limit, bool) {
@@ -104,7 +115,7 @@
 	if index <= s.documentAt.Index {
 		return s.limitOf(name)
 	}
-	return customer.Limit{Customer: name, Document: index, Terms: s.termsOf(rate, burst)}, rate > 0
+	return customer.Limit{Customer: name, Document: index, Terms: s.termsOf(rate, burst), Entries: s.knownEntries()}, rate > 0
 }
 
 // awaitAllowance takes the allowance of a new request; it returns false if the request
@@ -126,11 +137,14 @@
 	}
 	if c.credit.Take(limit, s.now) {
 		count.Allowed++
+		if c.credit.Short() {
+			s.sendAllowances(false)
+		}
 		return true
 	}
-	wait, parked := c.credit.Park(r.Customer, e.Call, s.now)
+	wait, parked := c.credit.Park(r.Customer, e.Call, customer.Patience(r.Deadline.Sub(s.now)), s.now)
 	if !parked {
-		s.refuseAllowance(e, http.StatusTooManyRequests, reasonOverAllowance, wait, 0)
+		s.refuseAllowance(e, http.StatusTooManyRequests, ReasonOverAllowance, wait, 0)
 		return false
 	}
 	c.parked[e.Call] = parkedRequest{e, s.now}
@@ -143,7 +157,7 @@
 	r := e.Request
 	s.customers.counts.Of(r.Customer).Refused++
 	detail := "the customer sends more requests than its allowance"
-	if reason == reasonAllowanceUnknown {
+	if reason == ReasonAllowanceUnknown {
 		detail = "the VM that hands out the customer's allowances did not answer"
 	}
 	limit, _ := s.limitOf(r.Customer)
@@ -152,7 +166,7 @@
 		{"rate", limit.Terms.Rate},
 		{"burst", limit.Terms.Burst},
 		{"demand", s.customers.credit.Demand(r.Customer, s.now)},
-		{"allocator", s.members.Owner(customerKey(r.Customer)).ID},
+		{"allocator", s.customerOwner(r.Customer).ID},
 		{"waited", waited},
 		{"retry_after", wait},
 		{"document", int64(s.documentAt.Index)},
@@ -193,7 +207,7 @@
 	for _, call := range c.credit.Expired(s.now) {
 		if p, found := s.unpark(call); found {
 			jitter := time.Duration(xxhash.Sum64String(p.began.Request.ID) % uint64(unknownRetryJitter))
-			s.refuseAllowance(p.began, statusUnavailable, reasonAllowanceUnknown, unknownRetry+jitter, s.now.Sub(p.at))
+			s.refuseAllowance(p.began, statusUnavailable, ReasonAllowanceUnknown, unknownRetry+jitter, s.now.Sub(p.at))
 		}
 	}
 	s.sendAllowances(true)
@@ -215,20 +229,28 @@
 	s.customers.allocator.Retain(s.allocatesCustomer, s.now)
 }
 
-// followFleet tells the allocator which failure domains and VMs are heard.
-func (s *State) followFleet() {
-	c := &s.customers
+// followVMs tells the allocator of a change of the VMs among which allocators are chosen. It must
+// do so before the next question arrives: this VM may be the allocator of other customers now.
+func (s *State) followVMs() {
+	if s.document == nil || !s.document.Customers.Enabled() {
+		return
+	}
 	vms := uint64(0)
 	for _, vm := range s.members.Alive() {
 		if !vm.Stopping {
 			vms += xxhash.Sum64String(vm.ID)
 		}
 	}
-	changed := vms != c.vms
-	if changed {
+	if c := &s.customers; vms != c.vms {
 		c.vms = vms
 		c.allocator.Restart(s.now)
+		s.retainCustomers()
 	}
+}
+
+// followFleet tells the allocator which failure domains and VMs are heard.
+func (s *State) followFleet() {
+	s.followVMs()
 	fleet := customer.Fleet{Domain: s.Settings.Domain, Share: s.members.HeardShare()}
 	for _, domain := range s.document.Places.Domains {
 		fleet.Domains = append(fleet.Domains, domain.Name)
@@ -246,17 +268,21 @@
 	for _, domain := range heard {
 		fleet.Heard = append(fleet.Heard, domain.Name)
 	}
-	c.allocator.SetFleet(fleet, s.now)
-	if changed {
-		s.retainCustomers()
-	}
+	s.customers.allocator.SetFleet(fleet, s.now)
 }
 
 func customerKey(name string) string { return "customer\x00" + name }
 
+// customerOwner returns the allocator of a customer in the own failure domain: a control VM where one
+// is live. Entries may have links that callers' requests fill, and questions between two of them
+// wait behind these at both; control VMs have no callers.
+func (s *State) customerOwner(name string) member.VM {
+	return s.members.ControlOwner(customerKey(name))
+}
+
 // allocatesCustomer reports whether this VM allocates a customer in its failure domain.
 func (s *State) allocatesCustomer(name string) bool {
-	return s.members.Owner(customerKey(name)).ID == s.Settings.VM
+	return s.customerOwner(name).ID == s.Settings.VM
 }
 
 // sendAllowances sends the questions and answers that are due; with all, also those that
@@ -269,7 +295,7 @@
 	for _, request := range c.allocator.Wanted(all, s.now) {
 		for _, domain := range s.members.Domains(s.now) {
 			if domain.Name == request.Domain {
-				s.transmit(domain.Owner(customerKey(request.Customer)).Peer, Message{CustomerLoanRequest: &request})
+				s.transmit(domain.ControlOwner(customerKey(request.Customer)).Peer, Message{CustomerLoanRequest: &request})
 			}
 		}
 	}
@@ -289,7 +315,7 @@
 // forwardToAllocator passes a message for a customer's allocator on if this VM is not the
 // one, and reports whether it is.
 func (s *State) forwardToAllocator(name string, m Message) bool {
-	owner := s.members.Owner(customerKey(name))
+	owner := s.customerOwner(name)
 	if owner.ID == s.Settings.VM {
 		// A VM that has just started does not know the others, one of which may allocate.
 		return s.now.Sub(s.startedAt) >= membershipSettleTime
@@ -336,7 +362,7 @@
 	}
 	for _, refusal := range refused {
 		if p, found := s.unpark(refusal.Call); found {
-			s.refuseAllowance(p.began, http.StatusTooManyRequests, reasonOverAllowance, refusal.Wait, s.now.Sub(p.at))
+			s.refuseAllowance(p.began, http.StatusTooManyRequests, ReasonOverAllowance, refusal.Wait, s.now.Sub(p.at))
 		}
 	}
 	s.sendAllowances(false)
@@ -356,8 +382,9 @@
 	}
 	a := s.customers.allocator
 	a.SetShare(s.members.HeardShare(), s.now)
-	loan := a.Lend(r, limit, s.now)
-	s.transmit(r.Peer, Message{CustomerLoan: &loan})
+	if loan, lent := a.Lend(r, limit, s.now); lent {
+		s.transmit(r.Peer, Message{CustomerLoan: &loan})
+	}
 }
 
 func (s *State) receiveCustomerLoan(g customer.LoanGrant) {
@@ -391,7 +418,37 @@
 
 // followCustomers applies a new document.
 func (s *State) followCustomers(d *document.Document) {
-	s.customers.counts.Retain(func(name string) bool { return d.Customers.ByName(name) != nil })
+	c := &s.customers
+	c.counts.Retain(func(name string) bool { return d.Customers.ByName(name) != nil })
+	if !d.Customers.Enabled() {
+		return
+	}
+	terms := s.termsOf(0, 0)
+	if c.terms != (customer.Terms{}) && c.terms != terms {
+		// More failure domains may hold a share; the others may have just given out all.
+		c.allocator.Restart(s.now)
+	}
+	c.terms = terms
+	s.followFleet()
+}
+
+// releaseParked continues the requests that wait for an allowance and need none by the document in
+// force, or whose key it revoked: no VM may answer their question any more.
+func (s *State) releaseParked() {
+	c := &s.customers
+	for _, call := range slices.Sorted(maps.Keys(c.parked)) {
+		began := c.parked[call].began
+		name := began.Request.Customer
+		revoked := s.isRevoked(began.Request)
+		if _, limited := s.limitOf(name); limited && !revoked {
+			continue
+		}
+		s.leaveParked(call)
+		if !revoked && s.document.Customers.ByName(name) != nil {
+			c.counts.Of(name).Allowed++
+		}
+		s.admitRequest(began)
+	}
 }
 
 // customerStatus lists the largest customers and those refused most, and the rest as one.
@@ -404,7 +461,7 @@
 		status := CustomerStatus{Customer: named.Customer, Count: named.Count, Tokens: -1}
 		if limit, limited := s.limitOf(named.Customer); limited {
 			status.Rate, status.Burst = limit.Terms.Rate, limit.Terms.Burst
-			status.Allocator = s.members.Owner(customerKey(named.Customer)).ID
+			status.Allocator = s.customerOwner(named.Customer).ID
 			status.Held = s.customers.credit.Held(named.Customer, s.now)
 			if bucket, found := s.customers.allocator.Bucket(named.Customer, s.now); found {
 				status.Tokens, status.Borrowed = bucket.Tokens, bucket.Borrowed
--- a/internal/reducer/document.go
+++ b/internal/reducer/document.go
@@ -305,6 +305,7 @@
 	s.tickPlan()
 	s.tickOwners()
 	s.configureShares()
+	s.releaseParked()
 	s.retryAllWaits()
 }
 
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -133,6 +133,19 @@
 	routing.Notice                // of the server about itself
 }
 
+// RequestLate reports that the HedgeAfter of a send has passed; answered by relay.Step, with a send if
+// the request is to be tried on a second server as well.
+type RequestLate struct{ Call uint64 }
+
+// RequestHedged reports the end of the try of a request, of two, that does not bring the answer; the
+// other one is reported by RequestSent.
+type RequestHedged struct {
+	Call  uint64
+	Won   bool // the second try goes on
+	Late  bool // the loser was cancelled because it was slower
+	Loser RequestSent
+}
+
 // RequestDetoured reports the header of the answer of a VM that a request was passed on to,
 // or that this failed; answered by relay.Step.
 type RequestDetoured struct {
@@ -153,6 +166,7 @@
 type ContactLost struct {
 	Address string
 	Why     string
+	Renewed bool // all ended as stated, and a request is sent on a new one
 }
 
 // ContactsOpen reports the addresses of the servers to which connections are open, in answer
@@ -237,6 +251,8 @@
 func (ContactsOpen) reducerEvent()          {}
 func (ServerAnswered) reducerEvent()        {}
 func (RequestEnded) reducerEvent()          {}
+func (RequestLate) reducerEvent()           {}
+func (RequestHedged) reducerEvent()         {}
 func (RequestDetoured) reducerEvent()       {}
 func (ServerProbed) reducerEvent()          {}
 func (PeerUnreachable) reducerEvent()       {}
@@ -419,7 +435,8 @@
 	ID       string
 	Peer     string // host:port for calls between VMs
 	Term     uint64
-	Beat     uint64 // heartbeat counter; rises every second while the leader has its quorum
+	Beat     uint64 // heartbeat counter; rises every heartbeatInterval while the leader has its quorum
+	Document uint64 // log index of the newest document at the heartbeat; 0 from a VM of an earlier release
 	Replicas []quorum.Replica
 }
 
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -71,7 +71,11 @@
 	answer, through := s.chooseServer(call, r, slotRequest, r.TakenOver)
 	if through.VM != "" {
 		s.endWait(call)
-		s.passOn(call, r, relay.Step{}, through, "no way to the chosen server")
+		why := "no way to the chosen server"
+		if !s.ways.InDoubt(s.now) {
+			why = "servers may have started again"
+		}
+		s.passOn(call, r, relay.Step{}, through, why)
 		return
 	}
 	if answer.Grant == nil && answer.Denial == nil {
@@ -171,7 +175,7 @@
 	pool.BeginRun(choice.Server, placing.Run{Class: r.Route.Location(), Target: r.Route.Target.Std(), Partial: !r.Replayable}, s.now)
 	s.placedRuns[s.lastTicket] = placedRun{pool: pool, server: choice.Server, unqueued: choice.Server.Load(s.now) <= float64(choice.Server.Slots), sentAt: s.now, expected: choice.Expected, pace: choice.Server.Pace(s.now)}
 	cold, word := choice.Server.Cold(s.now)
-	s.emit(Decision{Code: CodePlaced, Request: r.ID, Outcome: "sent", Fields: append(customerFields(r), []Field{
+	s.emit(Decision{Code: CodePlaced, Request: r.ID, Outcome: "sent", Fields: append([]Field{
 		{"route", r.Route.Name},
 		{"service", r.Service},
 		{"server", choice.Server.ID},
@@ -191,7 +195,7 @@
 		{"cold_word_age", s.now.Sub(word.At)},
 		{"cold_share", pool.Policy.ColdRate},
 		{"entries", int64(s.entryCount)},
-	}...)})
+	}, customerFields(r)...)})
 	return dispatch.Answer{Grant: &dispatch.Grant{
 		Ticket:  s.lastTicket,
 		Server:  choice.Server.ID,
@@ -203,15 +207,18 @@
 		ChosenAt: s.now,
 		Cold:     cold,
 		Word:     string(word.Source),
+
+		HedgeAfter: s.hedgeAfter(r, pool, choice.Expected),
 	}}, helper{}
 }
 
 // helperFor returns the VM that a request is passed on to because this one has no way to the
-// chosen server, or none to any; an empty one if there is no such need, or no such VM.
+// chosen server, or none to any, or doubts all that could run it, as after it stood still; an empty
+// one if there is no such need, or no such VM.
 func (s *State) helperFor(r *relay.Request, choice placing.Choice) helper {
 	domain := ""
 	switch {
-	case choice.Server == nil && (choice.Refused != placing.NoServers || !s.ways.InDoubt(s.now)):
+	case choice.Server == nil && (choice.Refused != placing.NoServers || !s.ways.InDoubt(s.now) && choice.Doubted == 0):
 		return helper{}
 	case choice.Server != nil && (!choice.Server.Cut() || s.usesOpenConnections(r, choice.Server)):
 		return helper{}
@@ -236,7 +243,7 @@
 )
 
 func (s *State) denyRequest(call uint64, r *relay.Request, slotRequest dispatch.SlotRequest, reason dispatch.Reason, choice placing.Choice) dispatch.Answer {
-	s.emit(Decision{Code: CodeNotPlaced, Request: r.ID, Outcome: string(reason), Fields: append(customerFields(r), []Field{
+	s.emit(Decision{Code: CodeNotPlaced, Request: r.ID, Outcome: string(reason), Fields: append([]Field{
 		{"route", r.Route.Name},
 		{"service", r.Service},
 		{"rank", int64(r.Rank)},
@@ -248,7 +255,7 @@
 		{"excluded", int64(len(slotRequest.Exclude))},
 		{"retry_after", choice.RetryAfter},
 		{"document", int64(s.documentAt.Index)},
-	}...)})
+	}, customerFields(r)...)})
 	return dispatch.Answer{Denial: &dispatch.Denial{Reason: reason, RetryAfter: choice.RetryAfter}}
 }
 
@@ -274,7 +281,7 @@
 	phase := quarantine.Clear
 	cut := s.ways.Way(run.server.Domain).IsCut()
 	if e.ServerDied && !cut {
-		phase = s.markSuspected(r, run.server.ID)
+		phase = s.markSuspected(r, r.Grant.Ticket, run.server.ID)
 	}
 	step := r.HandleSendResult(relay.SendEnd{Result: e.Result, Status: e.Status, Suspicion: phase, BodyMissing: e.BodyMissing}, s.now, s.retryBudget(r))
 	s.logSend(r, e, step, Field{"expected", run.expected})
@@ -321,9 +328,9 @@
 
 // markSuspected notes that a server died while it ran the request, and returns
 // the phase of the request's fingerprint.
-func (s *State) markSuspected(r *relay.Request, server string) quarantine.Phase {
+func (s *State) markSuspected(r *relay.Request, ticket uint64, server string) quarantine.Phase {
 	before, _ := s.quarantine.Find(r.Fingerprint)
-	phase := s.quarantine.RecordDeath(r.Fingerprint, r.Grant.Ticket, s.now)
+	phase := s.quarantine.RecordDeath(r.Fingerprint, ticket, s.now)
 	if phase != before.Phase {
 		s.handleQuarantineChange(dispatch.QuarantineChange{Service: r.Service, Fingerprint: r.Fingerprint, Phase: phase, Server: server})
 	}
@@ -338,16 +345,22 @@
 }
 
 func (s *State) endRun(r *relay.Request, result routing.Result, latency time.Duration) {
-	run, found := s.placedRuns[r.Grant.Ticket]
+	s.endTicket(r.Grant.Ticket, r, result, latency, false)
+}
+
+// endTicket ends one run of a request; late means that it was cancelled because another one of the
+// request was faster.
+func (s *State) endTicket(ticket uint64, r *relay.Request, result routing.Result, latency time.Duration, late bool) {
+	run, found := s.placedRuns[ticket]
 	if !found {
 		return
 	}
-	delete(s.placedRuns, r.Grant.Ticket)
+	delete(s.placedRuns, ticket)
 	s.noteReport(r, run.load)
 	if result == routing.ResultOK || result == routing.ResultError {
 		s.quarantine.RecordSurvival(r.Fingerprint)
 	} else {
-		s.quarantine.EndTrial(r.Fingerprint, r.Grant.Ticket)
+		s.quarantine.EndTrial(r.Fingerprint, ticket)
 	}
 	run.pool.End(run.server, placing.Outcome{
 		Partial:  !r.Replayable,
@@ -360,6 +373,7 @@
 		Load:     run.load,
 
 		PaceAtSend: run.pace,
+		Late:       late,
 	}, s.now)
 	s.retryWaits(run.pool, true)
 }
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -83,15 +83,16 @@
 	formerPools  map[string]formerPool    // the same, of services that left the document
 	routeSplits  map[*document.Route]*placing.Split
 
-	closures      map[document.Closure]bool // of the document in force
-	earlyClosures []earlyClosure            // newer than the document in force, in order of arrival
-	addedClosures []document.Closure        // by the log entries being applied
-	placedRuns    map[uint64]placedRun      // by ticket
-	lastTicket    uint64                    // of placedRuns
-	loadQuestions map[uint64]loadQuestion   // by call of the request that waits, or was asked for
-	askBudget     placing.AskBudget         // of loadQuestions
-	entryWaits    map[uint64]entryWait      // by call
-	slotCounts    map[string]*slotCounts    // by service
+	closures      map[document.Closure]bool  // of the document in force
+	earlyClosures []earlyClosure             // newer than the document in force, in order of arrival
+	addedClosures []document.Closure         // by the log entries being applied
+	placedRuns    map[uint64]placedRun       // by ticket
+	lastTicket    uint64                     // of placedRuns
+	hedges        map[uint64]*dispatch.Grant // of second tries that are under way, by call
+	loadQuestions map[uint64]loadQuestion    // by call of the request that waits, or was asked for
+	askBudget     placing.AskBudget          // of loadQuestions
+	entryWaits    map[uint64]entryWait       // by call
+	slotCounts    map[string]*slotCounts     // by service
 	replicaSet    replicaset.State
 	allocator     allowance.Allocator // of servers that name a limit
 	customers     customerState
@@ -210,6 +211,7 @@
 		routeSplits:      make(map[*document.Route]*placing.Split),
 		shares:           make(map[string]*serviceShares),
 		placedRuns:       make(map[uint64]placedRun),
+		hedges:           make(map[uint64]*dispatch.Grant),
 		loadQuestions:    make(map[uint64]loadQuestion),
 		entryWaits:       make(map[uint64]entryWait),
 		slotCounts:       make(map[string]*slotCounts),
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -33,6 +33,10 @@
 		}
 	case RequestSent:
 		s.handleSent(e)
+	case RequestLate:
+		s.handleLate(e)
+	case RequestHedged:
+		s.handleHedged(e)
 	case RequestDetoured:
 		s.handleDetoured(e)
 	case RequestEnded:
@@ -328,7 +332,7 @@
 	if e.Result == routing.ResultOK && step.Stream && !relay.StatusMeansNotRun(e.Status) {
 		return
 	}
-	s.emit(Decision{Code: CodeSendFailed, Request: r.ID, Outcome: e.Result.String(), Fields: append(append(customerFields(r), []Field{
+	s.emit(Decision{Code: CodeSendFailed, Request: r.ID, Outcome: e.Result.String(), Fields: append(append([]Field{
 		{"service", r.Service},
 		{"server", r.Grant.Server},
 		{"took", e.Latency},
@@ -337,7 +341,8 @@
 		{"answer", int64(e.Status)},
 		{"conn", e.Conn},
 		{"next", nextAction(step)},
-	}...), fields...)})
+		{"document", int64(s.documentAt.Index)},
+	}, fields...), customerFields(r)...)})
 }
 
 // finishGrant ends the grant of a request and returns the phase of its
@@ -373,6 +378,7 @@
 	delete(s.requests, e.Call)
 	s.countEnd(r, e.Result)
 	delete(s.loadQuestions, e.Call)
+	s.endHedge(e.Call, r)
 	delete(s.takenOver, e.Call)
 	s.ways.End(e.Call)
 	s.endDetour(e.Call, false)
--- a/internal/reducer/slotwait.go
+++ b/internal/reducer/slotwait.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/heatherwood/heatherwood/internal/customer"
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/placing"
 	"github.com/heatherwood/heatherwood/internal/relay"
@@ -54,7 +55,7 @@
 		w.waiter.Since = s.now
 		s.slotCount(r.Service).waited++
 		s.notePlaced(r, share.Queued)
-		s.emit(Decision{Code: CodeSlotWait, Request: r.ID, Outcome: "waits", Fields: append(customerFields(r), []Field{
+		s.emit(Decision{Code: CodeSlotWait, Request: r.ID, Outcome: "waits", Fields: append([]Field{
 			{"route", r.Route.Name},
 			{"service", r.Service},
 			{"rank", int64(r.Rank)},
@@ -64,7 +65,7 @@
 			{"waiting_bytes", int64(pool.Waiting.Bytes())},
 			{"candidates", int64(choice.Candidates)},
 			{"document", int64(s.documentAt.Index)},
-		}...)})
+		}, customerFields(r)...)})
 	}
 	s.entryWaits[call] = w
 	return true
@@ -104,9 +105,9 @@
 		return true
 	}
 	began := RequestBegan{Call: call, Request: r}
-	wait, parked := c.credit.Park(r.Customer, call, s.now)
+	wait, parked := c.credit.Park(r.Customer, call, customer.Patience(r.Deadline.Sub(s.now)), s.now)
 	if !parked {
-		s.refuseAllowance(began, http.StatusTooManyRequests, reasonOverAllowance, wait, 0)
+		s.refuseAllowance(began, http.StatusTooManyRequests, ReasonOverAllowance, wait, 0)
 		s.endWait(call)
 		return false
 	}
--- a/internal/reducer/slotwait_test.go
+++ b/internal/reducer/slotwait_test.go
@@ -162,8 +162,8 @@
 			if sent := step.Send != nil; sent != enough {
 				t.Errorf("sent: %v (%+v), want %v", sent, step.Refuse, enough)
 			}
-			if !enough && (step.Refuse == nil || step.Refuse.Reason != reasonOverAllowance) {
-				t.Errorf("refused with %+v, want %s", step.Refuse, reasonOverAllowance)
+			if !enough && (step.Refuse == nil || step.Refuse.Reason != ReasonOverAllowance) {
+				t.Errorf("refused with %+v, want %s", step.Refuse, ReasonOverAllowance)
 			}
 		})
 	}
