Check the key of a request before its second try

Cause: a second try is a send that no step of runStep checks. That the key may be revoked by then was covered only by followRoute, which forbids to repeat the request: a side effect that a change there could drop.

Change: hedgeGrant asks isRevoked itself. What is sent does not change.

Tests: TestNoSecondTryOfARevokedRequest is new; it passes without the check too, because of followRoute, and fails without both. go vet is clean.

--- a/internal/reducer/hedge.go
+++ b/internal/reducer/hedge.go
@@ -40,7 +40,7 @@
 		return nil
 	}
 	s.followRoute(r, routing.ResultCancelled, 0)
-	if !r.MayHedge(s.now) || s.quarantine.Check(r.Fingerprint, s.now) != quarantine.Allowed {
+	if s.isRevoked(r) || !r.MayHedge(s.now) || s.quarantine.Check(r.Fingerprint, s.now) != quarantine.Allowed {
 		return nil
 	}
 	slotRequest := dispatch.SlotRequest{Remaining: r.Deadline.Sub(s.now), Exclude: r.TriedServers()}
