--- a/internal/placing/estimate.go
+++ b/internal/placing/estimate.go
@@ -9,7 +9,8 @@
 	cold float64 // on a server that did not handle the object recently
 	warm float64 // on one that did
 
-	warmRuns int // counted in warm
+	mean     float64 // of all runs, cold and warm; 0 before the first
+	warmRuns int     // counted in warm
 
 	longest float64 // of late runs: each shorter one brings it closer to itself
 }
@@ -19,10 +20,14 @@
 // usualRunTimes returns the measured run times of the request's class, or
 // defaults in proportion to its target before any is measured.
 func (p *Pool) usualRunTimes(req Request) runTimes {
-	if known := p.classes[req.Class]; known != nil {
+	return usualRunTimes(p.classes, req.Class, req.Target)
+}
+
+func usualRunTimes(classes map[string]*runTimes, class string, targetTime time.Duration) runTimes {
+	if known := classes[class]; known != nil {
 		return *known
 	}
-	target := max(req.Target, minRetryAfter).Seconds()
+	target := max(targetTime, minRetryAfter).Seconds()
 	return runTimes{cold: defaultColdTargets * target, warm: defaultWarmTargets * target}
 }
 
@@ -39,12 +44,26 @@
 	pace := s.Pace(now)
 	expected := 2*p.oneWay(s) + run*slow*pace
 	if excess := load + 1 - slots; excess > 0 {
-		expected += excess / slots * usual.warm * max(slow, s.meanRunRatio) * pace
+		expected += excess / slots * p.queuedRun(s, usual, req, load, now) * max(slow, s.meanRunRatio) * pace
 		if expected > maxQueueTargets*req.Target.Seconds() && req.Object != "" {
 			return expected, false
 		}
 	}
-	if !warm && req.Object != "" {
+	coldRun := !warm && req.Object != ""
+	if p.mustSpare(req, usual) {
+		if coldRun && !req.noneWarm && req.Target.Seconds() > usual.warm {
+			// A warm server may have room in time, and a cold run takes the slot time of several warm ones.
+			return expected, false
+		}
+		room := slots - float64(p.Reserved(s))
+		if coldRun {
+			room *= longColdPart
+		}
+		if load+1 > room {
+			return expected, false
+		}
+	}
+	if coldRun {
 		// A cold run uses as much slot time as several warm ones. When the slots
 		// are nearly all in use, running the object on further servers would only
 		// increase the load.
--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -6,8 +6,20 @@
 	"github.com/heatherwood/heatherwood/internal/routing"
 )
 
-// Begin counts a request that is sent to the server.
-func (p *Pool) Begin(s *Server, now time.Time) {
+// Begin counts a request of an unknown class that is sent to the server.
+func (p *Pool) Begin(s *Server, now time.Time) { p.begin(s, now) }
+
+// BeginRun counts a request that is sent to the server.
+func (p *Pool) BeginRun(s *Server, run Run, now time.Time) {
+	p.begin(s, now)
+	if run.Partial {
+		s.partial++
+	}
+	s.addRun(run)
+	p.mix.add(run, now)
+}
+
+func (p *Pool) begin(s *Server, now time.Time) {
 	if s.running == s.partial && !s.lateLast {
 		s.silentSince = now
 	}
@@ -23,13 +35,6 @@
 	}
 }
 
-// BeginPartial is Begin for a request whose caller still sends its body, so that the server may
-// not be able to answer it.
-func (p *Pool) BeginPartial(s *Server, now time.Time) {
-	p.Begin(s, now)
-	s.partial++
-}
-
 // Outcome describes how a request on a server ended.
 type Outcome struct {
 	Partial  bool // it was begun by BeginPartial
@@ -52,6 +57,7 @@
 	if e.Partial {
 		s.partial = max(0, s.partial-1)
 	}
+	s.removeRun(e.Class, e.Partial)
 	p.RecordReport(s, e.Load, now)
 	if e.Result == routing.ResultOK || e.Result == routing.ResultError || e.Result == routing.ResultShed {
 		s.silentSince, s.lateLast = now, false
@@ -147,6 +153,10 @@
 // that average. The sender cannot know whether the server was warm: other
 // entries may have sent it the object before.
 func (r *runTimes) record(run float64) {
+	if r.mean == 0 {
+		r.mean = run
+	}
+	r.mean += meanRunWeight * (run - r.mean)
 	r.longest = max(run, r.longest+longestRunWeight*(run-r.longest))
 	if run*run > r.warm*r.cold {
 		r.cold += coldRunWeight * (min(run, 2*r.cold) - r.cold)
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -43,6 +43,8 @@
 	AllowedKey string
 	Fallback   uint64 // hash that orders the servers of a request without an object
 	OwnWay     bool   // no other VM may be asked to send it
+	Waited     bool   // it waited for a slot, and was counted before
+	noneWarm   bool   // no warm server may be sent to
 	Certain    bool   // only if a run as long as the longest of late ends before Remaining has passed
 }
 
@@ -54,9 +56,10 @@
 	Warm       bool          // the server is expected to have run the object recently
 	Refused    Refusal
 	RetryAfter time.Duration
-	Candidates int // servers that were considered
-	Limited    int // servers that were not, because of the limits that they name
-	Doubted    int // servers that were not, only because this VM doubts them; counted in a refusal
+	MayWait    bool // it is refused for want of a slot, and worth more if it waits for one
+	Candidates int  // servers that were considered
+	Limited    int  // servers that were not, because of the limits that they name
+	Doubted    int  // servers that were not, only because this VM doubts them; counted in a refusal
 }
 
 // Refusal states why no server was chosen.
@@ -111,6 +114,7 @@
 	coldRunWeight    = 0.1  // cold runs
 	shorterRunWeight = 0.15 // warm runs below the average
 	longerRunWeight  = 0.04 // warm runs above it
+	meanRunWeight    = 0.05 // runs, warm or cold
 	longestRunWeight = 0.01 // runs shorter than the longest
 	slownessWeight   = 0.2  // slowness of a server
 	runRatioWeight   = 0.1  // ratio of all runs at a server to a warm one
@@ -163,8 +167,11 @@
 	limited     []option             // reused between requests: those that only lack an allowance
 	probeBudget float64              // requests that may go to servers on probation
 	classes     map[string]*runTimes // usual run times, by class of requests
-	oneWays     map[string]float64   // seconds one way, by failure domain
-	askedEarly  int                  // servers
+	mix         mix                  // of the classes of the requests sent
+	reservation reservation
+	Waiting     Waiting            // requests that wait for slots
+	oneWays     map[string]float64 // seconds one way, by failure domain
+	askedEarly  int                // servers
 
 	paceReportedAt time.Time // last report of a pace by any server; zero if there was none
 	cut            []string  // failure domains that this VM cannot connect to, while others can
@@ -193,7 +200,7 @@
 		s := p.Find(si.ID)
 		if s == nil || s.Start != si.Start || s.Address != si.Address {
 			replaced := cmp.Or(s, p.findFormer(si.ID))
-			s = &Server{policy: &p.Policy, idHash: xxhash.Sum64String(si.ID), slowness: 1, meanRunRatio: 1, objectAnsweredAt: make(map[string]time.Time)}
+			s = &Server{policy: &p.Policy, classes: p.classes, idHash: xxhash.Sum64String(si.ID), slowness: 1, meanRunRatio: 1, objectAnsweredAt: make(map[string]time.Time)}
 			s.keepDoubt(replaced, si.Address)
 			s.keepPace(replaced)
 		}
@@ -248,23 +255,35 @@
 // other servers only if none of them may take the request.
 func (p *Pool) Choose(req Request, now time.Time) Choice {
 	usual := p.usualRunTimes(req)
-	p.probeBudget = min(p.probeBudget+probeShare, maxProbeBudget)
 	p.homes.advance(now)
-	if p.demand.count(now) {
-		p.weighLimited()
+	if !req.Waited {
+		p.probeBudget = min(p.probeBudget+probeShare, maxProbeBudget)
+		if p.demand.count(now) {
+			p.weighLimited()
+		}
 	}
+	p.updateReservation(now)
+	spare := p.mustSpare(req, usual)
 	preferred := p.preferredServers(req, now)
 	result := p.evaluate(p.shortlist, preferred, usual, req, now)
-	if result.best.server == nil {
+	if result.best.server == nil && !(spare && result.warm > 0) {
+		req.noneWarm = true
 		result = p.evaluate(p.Servers, preferred, usual, req, now)
 	}
+	p.useColdTurn(&result, preferred, usual, req, now)
 	switch {
 	case result.candidates == 0 && result.shortestWait > 0:
 		return Choice{Refused: ServersBusy, RetryAfter: spreadOut(result.shortestWait, req), Limited: result.limited}
 	case result.candidates == 0:
 		return Choice{Refused: NoServers, RetryAfter: minRetryAfter * 2, Doubted: result.doubted}
 	case result.best.server == nil || p.tooLate(result.best, req):
-		return Choice{Refused: ServersBusy, RetryAfter: p.retryAfter(result.soonest, usual, req), Candidates: result.candidates, Limited: result.limited}
+		return Choice{
+			Refused:    ServersBusy,
+			RetryAfter: p.retryAfter(result.soonest, usual, req),
+			MayWait:    result.best.server == nil && p.isLong(req.Class),
+			Candidates: result.candidates,
+			Limited:    result.limited,
+		}
 	}
 	if result.best.server.Probing() && !result.best.server.cut {
 		p.probeBudget = max(0, p.probeBudget-1)
@@ -272,6 +291,21 @@
 	return Choice{Server: result.best.server, Expected: seconds(result.best.expected), Warm: result.best.warm, Candidates: result.candidates}
 }
 
+// useColdTurn chooses a cold server at which this entry has its turn for a request that would wait or be
+// refused: cold servers are in no order of an object, and got nothing where warm ones were full.
+func (p *Pool) useColdTurn(result *evaluation, preferred preferredSet, usual runTimes, req Request, now time.Time) {
+	best := result.best.server
+	if len(p.cold) == 0 || best != nil && (best.isPaced(now) || best.Load(now)+1 <= float64(best.Slots)) {
+		return
+	}
+	req.noneWarm = true
+	paced := p.evaluate(p.cold, preferred, usual, req, now)
+	if paced.best.server == nil || p.tooLate(paced.best, req) {
+		return
+	}
+	result.best, result.candidates = paced.best, max(result.candidates, paced.candidates)
+}
+
 // preferredServers returns the first servers in the order of the object, and puts
 // them and the servers that ran the object recently on the shortlist.
 func (p *Pool) preferredServers(req Request, now time.Time) preferredSet {
@@ -306,6 +340,7 @@
 type evaluation struct {
 	best       option
 	candidates int     // servers that may be sent to, even if too loaded
+	warm       int     // of these, those that count as warm
 	soonest    float64 // seconds until the earliest answer, including servers that are too loaded
 
 	doubted      int           // servers that may not be sent to only because of a doubt
@@ -344,6 +379,9 @@
 		o := option{server: s, warm: p.isWarm(s, preferred.all.position(s), req, now)}
 		var accepts bool
 		o.expected, accepts = p.estimate(s, req, usual, o.warm, now)
+		if mayUse && o.warm {
+			result.warm++
+		}
 		if mayUse {
 			result.soonest = min(result.soonest, o.expected)
 		}
@@ -358,6 +396,9 @@
 			result.best = o
 		}
 	}
+	if req.Waited {
+		p.limited = p.limited[:0]
+	}
 	p.countSkipped(result.best)
 	return result
 }
--- a/internal/placing/server.go
+++ b/internal/placing/server.go
@@ -30,17 +30,19 @@
 	limitWeight      float64 // in the orders of objects, while it names a limit; otherwise 0
 	quota            quota
 	idHash           uint64
-	inOwnRegion      bool      // in the region of the entry
-	running          int       // requests sent by this entry that have not ended
-	partial          int       // of these, requests whose callers still send their bodies
-	othersLoad       float64   // requests of other entries, as last reported
-	othersReportedAt time.Time // of othersLoad
-	meanOthersLoad   float64   // moving average of othersLoad
-	slowness         float64   // moving average of the ratio of warm runs to the usual warm run
-	meanRunRatio     float64   // moving average of the ratio of all runs, warm or cold, to the usual warm run; a queued request waits for such runs
-	silentSince      time.Time // time of the last answer, or of the first send to an idle server
-	lateLast         bool      // a late try was cancelled, and no answer has come since: silentSince goes on
-	failureRate      float64   // moving average of the share of failed answers
+	inOwnRegion      bool // in the region of the entry
+	running          int  // requests sent by this entry that have not ended
+	partial          int  // of these, requests whose callers still send their bodies
+	runs             []classRuns
+	classes          map[string]*runTimes // of the pool
+	othersLoad       float64              // requests of other entries, as last reported
+	othersReportedAt time.Time            // of othersLoad
+	meanOthersLoad   float64              // moving average of othersLoad
+	slowness         float64              // moving average of the ratio of warm runs to the usual warm run
+	meanRunRatio     float64              // moving average of the ratio of all runs, warm or cold, to the usual warm run; a queued request waits for such runs
+	silentSince      time.Time            // time of the last answer, or of the first send to an idle server
+	lateLast         bool                 // a late try was cancelled, and no answer has come since: silentSince goes on
+	failureRate      float64              // moving average of the share of failed answers
 	doubt            doubt
 	answeredAt       time.Time // last good answer, or answer to a question
 	begunAt          time.Time // last request that was sent
@@ -95,11 +97,14 @@
 }
 
 // unresponsive reports whether the server has running requests, sent to it whole, and answered
-// nothing for longer than any run should take, waiting included: it may have
+// nothing for longer than any of them should take, waiting included: it may have
 // failed without closing its connections.
 func (s *Server) unresponsive(usual runTimes, req Request, now time.Time) bool {
-	limit := seconds(maxSilentRuns*usual.cold) + req.Target/2
-	return !s.cut && s.running > s.partial && now.Sub(s.silentSince) > max(limit, minSilence)
+	if s.cut || s.running <= s.partial {
+		return false
+	}
+	silent := now.Sub(s.silentSince)
+	return silent > minSilence && silent > s.silenceLimit(usual, req)
 }
 
 // ranObject reports whether the server ran the object recently.
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -61,6 +61,7 @@
 	CodeFairShare             Code = 1060
 	CodeFairShareRefused      Code = 1061
 	CodeHedge                 Code = 1062
+	CodeSlotWait              Code = 1063
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -128,6 +129,7 @@
 	{CodeFairShare, "warn", "servers are short: requests of customers above their share are refused, or no longer"},
 	{CodeFairShareRefused, "info", "request refused: servers are short, and its customer had its share"},
 	{CodeHedge, "info", "late request was tried on a second server, or one of two tries ended"},
+	{CodeSlotWait, "info", "long request waits at this VM for a slot"},
 }
 
 // Info returns the catalogue entry of a code.
--- a/internal/reducer/document.go
+++ b/internal/reducer/document.go
@@ -306,6 +306,7 @@
 	s.tickOwners()
 	s.configureShares()
 	s.releaseParked()
+	s.retryAllWaits()
 }
 
 // recordInForce records which document is in force on this VM; control VMs also
--- a/internal/reducer/hedge.go
+++ b/internal/reducer/hedge.go
@@ -40,7 +40,7 @@
 		return nil
 	}
 	s.followRoute(r, routing.ResultCancelled, 0)
-	if !r.MayHedge(s.now) || s.quarantine.Check(r.Fingerprint, s.now) != quarantine.Allowed {
+	if s.isRevoked(r) || !r.MayHedge(s.now) || s.quarantine.Check(r.Fingerprint, s.now) != quarantine.Allowed {
 		return nil
 	}
 	slotRequest := dispatch.SlotRequest{Remaining: r.Deadline.Sub(s.now), Exclude: r.TriedServers()}
@@ -52,7 +52,7 @@
 	s.lastTicket++
 	server := choice.Server
 	run := placedRun{pool: first.pool, server: server, unqueued: server.Load(s.now) <= float64(server.Slots), sentAt: s.now, expected: choice.Expected, pace: server.Pace(s.now)}
-	first.pool.Begin(server, s.now)
+	first.pool.BeginRun(server, placing.Run{Class: r.Route.Location(), Target: r.Route.Target.Std(), Partial: !r.Replayable}, s.now)
 	s.placedRuns[s.lastTicket] = run
 	cold, word := server.Cold(s.now)
 	grant := &dispatch.Grant{
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -68,8 +68,9 @@
 
 // placeRequest chooses a server for a request, or denies it one.
 func (s *State) placeRequest(call uint64, r *relay.Request, slotRequest dispatch.SlotRequest) {
-	answer, through := s.chooseServer(r, slotRequest, r.TakenOver)
+	answer, through := s.chooseServer(call, r, slotRequest, r.TakenOver)
 	if through.VM != "" {
+		s.endWait(call)
 		why := "no way to the chosen server"
 		if !s.ways.InDoubt(s.now) {
 			why = "servers may have started again"
@@ -77,24 +78,30 @@
 		s.passOn(call, r, relay.Step{}, through, why)
 		return
 	}
+	if answer.Grant == nil && answer.Denial == nil {
+		return // it waits for a slot
+	}
 	s.runStep(call, r, r.HandleSlotAnswer(answer, nil, s.now))
 }
 
 // chooseServer chooses a server for a request, or another VM to pass it on to if this one
-// has no way to that server. With ownWay, only servers that this VM reaches are chosen.
-func (s *State) chooseServer(r *relay.Request, slotRequest dispatch.SlotRequest, ownWay bool) (dispatch.Answer, helper) {
+// has no way to that server. With ownWay, only servers that this VM reaches are chosen. The answer
+// is empty for a request that waits for a slot.
+func (s *State) chooseServer(call uint64, r *relay.Request, slotRequest dispatch.SlotRequest, ownWay bool) (dispatch.Answer, helper) {
 	verdict := s.quarantine.Check(slotRequest.Fingerprint, s.now)
 	switch verdict {
 	case quarantine.Barred:
-		return s.denyRequest(r, slotRequest, dispatch.ReasonQuarantined, placing.Choice{RetryAfter: quarantinedRetry}), helper{}
+		return s.denyRequest(call, r, slotRequest, dispatch.ReasonQuarantined, placing.Choice{RetryAfter: quarantinedRetry}), helper{}
 	case quarantine.Wait:
-		return s.denyRequest(r, slotRequest, dispatch.ReasonSuspected, placing.Choice{RetryAfter: suspectedRetry}), helper{}
+		return s.denyRequest(call, r, slotRequest, dispatch.ReasonSuspected, placing.Choice{RetryAfter: suspectedRetry}), helper{}
 	}
 	pool := s.placingPools[r.Service]
 	if pool == nil {
-		return s.denyRequest(r, slotRequest, dispatch.ReasonNoServers, placing.Choice{RetryAfter: suspectedRetry}), helper{}
+		return s.denyRequest(call, r, slotRequest, dispatch.ReasonNoServers, placing.Choice{RetryAfter: suspectedRetry}), helper{}
 	}
 	regions := s.regionsOf(r)
+	waited := s.waitedForSlot(call)
+	_, hasWaited := s.entryWaits[call]
 	choice := pool.Choose(placing.Request{
 		Class:      r.Route.Location(),
 		Object:     r.Object,
@@ -106,6 +113,7 @@
 		AllowedKey: regions.key,
 		Fallback:   slotRequest.Fingerprint ^ uint64(len(s.requests)),
 		OwnWay:     ownWay,
+		Waited:     hasWaited,
 		Certain:    slotRequest.Remaining < r.Deadline.Sub(s.now),
 	}, s.now)
 	s.askServers(pool, maxQuestionsOfRequest)
@@ -113,7 +121,7 @@
 		return dispatch.Answer{}, h
 	}
 	if choice.Server != nil && choice.Server.Cut() && !s.usesOpenConnections(r, choice.Server) {
-		return s.chooseServer(r, slotRequest, true)
+		return s.chooseServer(call, r, slotRequest, true)
 	}
 	if choice.Server == nil {
 		reason := dispatch.ReasonQueueFull
@@ -127,26 +135,44 @@
 			reason, choice.RetryAfter = dispatch.ReasonStopping, stoppingRetry
 		}
 		if reason == dispatch.ReasonQueueFull {
-			if denial, denied := s.askShare(r, choice); denied {
-				return denial, helper{}
+			if !hasWaited {
+				if denial, denied := s.askShare(r, choice); denied {
+					return denial, helper{}
+				}
+			}
+			if s.holdForSlot(call, r, slotRequest, pool, choice) {
+				return dispatch.Answer{}, helper{}
+			}
+			if s.leaving && choice.MayWait {
+				reason, choice.RetryAfter = dispatch.ReasonStopping, stoppingRetry
+			} else {
+				s.notePlaced(r, share.Refused)
 			}
-			s.notePlaced(r, share.Refused)
+			if choice.MayWait && reason == dispatch.ReasonQueueFull {
+				choice.RetryAfter = pool.Promise(placing.Request{Class: r.Route.Location(), Remaining: slotRequest.Remaining}, s.now)
+			}
+		}
+		if hasWaited {
+			s.slotCount(r.Service).refused++
 		}
-		return s.denyRequest(r, slotRequest, reason, choice), helper{}
+		return s.denyRequest(call, r, slotRequest, reason, choice), helper{}
 	}
-	if denial, denied := s.askShare(r, choice); denied {
-		return denial, helper{}
+	if hasWaited {
+		if !s.renewAllowance(call, r) {
+			return dispatch.Answer{}, helper{}
+		}
+		s.slotCount(r.Service).placed++
+	} else {
+		if denial, denied := s.askShare(r, choice); denied {
+			return denial, helper{}
+		}
+		s.notePlaced(r, shareResult(choice.Server, s.now))
 	}
-	s.notePlaced(r, shareResult(choice.Server, s.now))
 	s.lastTicket++
 	if verdict == quarantine.Trial {
 		s.quarantine.BeginTrial(slotRequest.Fingerprint, s.lastTicket)
 	}
-	if r.Replayable {
-		pool.Begin(choice.Server, s.now)
-	} else {
-		pool.BeginPartial(choice.Server, s.now)
-	}
+	pool.BeginRun(choice.Server, placing.Run{Class: r.Route.Location(), Target: r.Route.Target.Std(), Partial: !r.Replayable}, s.now)
 	s.placedRuns[s.lastTicket] = placedRun{pool: pool, server: choice.Server, unqueued: choice.Server.Load(s.now) <= float64(choice.Server.Slots), sentAt: s.now, expected: choice.Expected, pace: choice.Server.Pace(s.now)}
 	cold, word := choice.Server.Cold(s.now)
 	s.emit(Decision{Code: CodePlaced, Request: r.ID, Outcome: "sent", Fields: append([]Field{
@@ -160,6 +186,7 @@
 		{"load_age", choice.Server.LoadAge(s.now)},
 		{"pace", choice.Server.Pace(s.now)},
 		{"left", r.Deadline.Sub(s.now)},
+		{"waited", waited},
 		{"candidates", int64(choice.Candidates)},
 		{"document", int64(s.documentAt.Index)},
 		{"cold", cold},
@@ -215,13 +242,14 @@
 	suspectedRetry   = 500 * time.Millisecond // by then the run in progress has shown whether it crashes its server
 )
 
-func (s *State) denyRequest(r *relay.Request, slotRequest dispatch.SlotRequest, reason dispatch.Reason, choice placing.Choice) dispatch.Answer {
+func (s *State) denyRequest(call uint64, r *relay.Request, slotRequest dispatch.SlotRequest, reason dispatch.Reason, choice placing.Choice) dispatch.Answer {
 	s.emit(Decision{Code: CodeNotPlaced, Request: r.ID, Outcome: string(reason), Fields: append([]Field{
 		{"route", r.Route.Name},
 		{"service", r.Service},
 		{"rank", int64(r.Rank)},
 		{"object", r.Object},
 		{"left", r.Deadline.Sub(s.now)},
+		{"waited", s.waitedForSlot(call)},
 		{"candidates", int64(choice.Candidates)},
 		{"limited", int64(choice.Limited)},
 		{"excluded", int64(len(slotRequest.Exclude))},
@@ -347,6 +375,7 @@
 		PaceAtSend: run.pace,
 		Late:       late,
 	}, s.now)
+	s.retryWaits(run.pool, true)
 }
 
 // retryShare returns the retries per first send that this VM may add to a
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -91,6 +91,8 @@
 	hedges        map[uint64]*dispatch.Grant // of second tries that are under way, by call
 	loadQuestions map[uint64]loadQuestion    // by call of the request that waits, or was asked for
 	askBudget     placing.AskBudget          // of loadQuestions
+	entryWaits    map[uint64]entryWait       // by call
+	slotCounts    map[string]*slotCounts     // by service
 	replicaSet    replicaset.State
 	allocator     allowance.Allocator // of servers that name a limit
 	customers     customerState
@@ -211,6 +213,8 @@
 		placedRuns:       make(map[uint64]placedRun),
 		hedges:           make(map[uint64]*dispatch.Grant),
 		loadQuestions:    make(map[uint64]loadQuestion),
+		entryWaits:       make(map[uint64]entryWait),
+		slotCounts:       make(map[string]*slotCounts),
 		detourRuns:       make(map[uint64]string),
 		takenOver:        make(map[uint64]bool),
 		learnedDomains:   make(map[string]bool),
@@ -355,6 +359,7 @@
 	s.tickReplicaSet()
 	s.quarantine.RemoveExpired(s.now)
 	s.tickShares()
+	s.tickWaits()
 	s.checkStale()
 	if !s.now.Before(s.planDue) {
 		s.planDue = s.now.Add(plan.TickInterval)
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -63,6 +63,9 @@
 // admitRequest begins a request that has the allowance of its customer.
 func (s *State) admitRequest(e RequestBegan) {
 	r := e.Request
+	if s.resumeWait(e.Call) {
+		return
+	}
 	if r.Route != nil {
 		s.beginRouted(e)
 		return
@@ -151,6 +154,7 @@
 	if step.Refuse != nil {
 		s.countRefusal(r, step.Refuse)
 	}
+	s.endWait(call)
 	s.emit(Answer{Call: call, Value: step})
 }
 
@@ -366,6 +370,7 @@
 
 func (s *State) endRequest(e RequestEnded) {
 	s.leaveParked(e.Call)
+	s.endWait(e.Call)
 	r := s.requests[e.Call]
 	if r == nil {
 		return
