Count a request that waited for a slot once, and end it as one under way

Cause: a request that takes a second allowance after its wait counted twice in the customer's asked and allowed. Where it was refused, the claim on the key of a `once` operation was kept, the count of waits for slots missed it, and one refused by the allocator's answer or its silence stayed among the waits until its caller's end. Standing allowances that the second one used up were not asked for at once.

Change: parked requests carry whether they were counted on arrival. refuseAllowance ends the wait of a request that is under way, counts it as refused for its slot and releases its claim. The second allowance asks for standing ones as the first does.

--- a/internal/reducer/customer.go
+++ b/internal/reducer/customer.go
@@ -45,8 +45,9 @@
 
 // parkedRequest is a request that waits for an allowance.
 type parkedRequest struct {
-	began RequestBegan
-	at    time.Time
+	began  RequestBegan
+	at     time.Time
+	renews bool // it had one on arrival, and waited for a slot: it was counted then
 }
 
 func newCustomerState(settings Settings, now time.Time) customerState {
@@ -147,12 +148,12 @@
 		s.refuseAllowance(e, http.StatusTooManyRequests, ReasonOverAllowance, wait, 0)
 		return false
 	}
-	c.parked[e.Call] = parkedRequest{e, s.now}
+	c.parked[e.Call] = parkedRequest{began: e, at: s.now}
 	s.sendAllowances(false)
 	return false
 }
 
-// refuseAllowance ends a request that gets no allowance.
+// refuseAllowance ends a request that gets no allowance, on arrival or once it waited for a slot.
 func (s *State) refuseAllowance(e RequestBegan, status int, reason string, wait, waited time.Duration) {
 	r := e.Request
 	s.customers.counts.Of(r.Customer).Refused++
@@ -171,6 +172,12 @@
 		{"retry_after", wait},
 		{"document", int64(s.documentAt.Index)},
 	}})
+	if s.requests[e.Call] != nil {
+		s.slotCount(r.Service).refused++
+		s.endWait(e.Call)
+		s.emit(Answer{Call: e.Call, Value: r.EndWithoutAllowance(status, reason, detail, wait)})
+		return
+	}
 	s.emit(Answer{Call: e.Call, Value: relay.Step{Refuse: &relay.Problem{
 		Status:     status,
 		Reason:     reason,
@@ -356,7 +363,9 @@
 	ready, refused := s.customers.credit.Receive(g, s.now)
 	for _, call := range ready {
 		if p, found := s.unpark(call); found {
-			s.customers.counts.Of(g.Customer).Allowed++
+			if !p.renews {
+				s.customers.counts.Of(g.Customer).Allowed++
+			}
 			s.admitRequest(p.began)
 		}
 	}
@@ -437,14 +446,15 @@
 func (s *State) releaseParked() {
 	c := &s.customers
 	for _, call := range slices.Sorted(maps.Keys(c.parked)) {
-		began := c.parked[call].began
+		p := c.parked[call]
+		began := p.began
 		name := began.Request.Customer
 		revoked := s.isRevoked(began.Request)
 		if _, limited := s.limitOf(name); limited && !revoked {
 			continue
 		}
 		s.leaveParked(call)
-		if !revoked && s.document.Customers.ByName(name) != nil {
+		if !p.renews && !revoked && s.document.Customers.ByName(name) != nil {
 			c.counts.Of(name).Allowed++
 		}
 		s.admitRequest(began)
--- a/internal/reducer/slotwait.go
+++ b/internal/reducer/slotwait.go
@@ -89,7 +89,7 @@
 }
 
 // renewAllowance takes a new allowance for a request that waited for a slot and has found one; it returns false
-// if the request waits for one, or is refused.
+// if the request waits for one, or is refused. The customer's counts have the request already.
 func (s *State) renewAllowance(call uint64, r *relay.Request) bool {
 	w := s.entryWaits[call]
 	limit, limited := s.limitOf(r.Customer)
@@ -98,20 +98,19 @@
 	}
 	s.observePause()
 	c := &s.customers
-	count := c.counts.Of(r.Customer)
-	count.Asked++
 	if c.credit.Take(limit, s.now) {
-		count.Allowed++
+		if c.credit.Short() {
+			s.sendAllowances(false)
+		}
 		return true
 	}
 	began := RequestBegan{Call: call, Request: r}
 	wait, parked := c.credit.Park(r.Customer, call, customer.Patience(r.Deadline.Sub(s.now)), s.now)
 	if !parked {
 		s.refuseAllowance(began, http.StatusTooManyRequests, ReasonOverAllowance, wait, 0)
-		s.endWait(call)
 		return false
 	}
-	c.parked[call] = parkedRequest{began, s.now}
+	c.parked[call] = parkedRequest{began: began, at: s.now, renews: true}
 	s.sendAllowances(false)
 	return false
 }
--- a/internal/reducer/slotwait_test.go
+++ b/internal/reducer/slotwait_test.go
@@ -133,7 +133,7 @@
 		t.Run(state, func(t *testing.T) {
 			s, free := waitingVM(t, document.Customer{Name: name, Rate: 4, Burst: 4})
 			s.startedAt = testStart.Add(-time.Minute) // the VM allocates
-			s.requests[1].Customer, s.requests[1].KeyDigest = name, document.DigestKey(name)
+			s.requests[1].Customer, s.requests[1].KeyDigest, s.requests[1].Once = name, document.DigestKey(name), true
 			limit, _ := s.limitOf(name)
 			s.customers.allocator.Allow(customer.Request{ID: 1, Peer: "other:1", Customer: name}, limit, testStart) // its bucket fills from now on
 			now := testStart
@@ -149,6 +149,7 @@
 				}
 				taken++
 			}
+			counted := *s.customers.counts.Of(name)
 			free(now)
 			var step relay.Step
 			for range 10 {
@@ -165,6 +166,21 @@
 			if !enough && (step.Refuse == nil || step.Refuse.Reason != ReasonOverAllowance) {
 				t.Errorf("refused with %+v, want %s", step.Refuse, ReasonOverAllowance)
 			}
+			if !enough && step.Release == nil {
+				t.Error("the claim on the key of a refused request is kept")
+			}
+			if !enough {
+				counted.Refused++
+			}
+			if got := *s.customers.counts.Of(name); got != counted {
+				t.Errorf("counts %+v, want %+v: the request was counted on arrival", got, counted)
+			}
+			if waits := len(s.entryWaits) + len(s.customers.parked); waits != 0 {
+				t.Errorf("%d waits are left", waits)
+			}
+			if count := s.slotCount("web"); count.placed+count.refused != 1 {
+				t.Errorf("slots counted %+v, want one request placed or refused", *count)
+			}
 		})
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -488,6 +488,11 @@
 	return r.endNotRun(http.StatusServiceUnavailable, string(dispatch.ReasonNoServers), "no backend server in a region that the customer allows can take it", time.Second)
 }
 
+// EndWithoutAllowance ends a request that waited for a slot and got no new allowance of its customer.
+func (r *Request) EndWithoutAllowance(status int, reason, detail string, retryAfter time.Duration) Step {
+	return r.endNotRun(status, reason, detail, retryAfter)
+}
+
 // StatusMeansNotRun reports whether callers take the status to mean that the
 // request did not run and never will.
 func StatusMeansNotRun(status int) bool {
