Ask a VM in doubt of its ways again soon, and prefer one that served of late

Cause: where nine of ten VMs lose their ways together, the one that has a way may refuse for a moment as it lacks the processor, was avoided for a second and never asked again for the same request, while the others were tried one after the other. Change: a refusal of a VM that is only in doubt says so by a Retry-After of 0.1 s; it is avoided for that long and may be asked again, eight tries at most. A VM that served within the last second is preferred by up to 16 requests. Where all that may help are avoided and no way is left, a request that may be repeated waits until one is not. What fails now are mostly requests of the first half second (504), whose sends are given up too late.

--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -238,7 +238,7 @@
 		Detail:               detail,
 		Run:                  string(relay.RunNo),
 		RetryAfter:           retryAfter,
-		FractionalRetryAfter: in.relay.Dialect.FractionalRetryAfter,
+		FractionalRetryAfter: in.relay.Dialect.FractionalRetryAfter || in.detour != nil,
 	})
 	in.status = status
 }
@@ -434,7 +434,7 @@
 		Detail:               p.Detail,
 		Run:                  string(p.Run),
 		RetryAfter:           p.RetryAfter,
-		FractionalRetryAfter: in.relay.Dialect.FractionalRetryAfter,
+		FractionalRetryAfter: in.relay.Dialect.FractionalRetryAfter || in.detour != nil,
 	})
 	in.status = p.Status
 }
--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -40,12 +40,14 @@
 	otherRegionRequests = 24
 	triedDomainRequests = 32 // of a VM in the failure domain of one that could not help: the cut may be that of the domain
 	avoidFor            = time.Second
+	unknownRequests     = 16 // of a VM that served none of late, where another one did: several VMs are often cut together
 )
 
 // Chooser keeps count of the requests that other VMs serve for this one.
 type Chooser struct {
 	running      map[string]int       // by VM
 	avoidedUntil map[string]time.Time // by VM
+	servedUntil  map[string]time.Time // by VM: until then, its last answer of a server shows that it has a way
 }
 
 // Choose returns the helper of least cost: near, and with few requests of this VM. Of equal
@@ -53,6 +55,7 @@
 func (c *Chooser) Choose(own Site, helpers []Helper, need Need, now time.Time) (Helper, bool) {
 	var best Helper
 	bestCost, bestHash, found := 0, uint64(0), false
+	anyServes := slices.ContainsFunc(helpers, func(h Helper) bool { return c.serves(h.VM, now) })
 	for _, h := range helpers {
 		if !need.fits(h) || now.Before(c.avoidedUntil[h.VM]) {
 			continue
@@ -61,6 +64,9 @@
 		if need.triedDomain(helpers, h.Domain) {
 			cost += triedDomainRequests
 		}
+		if anyServes && !c.serves(h.VM, now) {
+			cost += unknownRequests
+		}
 		hash := xxhash.Sum64String(own.VM + "\x00" + h.VM)
 		if !found || cost < bestCost || cost == bestCost && hash > bestHash {
 			best, bestCost, bestHash, found = h, cost, hash, true
@@ -69,6 +75,20 @@
 	return best, found
 }
 
+// Wait returns the time until a helper that is avoided now may be chosen, or 0 if there is none.
+func (c *Chooser) Wait(helpers []Helper, need Need, now time.Time) time.Duration {
+	shortest := time.Duration(0)
+	for _, h := range helpers {
+		wait := c.avoidedUntil[h.VM].Sub(now)
+		if need.fits(h) && wait > 0 && (shortest == 0 || wait < shortest) {
+			shortest = wait
+		}
+	}
+	return shortest
+}
+
+func (c *Chooser) serves(vm string, now time.Time) bool { return now.Before(c.servedUntil[vm]) }
+
 func (n Need) fits(h Helper) bool {
 	if n.Allowed != nil && !n.Allowed(h.Region) || slices.Contains(n.Tried, h.VM) {
 		return false
@@ -98,7 +118,7 @@
 // Begin counts a request that a helper serves.
 func (c *Chooser) Begin(vm string) {
 	if c.running == nil {
-		c.running, c.avoidedUntil = make(map[string]int), make(map[string]time.Time)
+		c.running, c.avoidedUntil, c.servedUntil = make(map[string]int), make(map[string]time.Time), make(map[string]time.Time)
 	}
 	c.running[vm]++
 }
@@ -111,10 +131,25 @@
 	}
 	if helpless {
 		c.avoidedUntil[vm] = now.Add(avoidFor)
+		delete(c.servedUntil, vm)
 	} else {
 		delete(c.avoidedUntil, vm)
 	}
 }
 
+// Shorten has a VM that could not help avoided for a shorter time: it does not know yet whether it can.
+func (c *Chooser) Shorten(vm string, avoid time.Duration, now time.Time) {
+	if until := now.Add(avoid); until.Before(c.avoidedUntil[vm]) {
+		c.avoidedUntil[vm] = until
+	}
+}
+
+// Served notes that a server answered a request that the VM served for this one.
+func (c *Chooser) Served(vm string, now time.Time) {
+	if c.servedUntil != nil {
+		c.servedUntil[vm] = now.Add(avoidFor)
+	}
+}
+
 // Running returns the number of requests that each helper serves now.
 func (c *Chooser) Running() map[string]int { return maps.Clone(c.running) }
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -92,3 +92,52 @@
 		t.Errorf("one of %d helpers serves %d of %d requests, want %d at most", len(helpers), highest, vms*requests, most)
 	}
 }
+
+// A VM that was short of the processor for a moment, and is the only one with a way, must not be avoided for long.
+func TestVMThatMayHelpSoonIsAvoidedForAShorterTime(t *testing.T) {
+	const short = 100 * time.Millisecond
+	var c Chooser
+	c.Begin("neighbour")
+	c.End("neighbour", true, now)
+	c.Shorten("neighbour", short, now)
+	helpers := []Helper{neighbour, cutOff}
+	need := Need{Domains: 3}
+	if wait := c.Wait(helpers, need, now); wait != short {
+		t.Errorf("waits for %v, want %v", wait, short)
+	}
+	if _, found := c.Choose(own, helpers, need, now.Add(short-1)); found {
+		t.Error("chosen while it is avoided")
+	}
+	if got, _ := c.Choose(own, helpers, need, now.Add(short)); got.VM != "neighbour" {
+		t.Errorf("chose %q, want the neighbour", got.VM)
+	}
+	need.Tried = []string{"neighbour"}
+	if wait := c.Wait(helpers, need, now); wait != 0 {
+		t.Errorf("waits for %v though no helper will do", wait)
+	}
+}
+
+// Several VMs are often cut together: a near one that is not known to have a way costs a try.
+func TestVMThatServedOfLateIsPreferred(t *testing.T) {
+	var c Chooser
+	c.Begin("nearby")
+	c.End("nearby", false, now)
+	c.Served("nearby", now)
+	helpers := []Helper{neighbour, nearby, far}
+	if got, _ := c.Choose(own, helpers, Need{}, now); got.VM != "nearby" {
+		t.Errorf("chose %q, want the one that served", got.VM)
+	}
+	if got, _ := c.Choose(own, helpers, Need{}, now.Add(avoidFor)); got.VM != "neighbour" {
+		t.Errorf("chose %q a while later, want the nearest", got.VM)
+	}
+	for range unknownRequests {
+		c.Begin("nearby")
+	}
+	if got, _ := c.Choose(own, helpers, Need{}, now); got.VM != "neighbour" {
+		t.Errorf("chose %q, which has many requests, want the nearest", got.VM)
+	}
+	c.End("nearby", true, now)
+	if got, _ := c.Choose(own, helpers, Need{}, now); got.VM != "neighbour" {
+		t.Errorf("chose %q right after it could not help", got.VM)
+	}
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -186,6 +186,12 @@
 	return closed > 0 && 2*closed >= len(t.domains) || t.silent(now)
 }
 
+// MostlyCut reports whether the ways to half of the failure domains or more are cut, not only in doubt.
+func (t *Tracker) MostlyCut() bool {
+	cut := len(t.Cut())
+	return cut > 0 && 2*cut >= len(t.domains)
+}
+
 // Begin notes a request that is sent; call identifies it until End.
 func (t *Tracker) Begin(call uint64, f Flight) {
 	if t.flights == nil {
--- a/internal/reducer/detour.go
+++ b/internal/reducer/detour.go
@@ -18,6 +18,8 @@
 	minTakenOver      = 64  // for the least urgent ranks
 	detoursFullRetry  = 200 * time.Millisecond
 	noWayRetry        = 500 * time.Millisecond // by then the way may be probed again
+	doubtRetry        = 100 * time.Millisecond // by then a VM that lacked the processor for a moment has answers of servers again
+	minHelpTime       = 200 * time.Millisecond // left to the deadline when a request waits for a helper, at least
 )
 
 // helpers returns the VMs that may serve requests for this one, as far as is known.
@@ -47,13 +49,31 @@
 	if !r.MayDetour() || s.document == nil {
 		return helper{}, false
 	}
+	return s.detours.Choose(detour.Site{VM: s.Settings.VM, Domain: s.Settings.Domain, Region: s.Settings.Region}, s.helpers(), s.detourNeed(r, domain), s.now)
+}
+
+// detourNeed returns what a request needs of its helper; domain is as for chooseHelper.
+func (s *State) detourNeed(r *relay.Request, domain string) detour.Need {
 	need := detour.Need{Domain: domain, Domains: len(s.document.Places.Domains), Tried: r.TriedHelpers()}
 	if r.Route != nil {
 		need.Allowed = regionFilter(r.Route)
 	} else if service := s.document.Services.ByName(r.Service); service != nil {
 		need.Allowed = service.AllowedIn
 	}
-	return s.detours.Choose(detour.Site{VM: s.Settings.VM, Domain: s.Settings.Domain, Region: s.Settings.Region}, s.helpers(), need, s.now)
+	return need
+}
+
+// helperWait returns how long a request waits for a VM that may serve it soon, where this one reaches
+// no server and all others that may are avoided; 0 if it does not.
+func (s *State) helperWait(r *relay.Request) time.Duration {
+	if !s.ways.AllLost() || !r.MayRepeat() || !r.MayDetour() || s.document == nil {
+		return 0
+	}
+	wait := s.detours.Wait(s.helpers(), s.detourNeed(r, ""), s.now)
+	if wait > r.Deadline.Sub(s.now)-minHelpTime {
+		return 0
+	}
+	return wait
 }
 
 // needsDetour reports whether the next step of a request, a claim or a request for a slot,
@@ -90,6 +110,12 @@
 	helpless := e.Result == routing.ResultDialFailed || e.Result == routing.ResultDialTimeout || e.Refusal != nil && e.Refusal.Reason == relay.ReasonNoWay
 	vm := s.detourRuns[e.Call]
 	s.endDetour(e.Call, helpless)
+	switch {
+	case e.Refusal != nil && e.Refusal.IsPassing():
+		s.detours.Shorten(vm, e.Refusal.RetryAfter, s.now)
+	case e.Result == routing.ResultOK:
+		s.detours.Served(vm, s.now)
+	}
 	r := s.requests[e.Call]
 	if r == nil {
 		return
@@ -122,6 +148,9 @@
 	switch {
 	case s.ways.Helpless(s.now):
 		problem.Reason, problem.Detail, problem.RetryAfter = relay.ReasonNoWay, "the VM that was asked to serve the request reaches no server either", noWayRetry
+		if !s.ways.MostlyCut() {
+			problem.RetryAfter = doubtRetry
+		}
 	case len(s.takenOver) >= limit:
 		problem.Reason, problem.Detail, problem.RetryAfter = relay.ReasonDetoursFull, "the VM that was asked to serve the request serves many for others", detoursFullRetry
 	default:
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -97,6 +97,10 @@
 			s.passOn(call, r, step, h, "no connection to servers")
 			return
 		}
+		if wait := s.helperWait(r); wait > 0 {
+			s.emit(Answer{Call: call, Value: relay.Step{Wait: wait}})
+			return
+		}
 	}
 	byStop := step.SlotRequest != nil && s.boundByStop(step.SlotRequest)
 	if byStop && step.SlotRequest.Remaining <= 0 {
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -37,7 +37,7 @@
 // MayDetour reports whether another VM may be asked to serve the request. Nobody serves a
 // request for a VM that serves it for another one, so that it is passed on once at most.
 func (r *Request) MayDetour() bool {
-	return !r.TakenOver && len(r.triedHelpers) < maxHelpers
+	return !r.TakenOver && r.helperTries < maxHelpers
 }
 
 // Unconnected reports whether connections to several servers failed for this request.
@@ -71,6 +71,7 @@
 	}
 	r.Grant = nil
 	r.triedHelpers = append(r.triedHelpers, helper.VM)
+	r.helperTries++
 	return Step{Detour: &Detour{Helper: helper, Runs: r.runs}}
 }
 
@@ -122,6 +123,12 @@
 
 const noWayRetry = 500 * time.Millisecond // until the way is probed again
 
+// IsPassing reports whether the refusal of a VM that was to serve a request for another may end soon:
+// it has no way for now, and does not know yet whether it is cut.
+func (p *Problem) IsPassing() bool {
+	return p.Reason == ReasonNoWay && p.RetryAfter > 0 && p.RetryAfter < noWayRetry
+}
+
 // handleRefusal tries the next VM, or the servers directly, if the refusal concerns only the
 // VM that sent it; that one has released no claim then.
 func (r *Request) handleRefusal(e DetourResult, now time.Time) Step {
@@ -133,6 +140,10 @@
 		step.Refuse.DecidedBy = refusal.DecidedBy
 		return step
 	default:
+		if refusal.IsPassing() {
+			// Of several VMs that are cut together it may be the one that is not.
+			r.triedHelpers = r.triedHelpers[:max(0, len(r.triedHelpers)-1)]
+		}
 		return r.proceed(now)
 	}
 	if refusal.Run != RunNo {
--- a/internal/relay/detour_test.go
+++ b/internal/relay/detour_test.go
@@ -195,3 +195,39 @@
 		})
 	}
 }
+
+// Of several VMs that are cut together, the one that is not may refuse for a moment; it must be asked again.
+func TestVMThatRefusedForAMomentIsAskedAgain(t *testing.T) {
+	tests := map[string]struct {
+		reason string
+		retry  time.Duration
+		again  bool
+	}{
+		"it does not know yet whether it is cut": {reason: ReasonNoWay, retry: noWayRetry / 5, again: true},
+		"it is cut":                              {reason: ReasonNoWay, retry: noWayRetry},
+		"an earlier build, in whole seconds":     {reason: ReasonNoWay, retry: time.Second},
+		"it serves many":                         {reason: ReasonDetoursFull, retry: noWayRetry / 5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRequest(false)
+			budget := &RetryBudget{}
+			step := r.Start(start, budget)
+			tries := 0
+			for ; r.MayDetour(); tries++ {
+				r.PassOn(detour.Helper{VM: "other"}, step)
+				refusal := &Problem{Status: 503, Reason: test.reason, Run: RunNo, RetryAfter: test.retry}
+				step = r.HandleDetourResult(DetourResult{Result: routing.ResultShed, Refusal: refusal}, start, budget)
+				if step.SlotRequest == nil {
+					t.Fatalf("step %+v, want a request for a slot", step)
+				}
+				if got := len(r.TriedHelpers()) == 0; got != test.again {
+					t.Errorf("may be asked again: %v, want %v", got, test.again)
+				}
+			}
+			if tries != maxHelpers {
+				t.Errorf("asked %d times, want %d", tries, maxHelpers)
+			}
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -53,7 +53,8 @@
 	excluded       []string // servers that a retry must not use
 	noConnection   int      // sends for which no connection came
 	wayLost        bool     // a send was given up because its way was lost
-	triedHelpers   []string // VMs that were asked to serve the request
+	triedHelpers   []string // VMs that were asked to serve the request, and are not asked again
+	helperTries    int      // times that a VM was asked to
 	mayHaveRun     bool     // this request, or an earlier one with its key
 	runsOnce       bool     // a newer document forbids to repeat it
 }
@@ -209,8 +210,13 @@
 	return r.refuse(http.StatusGatewayTimeout, "still-running", "an earlier request with this key is still running", time.Second)
 }
 
-// ResumeAfterWait claims the key again after a Wait step.
-func (r *Request) ResumeAfterWait(now time.Time) Step { return r.claim(now) }
+// ResumeAfterWait claims the key again after a Wait step; a request without one asks for a slot.
+func (r *Request) ResumeAfterWait(now time.Time) Step {
+	if !r.Once {
+		return r.proceed(now)
+	}
+	return r.claim(now)
+}
 
 func (r *Request) replay(outcome ledger.Outcome) Step {
 	if outcome.Truncated {
