--- a/internal/customer/allocator.go
+++ b/internal/customer/allocator.go
@@ -391,7 +391,7 @@
 	}
 	a.refill(b, now)
 	rate, _ := a.shareOf(b)
-	ahead := min(askAheadFor, b.division.TTL)
+	ahead := min(askAheadFor, b.division.LoanTTL)
 	need := surely(b.demand.rate(now) * ahead.Seconds())
 	need -= int(rate * ahead.Seconds())
 	waiting := 0
@@ -494,7 +494,7 @@
 		}
 		l.id, l.silentTo = 0, time.Time{}
 		l.left, l.gain, l.answeredAt = finite(g.Left), finite(g.Gain), now
-		if until := l.askedAt.Add(b.division.TTL); g.Count > 0 && now.Before(until) {
+		if until := l.askedAt.Add(b.division.LoanTTL); g.Count > 0 && now.Before(until) {
 			count := min(g.Count, l.asked)
 			b.borrowed = append(dropEnded(b.borrowed, now), lot{count, until})
 			a.loans.Borrowed += count
--- a/internal/customer/credit.go
+++ b/internal/customer/credit.go
@@ -7,7 +7,8 @@
 
 // Timings of an entry's questions.
 const (
-	askAgainAfter  = 250 * time.Millisecond // without an answer: on links at their capacity one takes 100 to 200 ms, and more questions add to the load
+	askAgainAfter  = 250 * time.Millisecond // without an answer: far above the 0.4 ms within a domain
+	maxEarlier     = 3                      // questions before the last one whose answers are taken: on links at their capacity one takes 0.5 s or more
 	askMoreAfter   = 100 * time.Millisecond // after an answer without standing allowances
 	minPatience    = 300 * time.Millisecond // that a parked request waits, at least
 	maxPatience    = time.Second            // the same, at most
@@ -48,8 +49,8 @@
 	arrived  int // since the last question
 	usedAt   time.Time
 
-	question      asked // the last one, unanswered; zero for none
-	earlier       asked // the one before, if it was unanswered too
+	question      asked   // the last one, unanswered; zero for none
+	earlier       []asked // unanswered ones before it, oldest first
 	refusesUntil  time.Time
 	nextTurn      time.Time // of the next request that is refused until then
 	spacing       time.Duration
@@ -178,7 +179,10 @@
 
 func (c *Credit) ask(a *account, now time.Time) Request {
 	c.lastID++
-	a.earlier = a.question
+	if a.question.id != 0 {
+		a.earlier = append(a.earlier, a.question)
+		a.earlier = a.earlier[max(0, len(a.earlier)-maxEarlier):]
+	}
 	a.question = asked{c.lastID, now, len(a.parked)}
 	r := Request{
 		ID:       a.question.id,
@@ -203,23 +207,28 @@
 	if a == nil || g.ID == 0 {
 		return nil, nil
 	}
-	var q asked
-	switch g.ID {
-	case a.question.id:
-		q, a.question, a.earlier = a.question, asked{}, asked{}
-	case a.earlier.id:
-		q, a.earlier = a.earlier, asked{}
-		q.waiting = 0
-	default:
+	q, found := a.closeQuestion(g.ID)
+	if !found {
 		return nil, nil
 	}
 	a.domainDemand, a.demandHeardAt = finite(g.Demand), now
 	a.lots = dropEnded(a.lots, now)
-	if until := q.at.Add(a.division.TTL); g.Count > 0 && now.Before(until) {
-		a.lots = append(a.lots, lot{g.Count, until})
+	until, count := q.at.Add(a.division.TTL), g.Count
+	if !now.Before(until) {
+		// Too late for a lifetime, but not for allowances without an end.
+		count = min(count, max(0, a.division.Standing-a.standing))
+		a.standing += count
+	} else if count > 0 {
+		a.lots = append(a.lots, lot{count, until})
+	}
+	if count > 0 {
 		a.refusesUntil = time.Time{}
 	}
 	n := takeFrom(a.lots, len(a.parked))
+	if more := min(a.standing, len(a.parked)-n); more > 0 {
+		a.standing -= more
+		n += more
+	}
 	for _, p := range a.parked[:n] {
 		ready = append(ready, p.call)
 	}
@@ -241,6 +250,24 @@
 	return ready, refused
 }
 
+// closeQuestion returns the open question of an id, which its answer closes. That to the last one closes
+// all: later answers to earlier ones are late by more than a repeat. An earlier one refuses nothing.
+func (a *account) closeQuestion(id uint64) (asked, bool) {
+	if id == a.question.id {
+		q := a.question
+		a.question, a.earlier = asked{}, a.earlier[:0]
+		return q, true
+	}
+	for i, q := range a.earlier {
+		if q.id == id {
+			a.earlier = slices.Delete(a.earlier, i, i+1)
+			q.waiting = 0
+			return q, true
+		}
+	}
+	return asked{}, false
+}
+
 // refuseFrom notes that the allocator has no more allowances for now. The refusal also
 // holds for requests that arrive within a small part of the time in which its bucket
 // fills, so that a flood is not passed on to it.
@@ -317,7 +344,7 @@
 // again.
 func (c *Credit) Reset() {
 	for _, a := range c.accounts {
-		a.lots, a.standing, a.question, a.earlier, a.refusesUntil = nil, 0, asked{}, asked{}, time.Time{}
+		a.lots, a.standing, a.question, a.earlier, a.refusesUntil = nil, 0, asked{}, nil, time.Time{}
 	}
 }
 
--- a/internal/customer/division.go
+++ b/internal/customer/division.go
@@ -12,6 +12,7 @@
 // Bounds on how an allowance is divided.
 const (
 	minTTL         = 200 * time.Millisecond // covers a question across regions, 40 ms, on busy VMs
+	fullLinkTTL    = 500 * time.Millisecond // of an allowance: covers a question and its answer over an entry's link at its capacity, 0.25 s each
 	maxTTL         = 2 * time.Second        // demand moves between regions within this time
 	handoverTime   = time.Second            // two VMs of a domain may take themselves for its allocator at a time
 	maxStanding    = 8                      // standing allowances of an entry: enough for answers that take a second where it sends 8 requests a second
@@ -37,7 +38,8 @@
 	Rate     float64       // tokens a second in all domains
 	Capacity float64       // tokens in all domains
 	Holders  int           // domains that hold an equal share of both
-	TTL      time.Duration // of an allowance, and of a borrowed token, from when it was asked for
+	TTL      time.Duration // of an allowance, from when it was asked for
+	LoanTTL  time.Duration // the same of a borrowed token
 	Standing int           // allowances that each entry may hold without an end
 }
 
@@ -51,14 +53,17 @@
 	domains := max(1, t.Domains)
 	spare := t.Bound() - t.Rate*t.Window.Seconds()
 	wanted := max(t.Burst, float64(tokensPerShare*domains))
-	capacity := func(holders int) float64 {
-		return min(wanted, spare-t.Rate*(2*minTTL.Seconds()+handoverTime.Seconds()/float64(holders)))
+	capacity := func(holders int, ttl time.Duration) float64 {
+		return min(wanted, spare-t.Rate*((ttl+minTTL).Seconds()+handoverTime.Seconds()/float64(holders)))
 	}
-	holders := domains
-	for holders > 1 && capacity(holders) < float64(tokensPerShare*holders) {
-		holders--
+	d := Division{Rate: t.Rate, Holders: domains, TTL: fullLinkTTL, LoanTTL: minTTL}
+	if capacity(domains, fullLinkTTL) < float64(tokensPerShare*domains) {
+		d.TTL = minTTL // the bound pays for little: tokens at each domain are worth more than late answers
 	}
-	d := Division{Rate: t.Rate, Capacity: capacity(holders), Holders: holders, TTL: minTTL}
+	for d.Holders > 1 && capacity(d.Holders, d.TTL) < float64(tokensPerShare*d.Holders) {
+		d.Holders--
+	}
+	d.Capacity = capacity(d.Holders, d.TTL)
 	if d.Capacity < 1 {
 		// The bound does not even pay for the shortest lifetimes at the full rate.
 		d.Capacity = min(1, t.Bound())
@@ -66,11 +71,13 @@
 		return d
 	}
 	if t.Rate > 0 {
-		left := spare - d.Capacity - t.Rate*handoverTime.Seconds()/float64(holders)
-		d.TTL = min(max(seconds(left/(2*t.Rate)), minTTL), maxTTL)
+		left := spare - d.Capacity - t.Rate*((d.TTL+d.LoanTTL).Seconds()+handoverTime.Seconds()/float64(d.Holders))
+		both := d.TTL + d.LoanTTL + max(0, seconds(left/t.Rate))
+		d.TTL = min(max(d.TTL, both/2), maxTTL)
+		d.LoanTTL = min(both-d.TTL, maxTTL)
 	}
 	if entries > 0 {
-		spare := (d.Capacity - float64(tokensPerShare*holders)) * standingPart
+		spare := (d.Capacity - float64(tokensPerShare*d.Holders)) * standingPart
 		d.Standing = max(0, min(int(spare/float64(entries)), maxStanding))
 		d.Capacity -= float64(d.Standing * entries)
 	}
--- a/internal/placing/learn.go
+++ b/internal/placing/learn.go
@@ -37,7 +37,7 @@
 
 // Outcome describes how a request on a server ended.
 type Outcome struct {
-	Partial  bool // it was begun by BeginPartial
+	Partial  bool // it was begun as a partial Run
 	Class    string
 	Object   string
 	Target   time.Duration // answer time of the class after which an answer loses most of its value
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -116,6 +116,10 @@
 			s.passOn(call, r, step, h, "no connection to servers")
 			return
 		}
+		if wait := s.helperWait(r); wait > 0 {
+			s.emit(Answer{Call: call, Value: relay.Step{Wait: wait}})
+			return
+		}
 	}
 	if step.SlotRequest != nil && s.isOutsideRegions(r) {
 		if h, found := s.chooseHelper(r, ""); found {
