--- a/internal/callerhttp/departure.go
+++ b/internal/callerhttp/departure.go
@@ -113,18 +113,13 @@
 	}
 }
 
-// mayWrite reports whether the request may still be written to a server or another VM. net/http
-// looks for the end of the caller's connection beside the handler: on a VM that lacked the
-// processor, the handler can be first.
-func (in *inbound) mayWrite() bool {
-	if in.server != "" && in.isRevoked() {
-		return false // another VM checks the key itself
-	}
-	if in.rule.Once {
-		return true
-	}
-	return !in.callerLeft()
-}
+// mayWrite reports whether the request may still be written to another VM. net/http looks for the end
+// of the caller's connection beside the handler: on a VM that lacked the processor, the handler can
+// be first.
+func (in *inbound) mayWrite() bool { return in.rule.Once || !in.callerLeft() }
+
+// mayWriteToServer is mayWrite for a server; another VM checks the key itself.
+func (in *inbound) mayWriteToServer() bool { return !in.isRevoked() && in.mayWrite() }
 
 // callerLeft reports whether the caller has left, whether or not net/http has found out.
 func (in *inbound) callerLeft() bool {
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -171,7 +171,11 @@
 		return sendResult{RequestSent: reducer.RequestSent{Result: routing.ResultUnused, Evidence: relay.EvidenceNothingWritten, Cause: err.Error()}}
 	}
 	request.Body = body
-	connect := &connectAttempt{id: in.id, now: in.relay.Node.Clock.Now, timeout: timeout, onConnected: func() { in.caller.enter(stageServer) }, mayWrite: in.mayWrite, chosen: chosen}
+	mayWrite := in.mayWrite
+	if transport == http.RoundTripper(in.relay.Transport) {
+		mayWrite = in.mayWriteToServer
+	}
+	connect := &connectAttempt{id: in.id, now: in.relay.Node.Clock.Now, timeout: timeout, onConnected: func() { in.caller.enter(stageServer) }, mayWrite: mayWrite, chosen: chosen}
 	in.caller.enter(stageConnect)
 	response, err := connect.roundTrip(transport, request)
 	sent := sendResult{response: response, connect: connect}
