--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -99,23 +99,12 @@
 	if pool == nil {
 		return s.denyRequest(call, r, slotRequest, dispatch.ReasonNoServers, placing.Choice{RetryAfter: suspectedRetry}), helper{}
 	}
-	regions := s.regionsOf(r)
 	waited := s.waitedForSlot(call)
-	_, hasWaited := s.entryWaits[call]
-	choice := pool.Choose(placing.Request{
-		Class:      r.Route.Location(),
-		Object:     r.Object,
-		Rank:       r.Rank,
-		Remaining:  slotRequest.Remaining,
-		Target:     r.TargetTime.Sub(s.now),
-		Exclude:    slotRequest.Exclude,
-		Allowed:    regions.filter(),
-		AllowedKey: regions.key,
-		Fallback:   slotRequest.Fingerprint ^ uint64(len(s.requests)),
-		OwnWay:     ownWay,
-		Waited:     hasWaited,
-		Certain:    slotRequest.Remaining < r.Deadline.Sub(s.now),
-	}, s.now)
+	request := s.placingRequest(r, slotRequest)
+	request.Fallback, request.OwnWay = slotRequest.Fingerprint^uint64(len(s.requests)), ownWay
+	_, request.Waited = s.entryWaits[call]
+	request.Certain = slotRequest.Remaining < r.Deadline.Sub(s.now)
+	choice := pool.Choose(request, s.now)
 	s.askServers(pool, maxQuestionsOfRequest)
 	if h := s.helperFor(r, choice); h.VM != "" {
 		return dispatch.Answer{}, h
@@ -135,7 +124,7 @@
 			reason, choice.RetryAfter = dispatch.ReasonStopping, stoppingRetry
 		}
 		if reason == dispatch.ReasonQueueFull {
-			if !hasWaited {
+			if !request.Waited {
 				if denial, denied := s.askShare(r, choice); denied {
 					return denial, helper{}
 				}
@@ -152,12 +141,12 @@
 				choice.RetryAfter = pool.Promise(placing.Request{Class: r.Route.Location(), Remaining: slotRequest.Remaining}, s.now)
 			}
 		}
-		if hasWaited {
+		if request.Waited {
 			s.slotCount(r.Service).refused++
 		}
 		return s.denyRequest(call, r, slotRequest, reason, choice), helper{}
 	}
-	if hasWaited {
+	if request.Waited {
 		if !s.renewAllowance(call, r) {
 			return dispatch.Answer{}, helper{}
 		}
