Leave public out of routes that need a key

VMs of earlier releases refuse a document with a key that they do not know, so that a configuration was not in force beside a newer control VM. Found by TestOldAndNewBuildsSideBySide.

--- a/pkg/document/routes.go
+++ b/pkg/document/routes.go
@@ -46,12 +46,12 @@
 	Path     string   `toml:"path"` // prefix, in whole path elements
 	Kind     Kind     `toml:"kind"`
 	Rank     string   `toml:"rank"`
-	Timeout  Duration `toml:"timeout"`  // longest wait for a final answer
-	Target   Duration `toml:"target"`   // time after which an answer has lost most of its value
-	Tries    int      `toml:"tries"`    // backend servers that may run one request, at most
-	Affinity bool     `toml:"affinity"` // requests for an object run faster on a server that recently ran another one for it
-	Regions  []string `toml:"regions"`  // regions allowed to run it; none means all
-	Public   bool     `toml:"public"`   // serves requests without a customer's key
+	Timeout  Duration `toml:"timeout"`          // longest wait for a final answer
+	Target   Duration `toml:"target"`           // time after which an answer has lost most of its value
+	Tries    int      `toml:"tries"`            // backend servers that may run one request, at most
+	Affinity bool     `toml:"affinity"`         // requests for an object run faster on a server that recently ran another one for it
+	Regions  []string `toml:"regions"`          // regions allowed to run it; none means all
+	Public   bool     `toml:"public,omitempty"` // serves requests without a customer's key
 	To       []Target `toml:"to"`
 }
 
