--- a/review/site/upstream.go
+++ b/review/site/upstream.go
@@ -104,7 +104,7 @@
 	u.runs[id]++
 	u.ranAt = append(u.ranAt, time.Now())
 	u.mutex.Unlock()
-	u.site.record.printf("upstream %s: runs %s %s of %s, %s ms left", u.id, r.Method, r.URL.Path, id, r.Header.Get("Deadline-Ms"))
+	u.site.record.printf("upstream %s: runs %s %s of %s, %s ms left", u.id, r.Method, r.RequestURI, id, r.Header.Get("Deadline-Ms"))
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
