--- a/review/site/early.go
+++ b/review/site/early.go
@@ -21,10 +21,11 @@
 	longBodyBytes    = 400_000 // of each long request
 	bodyPartBytes    = 20_000  // that a client sends at once
 	bodyPartPause    = 10 * time.Millisecond
-	longRequests     = 960
 	earlyAnswerBytes = 600_000
 	earlyPart        = 50 // one of so many answers of a spoiled upstream comes early
-	longWorkers      = 12
+	longWorkers      = 40
+	longTraffic      = 9 * time.Second
+	garbleLength     = 5 * time.Second // for which answers come early
 )
 
 // longBody returns a body in which each eight bytes tell their place.
@@ -50,7 +51,7 @@
 // body: it keeps the connection and reads on.
 type earlyUpstream struct {
 	*upstream
-	spoiled  bool
+	spoiled  func() bool // whether answers may come early now
 	answered atomic.Int64
 	early    atomic.Int64
 	broken   func(text string)
@@ -92,7 +93,7 @@
 		fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
 		return true
 	}
-	if e.spoiled && e.answered.Add(1)%earlyPart == 0 {
+	if e.spoiled() && e.answered.Add(1)%earlyPart == 0 {
 		e.early.Add(1)
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal-of-%s\r\nContent-Length: %d\r\n\r\n", id, id, earlyAnswerBytes)
 		go conn.Write(make([]byte, earlyAnswerBytes))
@@ -136,9 +137,14 @@
 		defer mutex.Unlock()
 		broken = append(broken, text)
 	}
+	var began atomic.Int64 // when the traffic began, in milliseconds since 1970; 0 before
+	garbled := func() bool {
+		start := began.Load()
+		return trouble && start > 0 && time.Since(time.UnixMilli(start)) < garbleLength
+	}
 	var upstreams []*earlyUpstream
-	for i := range 4 {
-		e := &earlyUpstream{spoiled: trouble && i%2 == 0, broken: note}
+	for i := range 8 {
+		e := &earlyUpstream{spoiled: func() bool { return i%2 == 0 && garbled() }, broken: note}
 		u, err := s.startUpstream(fmt.Sprintf("i-orders-%d", i), "orders", zoneName(i), "", func(u *upstream) {
 			u.slots, u.serveRaw = 9, e.serve
 			e.upstream = u
@@ -153,13 +159,14 @@
 		return nil, err
 	}
 	time.Sleep(4 * time.Second)
+	began.Store(time.Now().UnixMilli())
 	var wait sync.WaitGroup
 	statuses := make(map[int]int)
 	for worker := range longWorkers {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			for i := range longRequests / longWorkers {
+			for i, end := 0, time.Now().Add(longTraffic); time.Now().Before(end); i++ {
 				status := sendLong(s.edges()[worker%3], fmt.Sprintf("l%d-%d", worker, i), i%4 != 0)
 				mutex.Lock()
 				statuses[status]++
