--- a/review/site/twice.go
+++ b/review/site/twice.go
@@ -19,7 +19,8 @@
 const (
 	lostPart     = 20 // one of so many answers of a spoiled upstream is lost
 	twiceClients = 12
-	twiceLength  = 20 * time.Second
+	twiceLength  = 8 * time.Second
+	lostLength   = 4 * time.Second // for which answers are lost
 	orderPause   = 100 * time.Millisecond
 )
 
@@ -37,12 +38,15 @@
 	if err := s.operate(http.MethodPut, "/api/config", []byte(statusConfig)); err != nil {
 		return nil, err
 	}
+	var began atomic.Int64 // when the traffic began, in milliseconds since 1970; 0 before
 	for i := range 6 {
 		var ran atomic.Int64
 		if _, err := s.startUpstream(fmt.Sprintf("i-orders-%d", i), "orders", zoneName(i), "", func(u *upstream) {
 			u.slots, u.work = 9, 50*time.Millisecond
 			u.answer = func(u *upstream, w http.ResponseWriter, r *http.Request, body []byte) {
-				if trouble && i%2 == 0 && ran.Add(1)%lostPart == 0 {
+				start := began.Load()
+				lossy := trouble && i%2 == 0 && start > 0 && time.Since(time.UnixMilli(start)) < lostLength
+				if lossy && ran.Add(1)%lostPart == 0 {
 					s.record.printf("upstream %s: the answer to %s is lost", u.id, r.Header.Get("Request-Id"))
 					resetConnection(w)
 					return
@@ -57,6 +61,7 @@
 		return nil, err
 	}
 	time.Sleep(4 * time.Second)
+	began.Store(time.Now().UnixMilli())
 	var wait sync.WaitGroup
 	for worker := range twiceClients {
 		wait.Add(1)
