Close connections without a reset

Cause: the kernel resets a connection that is closed while received bytes are unread or still to come, and drops what the caller has not received. net/http closes at once after an answer when keep-alives are off. Besides, a stop allowed 200 ms for answers that the sockets had not taken yet.

Change: tcp.Lingerer ends the sending side, discards what is received, and closes when the other end does. A request that has arrived on an idle connection is served first; one that comes later is left unread. A stop waits within its grace until answers are delivered.

--- a/internal/callerhttp/detour.go
+++ b/internal/callerhttp/detour.go
@@ -101,6 +101,7 @@
 	return &http.Server{
 		Handler:           http.HandlerFunc(l.servePeer),
 		ConnContext:       ConnContext,
+		ConnState:         TrackIdle,
 		MaxHeaderBytes:    peerMaxHeader,
 		ReadHeaderTimeout: peerHeaderTimeout,
 		IdleTimeout:       peerServerIdleTimeout,
--- a/internal/callerhttp/guard.go
+++ b/internal/callerhttp/guard.go
@@ -1,12 +1,11 @@
 package callerhttp
 
 import (
-	"errors"
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"golang.org/x/net/netutil"
@@ -14,6 +13,7 @@
 	"github.com/heatherwood/heatherwood/internal/clock"
 	"github.com/heatherwood/heatherwood/internal/node"
 	"github.com/heatherwood/heatherwood/internal/reducer"
+	"github.com/heatherwood/heatherwood/internal/tcp"
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
@@ -42,8 +42,9 @@
 	OnClose        func(reason CloseReason, caller string, after time.Duration) // called for each closed connection
 	MaxConnections int                                                          // open at a time, others wait to be accepted; 0 for no limit
 
-	mu    sync.Mutex
-	conns map[*guardedConn]struct{}
+	lingerer tcp.Lingerer
+	mu       sync.Mutex
+	conns    map[*guardedConn]struct{}
 }
 
 // NewGuard returns a Guard that follows the document of a VM, counts the connections
@@ -71,8 +72,7 @@
 
 // guardedConn is a connection with the state that its timeout depends on.
 type guardedConn struct {
-	net.Conn
-	socket        syscall.Conn // beneath Conn; nil without one
+	*tcp.LingeringConn
 	guard         *Guard
 	reading       atomic.Bool // a read waits for bytes
 	serving       bool        // a request's header has been read, and its answer is not complete
@@ -84,6 +84,7 @@
 // the http.Server that serves it needs TrackState as its ConnState.
 func (g *Guard) WrapListener(l net.Listener) net.Listener {
 	g.conns = make(map[*guardedConn]struct{})
+	g.lingerer.Clock = g.Clock
 	sockets := &socketListener{Listener: l}
 	watched := &guardedListener{Listener: sockets, sockets: sockets, guard: g, done: make(chan struct{})}
 	if g.MaxConnections > 0 {
@@ -103,9 +104,11 @@
 	defer g.mu.Unlock()
 	switch state {
 	case http.StateNew, http.StateIdle:
+		c.SetIdle(true)
 		c.serving, c.headerStarted, c.waitingSince = false, false, g.Clock.Now()
 		g.conns[c] = struct{}{}
 	case http.StateActive:
+		c.SetIdle(false)
 		c.serving = true
 	default:
 		delete(g.conns, c)
@@ -115,7 +118,7 @@
 // Read implements net.Conn.
 func (c *guardedConn) Read(b []byte) (int, error) {
 	c.reading.Store(true)
-	n, err := c.Conn.Read(b)
+	n, err := c.LingeringConn.Read(b)
 	c.reading.Store(false)
 	if n > 0 {
 		c.guard.mu.Lock()
@@ -127,25 +130,6 @@
 	return n, err
 }
 
-// CloseWrite lets net/http finish an answer while the request's body is still unread,
-// without a reset that would destroy the answer.
-func (c *guardedConn) CloseWrite() error {
-	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return closer.CloseWrite()
-	}
-	return nil
-}
-
-var errNoSocket = errors.New("the connection has no socket")
-
-// SyscallConn implements syscall.Conn.
-func (c *guardedConn) SyscallConn() (syscall.RawConn, error) {
-	if c.socket == nil {
-		return nil, errNoSocket
-	}
-	return c.socket.SyscallConn()
-}
-
 // sweepUntil closes timed out connections at each interval until done is closed.
 func (g *Guard) sweepUntil(done <-chan struct{}) {
 	for {
@@ -168,14 +152,55 @@
 		if c.headerStarted {
 			reason, allowed = CloseHeaderTimeout, limitOrDefault(limits.HeaderTimeout, defaultHeaderTimeout)
 		}
-		if waited := now.Sub(c.waitingSince); !c.serving && waited > allowed {
+		waited := now.Sub(c.waitingSince)
+		if c.serving || waited <= allowed {
+			continue
+		}
+		// A request that has arrived in time may not have been read yet.
+		if c.headerStarted || !c.HasRequest() {
 			delete(g.conns, c)
-			c.Conn.Close() // an error means that the caller closed it first
+			c.CloseNow() // an error means that net/http closed it first
 			g.OnClose(reason, c.RemoteAddr().String(), waited)
 		}
 	}
 }
 
+// AwaitDelivery waits until callers have received what was written to their connections before
+// these were closed, or the context ends.
+func (g *Guard) AwaitDelivery(ctx context.Context) { g.lingerer.AwaitDelivery(ctx) }
+
+// countServing returns the number of connections with a request that is not answered yet.
+func (g *Guard) countServing() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	count := 0
+	for c := range g.conns {
+		if c.serving || c.IsDeferred() {
+			count++
+		}
+	}
+	return count
+}
+
+// closeIdle closes the connections without a request.
+func (g *Guard) closeIdle() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		if !c.serving {
+			c.Close() // an error means that it is closed
+		}
+	}
+}
+
+// TrackIdle tells a connection whether it serves a request; it is the ConnState of servers
+// without a Guard.
+func TrackIdle(conn net.Conn, state http.ConnState) {
+	if c, ok := conn.(interface{ SetIdle(bool) }); ok {
+		c.SetIdle(state == http.StateNew || state == http.StateIdle)
+	}
+}
+
 func limitOrDefault(limit document.Duration, fallback time.Duration) time.Duration {
 	if limit > 0 {
 		return limit.Std()
@@ -186,13 +211,13 @@
 // socketListener remembers the socket that it accepted last: the limit on connections hides it.
 type socketListener struct {
 	net.Listener
-	latest syscall.Conn
+	latest net.Conn
 }
 
 // Accept implements net.Listener; it is called by one goroutine.
 func (l *socketListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	l.latest, _ = conn.(syscall.Conn)
+	l.latest = conn
 	return conn, err
 }
 
@@ -211,7 +236,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &guardedConn{Conn: conn, socket: l.sockets.latest, guard: l.guard}, nil
+	return &guardedConn{LingeringConn: l.guard.lingerer.Wrap(conn, l.sockets.latest), guard: l.guard}, nil
 }
 
 // Close implements net.Listener and ends the sweeps.
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -179,33 +179,42 @@
 
 const idleCheckInterval = 20 * time.Millisecond
 
-// flushTime is how long answers that are complete here may take to leave for their callers.
-const flushTime = 200 * time.Millisecond
-
-// FinishServing ends the server of a listener for callers, once it serves no request or the
-// context ends. No more connections are accepted; requests that still come on open ones are left
-// to the handler, which refuses them when the VM stops. http.Server.Shutdown alone would read
-// them and close the connection, which tells a caller nothing.
-func (l *Relay) FinishServing(ctx context.Context, server *http.Server, listener net.Listener) {
+// closeTime is how long a server whose listener is closed waits for connections without a request.
+const closeTime = 200 * time.Millisecond
+
+// FinishServing ends the server of a listener for callers, once it serves no request and has
+// delivered its answers, or the context ends. No more connections are accepted; requests that
+// still come on open ones are left to the handler, which refuses them when the VM stops.
+// http.Server.Shutdown alone would read them and close the connection, which tells a caller
+// nothing.
+func (l *Relay) FinishServing(ctx context.Context, server *http.Server, listener net.Listener, guard *Guard) {
 	server.SetKeepAlivesEnabled(false)
 	if err := listener.Close(); err != nil {
 		l.Node.LogError(reducer.CodeListenerFailed, err)
 	}
-	for l.serving.Load() > 0 && ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case <-l.Node.Clock.After(idleCheckInterval):
-		}
-	}
+	l.awaitAnswers(ctx, guard)
 	if count := l.serving.Load(); count > 0 {
 		l.Node.LogError(reducer.CodeRequestsCutOff, fmt.Errorf("%d requests still ran: %w", count, ctx.Err()))
 	}
-	flushContext, cancel := context.WithTimeout(ctx, flushTime)
+	closeContext, cancel := context.WithTimeout(ctx, closeTime)
 	defer cancel()
-	// An error means that connections without a request are still open.
-	if err := server.Shutdown(flushContext); err != nil {
-		if err := server.Close(); err != nil {
-			l.Node.LogError(reducer.CodeListenerFailed, err)
+	if err := server.Shutdown(closeContext); err != nil {
+		guard.closeIdle()
+	}
+	l.awaitAnswers(ctx, guard)
+	if err := server.Close(); err != nil {
+		l.Node.LogError(reducer.CodeListenerFailed, err)
+	}
+	guard.AwaitDelivery(ctx)
+}
+
+// awaitAnswers waits until no request is served or the context ends. The connection of a request
+// is written to for some time after its handler has returned.
+func (l *Relay) awaitAnswers(ctx context.Context, guard *Guard) {
+	for ctx.Err() == nil && (l.serving.Load() > 0 || guard.countServing() > 0) {
+		select {
+		case <-ctx.Done():
+		case <-l.Node.Clock.After(idleCheckInterval):
 		}
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -121,7 +121,7 @@
 	s.leave(ctx, 0)
 	s.stopping.Store(true)
 	if s.listener != nil {
-		s.relay.FinishServing(ctx, s.http, s.listener)
+		s.relay.FinishServing(ctx, s.http, s.listener, s.guard)
 	}
 	if err := s.peers.Shutdown(ctx); err != nil {
 		s.Node.LogError(reducer.CodeRequestsCutOff, err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/heatherwood/heatherwood/internal/reach"
 	"github.com/heatherwood/heatherwood/internal/reducer"
 	"github.com/heatherwood/heatherwood/internal/settings"
+	"github.com/heatherwood/heatherwood/internal/tcp"
 	"github.com/heatherwood/heatherwood/pkg/document"
 )
 
@@ -126,6 +127,7 @@
 	n.server = &peerrpc.Server{
 		Key:            []byte(vmSettings.SharedKey),
 		Handler:        peerHandler{n},
+		Lingerer:       tcp.Lingerer{Clock: clk},
 		OnAcceptFailed: func(err error) { n.LogError(reducer.CodeListenerFailed, err) },
 		OnHandshakeFailed: func(address string, err error) {
 			n.logEvent(reducer.Log{Code: reducer.CodePeerRefused, Detail: fmt.Sprintf("%s: %v", address, err)})
--- a/internal/peerrpc/forward.go
+++ b/internal/peerrpc/forward.go
@@ -6,7 +6,8 @@
 	"fmt"
 	"net"
 	"sync"
-	"syscall"
+
+	"github.com/heatherwood/heatherwood/internal/tcp"
 )
 
 // DialForward opens a connection to a peer on which callers' requests are passed on by HTTP.
@@ -97,30 +98,12 @@
 
 // requestConn is a connection of a peer that passes requests on.
 type requestConn struct {
-	net.Conn
+	*tcp.LingeringConn
 	server *Server
 }
 
 // Close closes the connection and forgets it.
 func (c *requestConn) Close() error {
 	c.server.track(c.Conn, false)
-	return c.Conn.Close()
-}
-
-var errNoSocket = errors.New("the connection has no socket")
-
-// SyscallConn implements syscall.Conn.
-func (c *requestConn) SyscallConn() (syscall.RawConn, error) {
-	if socket, ok := c.Conn.(syscall.Conn); ok {
-		return socket.SyscallConn()
-	}
-	return nil, errNoSocket
-}
-
-// CloseWrite lets net/http finish an answer while the request's body is still unread.
-func (c *requestConn) CloseWrite() error {
-	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return closer.CloseWrite()
-	}
-	return nil
+	return c.LingeringConn.Close()
 }
--- a/internal/peerrpc/forward_test.go
+++ b/internal/peerrpc/forward_test.go
@@ -9,6 +9,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/heatherwood/heatherwood/internal/clock"
+	"github.com/heatherwood/heatherwood/internal/tcp"
 )
 
 // startForwardServer serves HTTP to peers that pass requests on, and returns the address of
@@ -19,7 +22,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s = &Server{Key: []byte(key), Handler: nil}
+	s = &Server{Key: []byte(key), Handler: nil, Lingerer: tcp.Lingerer{Clock: clock.System{}}}
 	if serve {
 		web := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body, err := io.ReadAll(r.Body)
--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/heatherwood/heatherwood/internal/dispatch"
 	"github.com/heatherwood/heatherwood/internal/reducer"
+	"github.com/heatherwood/heatherwood/internal/tcp"
 )
 
 // Server accepts connections from peers and serves their calls.
@@ -19,6 +20,7 @@
 	Handler           Handler
 	OnHandshakeFailed func(address string, err error) // called after a failed handshake
 	OnAcceptFailed    func(err error)                 // called after a connection that could not be accepted
+	Lingerer          tcp.Lingerer                    // closes the connections of the RequestListener
 
 	mutex    sync.Mutex
 	listener net.Listener
@@ -119,7 +121,7 @@
 		return
 	}
 	role, err := handshake(conn, s.Key, roleServer, roleClient, roleForwarder)
-	if err == nil && role == roleForwarder && s.requestListener().offer(&requestConn{Conn: conn, server: s}) {
+	if err == nil && role == roleForwarder && s.requestListener().offer(&requestConn{LingeringConn: s.Lingerer.Wrap(conn, conn), server: s}) {
 		return
 	}
 	defer conn.Close()
--- a/internal/tcp/socket.go
+++ b/internal/tcp/socket.go
@@ -33,6 +33,12 @@
 	return events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0, err
 }
 
+// Readable reports whether received bytes, or the other end's close, wait to be read.
+func (s Socket) Readable() (bool, error) {
+	events, err := s.poll()
+	return events&unix.POLLIN != 0, err
+}
+
 // WasReset reports whether the connection was reset.
 func (s Socket) WasReset() (bool, error) {
 	events, err := s.poll()
@@ -44,7 +50,7 @@
 	if s.raw == nil {
 		return 0, nil
 	}
-	fds := []unix.PollFd{{Events: unix.POLLRDHUP}}
+	fds := []unix.PollFd{{Events: unix.POLLRDHUP | unix.POLLIN}}
 	var pollErr error
 	err := s.raw.Control(func(fd uintptr) {
 		fds[0].Fd = int32(fd)
@@ -69,8 +75,20 @@
 // SinceData returns how long ago the last bytes of the other end arrived, whether they have been
 // read or not; 0 if the kernel does not say.
 func (s Socket) SinceData() (time.Duration, error) {
+	info, err := s.info()
+	return time.Duration(info.Last_data_recv) * time.Millisecond, err
+}
+
+// Unacknowledged returns the number of bytes and segments that the other end has not received
+// yet; 0 if the kernel does not say.
+func (s Socket) Unacknowledged() (uint32, error) {
+	info, err := s.info()
+	return info.Notsent_bytes + info.Unacked, err
+}
+
+func (s Socket) info() (unix.TCPInfo, error) {
 	if s.raw == nil {
-		return 0, nil
+		return unix.TCPInfo{}, nil
 	}
 	var info *unix.TCPInfo
 	var optionErr error
@@ -78,7 +96,7 @@
 		info, optionErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
 	if err := errors.Join(err, optionErr); err != nil {
-		return 0, fmt.Errorf("read state of connection: %w", err)
+		return unix.TCPInfo{}, fmt.Errorf("read state of connection: %w", err)
 	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond, nil
+	return *info, nil
 }
