Close all starts of a server that leaves

Cause: a withdrawal names an id, and the control VM closed the start that it knew. The server had started again at a VM behind a cut.

Change: a closure holds for its start and all earlier ones, and a withdrawal closes all starts until it was taken. The known start is closed by itself too, for VMs of earlier builds. The own interface records closures too.

--- a/internal/backendhttp/backendhttp.go
+++ b/internal/backendhttp/backendhttp.go
@@ -1,9 +1,11 @@
 package backendhttp
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/heatherwood/heatherwood/internal/node"
 	"github.com/heatherwood/heatherwood/internal/problem"
@@ -98,13 +100,32 @@
 		return
 	}
 	if withdrawn {
-		w.WriteHeader(http.StatusNoContent)
+		h.closeServer(w, r, announcement.ID, result.Close)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
 	json.NewEncoder(w).Encode(announcementReply{RenewAfter: result.RenewAfter.String(), Lifetime: routing.AnnouncementTTL.String()})
 }
 
+const closeTimeout = 3500 * time.Millisecond // wait for a quorum
+
+// closeServer records that starts of a server that withdraws get no new requests, and answers
+// the call.
+func (h *Handler) closeServer(w http.ResponseWriter, r *http.Request, id string, starts []int64) {
+	ctx, cancel := context.WithTimeout(r.Context(), closeTimeout)
+	defer cancel()
+	if err := h.Node.CloseServer(ctx, id, starts...); err != nil {
+		problem.Write(w, problem.Problem{
+			Status:     http.StatusServiceUnavailable,
+			Reason:     "no-quorum",
+			Detail:     "the withdrawal was not recorded; withdraw it again, here or at another VM",
+			RetryAfter: routing.AnnouncementTTL / 4,
+		})
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // findService returns the service of a server that withdraws without naming it, or
 // "" if the VM's status does not list the server.
 func (h *Handler) findService(r *http.Request, id string) string {
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -179,7 +179,7 @@
 // AnnounceRecord applies the announcement of a backend server that each VM chooses by
 // itself, without requesting a slot from the VM that owns the service. withdrawn means
 // that the server leaves; that names no start, so that a late one could end a start that
-// came after it.
+// came after it, and closes no server: the result has what to pass to CloseServer.
 func (n *Node) AnnounceRecord(ctx context.Context, record roster.Record, withdrawn bool) (reducer.ServerRecordResult, error) {
 	if withdrawn && n.pauses.JustResumed() {
 		return reducer.ServerRecordResult{}, errJustResumed
@@ -189,12 +189,22 @@
 	})
 }
 
-// CloseServer closes one start of a backend server for new requests, for good. It returns
-// once a quorum has recorded the change.
-func (n *Node) CloseServer(ctx context.Context, id string, start int64) error {
-	closure := document.Closure{Kind: document.CloseServer, Name: id, Start: start}
-	_, err := n.Propose(ctx, ledger.Command{Close: &ledger.Close{Closure: closure}})
-	return err
+// CloseServer closes starts of a backend server, and all earlier ones, for new requests, for
+// good. It returns once a quorum has recorded the changes.
+func (n *Node) CloseServer(ctx context.Context, id string, starts ...int64) error {
+	results := make(chan error, len(starts))
+	for _, start := range starts {
+		closure := document.Closure{Kind: document.CloseServer, Name: id, Start: start}
+		go func() {
+			_, err := n.Propose(ctx, ledger.Command{Close: &ledger.Close{Closure: closure}})
+			results <- err
+		}()
+	}
+	var errs []error
+	for range starts {
+		errs = append(errs, <-results)
+	}
+	return errors.Join(errs...)
 }
 
 // errJustResumed reports that a call may have arrived while the VM was paused: its caller
--- a/internal/reducer/earlyclosure.go
+++ b/internal/reducer/earlyclosure.go
@@ -47,7 +47,7 @@
 
 // closedEarly reports whether a closure applies ahead of its document.
 func (s *State) closedEarly(closure document.Closure) bool {
-	return slices.ContainsFunc(s.earlyClosures, func(e earlyClosure) bool { return e.closure == closure })
+	return slices.ContainsFunc(s.earlyClosures, func(e earlyClosure) bool { return e.closure.Covers(closure) })
 }
 
 // dropEarlyClosures leaves to the document in force the closures up to its position: it
--- a/internal/reducer/earlyclosure_test.go
+++ b/internal/reducer/earlyclosure_test.go
@@ -89,6 +89,7 @@
 func TestClosedServerGetsNoRequestWhileDocumentIsMissing(t *testing.T) {
 	alone := Received{Message{Closures: &ClosureUpdate{Position: ledger.Position{Term: 2, Index: 8}, Closures: []document.Closure{closedServer}}}}
 	otherStart := document.Closure{Kind: document.CloseServer, Name: "s1", Start: 4}
+	laterStart := document.Closure{Kind: document.CloseServer, Name: "s1", Start: 6}
 	tests := map[string]struct {
 		events []Event
 		want   bool // the server gets the request
@@ -107,6 +108,9 @@
 		"closure alone, older than document":    {[]Event{loaded(9), alone}, true},
 		"told again after it was opened":        {[]Event{loaded(5), closing(false, closedServer), loaded(9), alone}, true},
 		"an earlier start of the server closed": {[]Event{loaded(5), closing(false, otherStart)}, true},
+		"a later start closed, no document":     {[]Event{loaded(5), closing(false, laterStart)}, false},
+		"a later start closed by the document":  {[]Event{loaded(8, laterStart)}, false},
+		"several starts closed":                 {[]Event{loaded(8, laterStart, otherStart)}, false},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -189,19 +189,20 @@
 
 // ServerRecordResult answers ServerRecordAnnounced.
 type ServerRecordResult struct {
-	Closed   bool   // the replicated log closes this start of the server to new requests
-	Outdated bool   // the roster holds a later announcement; nothing changed
-	Known    bool   // the roster tells which start of the server is meant
-	Start    int64  // of the server, milliseconds since 1970
-	Reason   string // why the announcement was refused, or ""
+	Closed   bool    // the replicated log closes this start of the server to new requests
+	Outdated bool    // the roster holds a later announcement; nothing changed
+	Unknown  bool    // the server that withdraws is not known here; another VM may know it
+	Close    []int64 // starts of the server that withdraws, to be closed in the log; milliseconds since 1970
+	Reason   string  // why the announcement was refused, or ""
 }
 
 // AnnouncementResult answers ServerAnnounced.
 type AnnouncementResult struct {
 	RenewAfter time.Duration
-	Forward    string // peer address of the owner, which must get it instead; else empty
-	Refused    string // why the announcement was refused, or ""
-	Unknown    bool   // the server that withdraws is not known here; another VM may know it
+	Forward    string  // peer address of the owner, which must get it instead; else empty
+	Refused    string  // why the announcement was refused, or ""
+	Unknown    bool    // the server that withdraws is not known here; another VM may know it
+	Close      []int64 // starts of the server that withdraws, to be closed in the log; milliseconds since 1970
 }
 
 // Status answers StatusAsked.
--- a/internal/reducer/placing_pools.go
+++ b/internal/reducer/placing_pools.go
@@ -22,9 +22,11 @@
 	}
 	maps.DeleteFunc(s.formerPools, func(_ string, f formerPool) bool { return s.now.Sub(f.at) > formerPoolKept })
 	s.routeSplits = make(map[*document.Route]*placing.Split)
-	s.closures = make(map[document.Closure]bool, len(s.document.Closures.Closures))
+	s.closures = make(map[document.Closure]int64, len(s.document.Closures.Closures))
 	for _, closure := range s.document.Closures.Closures {
-		s.closures[closure] = true
+		start := closure.Start
+		closure.Start = 0
+		s.closures[closure] = max(s.closures[closure], start)
 	}
 	s.dropEarlyClosures()
 	s.updatePlacingPools()
@@ -174,5 +176,13 @@
 func (s *State) isClosed(entry *roster.Entry) bool {
 	domain := document.Closure{Kind: document.CloseDomain, Name: entry.Domain}
 	server := document.Closure{Kind: document.CloseServer, Name: entry.ID, Start: entry.Start}
-	return s.closures[domain] || s.closures[server] || s.closedEarly(domain) || s.closedEarly(server)
+	return s.closedByDocument(domain) || s.closedByDocument(server) || s.closedEarly(domain) || s.closedEarly(server)
+}
+
+// closedByDocument reports whether the document in force has a closure that covers this one.
+func (s *State) closedByDocument(closure document.Closure) bool {
+	start := closure.Start
+	closure.Start = 0
+	latest, found := s.closures[closure]
+	return found && latest >= start
 }
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -83,7 +83,7 @@
 	formerPools  map[string]formerPool    // the same, of services that left the document
 	routeSplits  map[*document.Route]*placing.Split
 
-	closures      map[document.Closure]bool  // of the document in force
+	closures      map[document.Closure]int64 // of the document in force: the latest start, by the closure of start 0
 	earlyClosures []earlyClosure             // newer than the document in force, in order of arrival
 	addedClosures []document.Closure         // by the log entries being applied
 	placedRuns    map[uint64]placedRun       // by ticket
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -420,7 +420,16 @@
 		return
 	}
 	if s.document.Services.ByName(e.Announcement.Service).Placing == document.PlacingEntry {
-		answer.Unknown = s.announceToRoster(e.Announcement, e.Withdrawn)
+		if e.Withdrawn {
+			result := s.withdrawServer(e.Announcement.ID)
+			answer.Unknown, answer.Close = result.Unknown, result.Close
+			// The next start of a server that announces none could not be told from this one.
+			if entry := s.roster.Find(e.Announcement.ID); entry != nil && entry.Start == 0 {
+				answer.Close = nil
+			}
+		} else {
+			s.announceToRoster(e.Announcement)
+		}
 		s.emit(Answer{Call: e.Call, Value: answer})
 		return
 	}
--- a/internal/reducer/servers.go
+++ b/internal/reducer/servers.go
@@ -21,7 +21,7 @@
 		s.emit(Answer{Call: e.Call, Value: s.withdrawServer(r.ID)})
 		return
 	}
-	answer := ServerRecordResult{Known: true, Start: r.Start}
+	answer := ServerRecordResult{}
 	answer.Reason = s.checkRecord(r)
 	if answer.Reason == "" {
 		before := roster.Record{}
@@ -37,33 +37,47 @@
 	s.emit(Answer{Call: e.Call, Value: answer})
 }
 
-// withdrawServer ends the start of a server that this VM knows. Which start that is can't
-// be told from its id: the server is not known here if the VM has just started on an empty
-// roster, or knows only what it saved before it started and has not compared with others.
+// withdrawServer ends a server, and returns the starts to be closed. A withdrawal names an id
+// only: the server may have started again at VMs that can't be asked, which are cut off, paused or
+// restarting, so all starts until now are closed. The start that is known here is closed by itself
+// too: VMs of earlier builds take a closure to hold for the start that it names and no other.
+//
+// A VM that has just started, on an empty roster or one that it saved before, doesn't know the
+// start for them; another VM does.
 func (s *State) withdrawServer(id string) ServerRecordResult {
+	if !serverIDPattern.MatchString(id) {
+		return ServerRecordResult{Unknown: true}
+	}
 	entry := s.roster.Find(id)
-	if entry == nil || entry.Restored() && !s.rosterLearned {
+	known := entry != nil && (s.rosterLearned || !entry.Restored())
+	if !known && s.now.Sub(s.startedAt) < rosterLearnTime {
 		s.emit(Decision{Code: CodeServerChanged, Outcome: "unknown", Fields: []Field{
 			{"server", id},
 			{"restored", entry != nil},
 			{"since_start", s.now.Sub(s.startedAt)},
 		}})
-		return ServerRecordResult{}
+		return ServerRecordResult{Unknown: true}
+	}
+	record := roster.Record{ID: id}
+	result := ServerRecordResult{Close: []int64{s.now.UnixMilli()}}
+	if entry != nil {
+		record = entry.Record
+		result.Closed = s.closedInLog(id, entry.Start)
+		if !result.Closed {
+			result.Close = append(result.Close, entry.Start)
+		}
 	}
-	s.logServer("ended", entry.Record)
+	s.logServer("ended", record)
 	s.roster.End(id, s.now)
-	return ServerRecordResult{Known: true, Start: entry.Start, Closed: s.closedInLog(id, entry.Start)}
+	return result
 }
 
 // announceToRoster enters an announcement for a service whose servers all
 // entries know into the roster. The time of arrival replaces a missing
-// sequence. It returns whether the server is unknown, so that it can't be withdrawn.
-func (s *State) announceToRoster(a routing.Announcement, withdrawn bool) (unknown bool) {
-	if withdrawn {
-		return !s.withdrawServer(a.ID).Known
-	}
+// sequence.
+func (s *State) announceToRoster(a routing.Announcement) {
 	if a.State == routing.StateStarting {
-		return false
+		return
 	}
 	r := roster.Record{
 		ID:       a.ID,
@@ -84,7 +98,6 @@
 		s.logServer("announced", r)
 	}
 	s.roster.Announce(r, s.now)
-	return false
 }
 
 func (s *State) logServer(outcome string, r roster.Record) {
@@ -126,7 +139,7 @@
 // VM outside the replica set receives the document only.
 func (s *State) closedInLog(id string, start int64) bool {
 	closure := document.Closure{Kind: document.CloseServer, Name: id, Start: start}
-	if s.closures[closure] {
+	if s.closedByDocument(closure) {
 		return true
 	}
 	if s.ledger == nil {
--- a/pkg/document/routes.go
+++ b/pkg/document/routes.go
@@ -76,8 +76,8 @@
 	At   int64  `toml:"at"` // milliseconds since 1970, by the leader's clock
 }
 
-// Closure keeps new work from a failure domain or from one start of a backend
-// server: a server that restarts and announces its new start is open again.
+// Closure keeps new work from a failure domain, or from one start of a backend
+// server and all earlier ones: a server that starts later is open again.
 type Closure struct {
 	Kind  ClosureKind `toml:"kind"`
 	Name  string      `toml:"name"`
@@ -93,8 +93,15 @@
 	CloseServer ClosureKind = "server"
 )
 
-// Has reports whether the closure is in the list.
-func (c Closures) Has(closure Closure) bool { return slices.Contains(c.Closures, closure) }
+// Covers reports whether the closure closes all that the other one does.
+func (c Closure) Covers(other Closure) bool {
+	return c.Kind == other.Kind && c.Name == other.Name && c.Start >= other.Start
+}
+
+// Has reports whether a closure in the list closes all that this one does.
+func (c Closures) Has(closure Closure) bool {
+	return slices.ContainsFunc(c.Closures, func(listed Closure) bool { return listed.Covers(closure) })
+}
 
 // Defaults and bounds of routes.
 const (
