Count calls of fake entries without a data race

Cause: net/http sends a GET, and a request with an Idempotency-Key, to the same entry once more when a connection that was used before is lost (here the one of the look-up), so that two handlers counted without synchronization.

Change: the counters are atomic, and the test checks the calls of the first entry too: one of a POST without a key, two at most of what may run twice. The doc comment of Do says so.

--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -125,9 +125,10 @@
 // Do sends the request and returns the answer, whose body the caller closes. It
 // tries the next entry VM after an answer that says that the request did not run,
 // unless the request itself is at fault. After a lost connection it sends again
-// only a GET, a HEAD or a request with a Key, since each key runs once. After an
-// answer that says that the outcome is unknown it never sends again, and returns
-// the answer together with ErrUnknown.
+// only a GET, a HEAD or a request with a Key, since each key runs once; net/http
+// may send such a request to the same entry VM once more if the connection had
+// been used before. After an answer that says that the outcome is unknown it never
+// sends again, and returns the answer together with ErrUnknown.
 func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
 	entries, err := c.Entries(ctx)
 	if err != nil {
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 )
 
@@ -33,9 +34,9 @@
 
 // answerWith counts calls and answers with the status and the header that says
 // whether the request ran.
-func answerWith(status int, run string, calls *int) http.HandlerFunc {
+func answerWith(status int, run string, calls *atomic.Int64) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
-		*calls++
+		calls.Add(1)
 		if run != "" {
 			w.Header().Set(headerRun, run)
 		}
@@ -44,38 +45,45 @@
 }
 
 // abortConnection counts calls and breaks the connection without an answer.
-func abortConnection(calls *int) http.HandlerFunc {
+func abortConnection(calls *atomic.Int64) http.HandlerFunc {
 	return func(http.ResponseWriter, *http.Request) {
-		*calls++
+		calls.Add(1)
 		panic(http.ErrAbortHandler)
 	}
 }
 
 func TestResendsOnlyWhenSafe(t *testing.T) {
+	refusal := func(status int, run string) func(*atomic.Int64) http.HandlerFunc {
+		return func(n *atomic.Int64) http.HandlerFunc { return answerWith(status, run, n) }
+	}
 	tests := map[string]struct {
-		first       func(*int) http.HandlerFunc // handler of the first entry
+		first       func(*atomic.Int64) http.HandlerFunc // handler of the first entry
 		key         string
 		method      string
-		secondCalls int // calls of the second entry
+		firstCalls  int64 // calls of the first entry, at most; net/http itself sends again what may run twice
+		secondCalls int64 // calls of the second entry
 		err         error
 	}{
-		"refused before it ran":             {first: func(n *int) http.HandlerFunc { return answerWith(503, "no", n) }, method: "POST", secondCalls: 1},
-		"outcome unknown":                   {first: func(n *int) http.HandlerFunc { return answerWith(502, "unknown", n) }, method: "POST", key: "k", err: ErrUnknown},
-		"connection lost, POST with a key":  {first: abortConnection, method: "POST", key: "k", secondCalls: 1},
-		"connection lost, POST without key": {first: abortConnection, method: "POST", err: ErrUnknown},
-		"connection lost, GET":              {first: abortConnection, method: "GET", secondCalls: 1},
-		"client error":                      {first: func(n *int) http.HandlerFunc { return answerWith(400, "no", n) }, method: "POST"},
+		"refused before it ran":             {first: refusal(503, "no"), method: "POST", firstCalls: 1, secondCalls: 1},
+		"outcome unknown":                   {first: refusal(502, "unknown"), method: "POST", key: "k", firstCalls: 1, err: ErrUnknown},
+		"connection lost, POST with a key":  {first: abortConnection, method: "POST", key: "k", firstCalls: 2, secondCalls: 1},
+		"connection lost, POST without key": {first: abortConnection, method: "POST", firstCalls: 1, err: ErrUnknown},
+		"connection lost, GET":              {first: abortConnection, method: "GET", firstCalls: 2, secondCalls: 1},
+		"client error":                      {first: refusal(400, "no"), method: "POST", firstCalls: 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			var firstCalls, secondCalls int
+			var firstCalls, secondCalls atomic.Int64
 			client := startEntries(t, test.first(&firstCalls), answerWith(200, "", &secondCalls))
 			response, err := client.Do(context.Background(), Request{Method: test.method, Path: "/p", Key: test.key})
 			if response != nil {
 				response.Body.Close()
 			}
-			if !errors.Is(err, test.err) || secondCalls != test.secondCalls {
-				t.Errorf("error %v, %d calls of the second entry; want %v and %d", err, secondCalls, test.err, test.secondCalls)
+			if !errors.Is(err, test.err) || secondCalls.Load() != test.secondCalls {
+				t.Errorf("error %v, %d calls of the second entry; want %v and %d", err, secondCalls.Load(), test.err, test.secondCalls)
+			}
+			if n := firstCalls.Load(); n < 1 || n > test.firstCalls {
+				t.Errorf("%d calls of the first entry, want 1 to %d", n, test.firstCalls)
 			}
 		})
 	}
