Ask for full duplex where a body is streamed

Cause: net/http reads and discards up to 256 KiB of a request's body when the answer begins, while the transport reads the same body.

Change: a handler whose body is not kept whole asks for full duplex.

--- a/internal/callerhttp/recognise.go
+++ b/internal/callerhttp/recognise.go
@@ -170,6 +170,9 @@
 		in.refuse(http.StatusRequestEntityTooLarge, "body-too-large", "the body is larger than allowed", 0)
 		return false
 	default:
+		// Else net/http reads and discards bytes of the body as soon as the answer begins, between
+		// those that the send reads. An error means that the connection does not do so.
+		_ = http.NewResponseController(in.writer).EnableFullDuplex()
 		in.body.prefix, in.body.rest = prefix, http.MaxBytesReader(in.writer, in.request.Body, in.maxBody()-int64(len(prefix)))
 	}
 	return true
