Choose routes by a path whose escaped slashes stay escaped

Cause: routes were chosen by the unescaped path, which begins with another prefix, that of a safe route, than the path that is sent on.

Change: everything is unescaped but slashes, for routes, rules of services and the comparison with later documents.

Ruled out: to match the path as it was sent: prefixes beyond ASCII and needless escapes would match no more.

--- a/internal/callerhttp/recognise.go
+++ b/internal/callerhttp/recognise.go
@@ -4,7 +4,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,7 +33,7 @@
 		in.refuse(http.StatusRequestHeaderFieldsTooLarge, "header-too-large", "the header is larger than allowed", 0)
 		return false
 	}
-	if in.route = in.view.Document.Routes.Match(in.request.Host, in.request.URL.Path); in.route != nil {
+	if in.route = in.view.Document.Routes.Match(in.request.Host, routePath(in.request.URL)); in.route != nil {
 		return in.applyRoute()
 	}
 	services := in.view.Document.Services
@@ -45,7 +47,7 @@
 		return false
 	}
 	var matched bool
-	in.rule, matched = in.service.Match(in.request.Method, in.request.URL.Path)
+	in.rule, matched = in.service.Match(in.request.Method, routePath(in.request.URL))
 	if !matched {
 		in.refuseUnmatched("no-rule", "no rule of the service fits the method and path")
 		return false
@@ -53,6 +55,19 @@
 	return in.identify() && in.setDeadline() && in.checkKey()
 }
 
+// routePath returns the path by which routes and rules are chosen: unescaped, except for slashes.
+// An escaped slash is a part of a name and ends no prefix; the server gets it as it is.
+func routePath(u *url.URL) string {
+	if u.RawPath == "" {
+		return u.Path // no slash is escaped
+	}
+	path, err := url.PathUnescape(strings.NewReplacer("%2F", "%252F", "%2f", "%252F").Replace(u.RawPath))
+	if err != nil {
+		return u.RawPath // net/http has parsed it, so that this can't happen
+	}
+	return path
+}
+
 // refuseUnmatched refuses a request that the document in force does not provide for. A
 // newer document that this VM knows of may do so, and callers take a 404 for final.
 func (in *inbound) refuseUnmatched(reason, detail string) {
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -284,7 +284,7 @@
 		BodyBytes:    len(in.body.prefix),
 		Route:        in.route,
 		Host:         in.request.Host,
-		Path:         in.request.URL.Path,
+		Path:         routePath(in.request.URL),
 		TargetTime:   in.targetTime,
 		Customer:     in.identity.customer,
 		KeyDigest:    in.identity.key,
