Keep sends of a stopping VM whose servers are silent

Cause: silence of servers and late probes are taken for a lost way, and the sends to it that may be repeated are given up. A VM that stops gets fewer and fewer answers, and on a full link probes are late.

Change: a VM that stops gives up no send for that.

Ruled out: a longer wait for probes, which delays the help for VMs that are cut off.

--- a/internal/reducer/ways.go
+++ b/internal/reducer/ways.go
@@ -89,8 +89,13 @@
 	}
 }
 
-// abandonSends gives up the sends to a failure domain whose requests may be sent again.
+// abandonSends gives up the sends to a failure domain whose requests may be sent again. A VM that
+// stops keeps them: it gets fewer and fewer answers, so that their absence says little, and the
+// servers that it would ask instead must finish before the stop.
 func (s *State) abandonSends(domain string) {
+	if s.leaving {
+		return
+	}
 	for _, call := range s.ways.FlightsTo(domain) {
 		if r := s.requests[call]; r != nil && r.MayRepeat() {
 			r.LoseWay()
