Answer every request before the grace of a stop ends

Cause: what was unanswered then was cut. That requests wait for another VM, as suspected before, was not seen, but is bounded now too.

A stopping VM without a way to servers refuses at once.

--- a/internal/callerhttp/closing_test.go
+++ b/internal/callerhttp/closing_test.go
@@ -158,3 +158,60 @@
 		t.Error("the stop took all of its time")
 	}
 }
+
+// Requests that still waited when the grace of a stop was over ended without an answer.
+func TestStopAnswersRequestsThatStillWait(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		stage  stage
+		once   bool
+		status int // 0 for no answer
+	}{
+		"for a slot":                 {stage: stageTurn, status: http.StatusServiceUnavailable},
+		"for a slot, with a key":     {stage: stageTurn, once: true, status: http.StatusServiceUnavailable},
+		"for a connection":           {stage: stageConnect, status: http.StatusServiceUnavailable},
+		"for the answer of a server": {stage: stageServer, status: http.StatusServiceUnavailable},
+		"for the caller":             {stage: stageAnswer},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			relay := NewRelay(startControlVM(t), DefaultDialect())
+			guard := NewGuard(relay.Node)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			watched := guard.WrapListener(listener)
+			server := &http.Server{ConnState: guard.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				in := &inbound{relay: relay, writer: w, request: r, rule: document.Rule{Once: test.once}, service: &document.Service{Name: "web"}}
+				defer in.beginWork()()
+				in.caller.enter(test.stage)
+				select {
+				case <-in.baseContext.Done():
+					in.refuseAborted(in.baseContext)
+				case <-time.After(10 * time.Second):
+				}
+			})}
+			go server.Serve(watched)
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			io.WriteString(conn, fullRequest)
+			time.Sleep(100 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			go relay.FinishServing(ctx, server, watched, guard)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			status := 0
+			if err == nil {
+				status = response.StatusCode
+			}
+			if status != test.status {
+				t.Errorf("status %d, want %d (%v)", status, test.status, err)
+			}
+		})
+	}
+}
--- a/internal/callerhttp/departure.go
+++ b/internal/callerhttp/departure.go
@@ -47,6 +47,7 @@
 
 // callerWatch knows what a request waits for and whether its caller has left.
 type callerWatch struct {
+	id     string // of the request
 	conn   callerConn
 	node   *node.Node
 	unread time.Duration // from the arrival of the request, or of what followed it, until it was read
@@ -55,6 +56,7 @@
 	stage     stage
 	leftWhile stage  // stage at which the caller was found to have left; empty while it waits
 	onLeft    func() // ends the work; nil for work that goes on without its caller
+	onStop    func() // ends the work because the VM stops
 }
 
 // enter records what the request waits for now.
@@ -81,7 +83,7 @@
 // The request's time counts from its arrival, as its caller's does.
 func (in *inbound) lookForCaller() {
 	in.caller.conn, _ = in.request.Context().Value(connKey{}).(callerConn)
-	in.caller.node, in.caller.stage = in.relay.Node, stageUnread
+	in.caller.id, in.caller.node, in.caller.stage = in.id, in.relay.Node, stageUnread
 	var err error
 	if in.caller.unread, err = in.caller.conn.SinceData(); err != nil {
 		in.relay.Node.LogError(reducer.CodePanicRecovered, err)
@@ -91,20 +93,27 @@
 	in.callerLeft()
 }
 
-var errCallerLeft = errors.New("the caller left")
+// Causes of the early end of work.
+var (
+	errCallerLeft = errors.New("the caller left")
+	errStopping   = errors.New("the VM stops")
+)
 
 // beginWork sets the context of the work, and returns what ends it. The work ends early when the
 // caller is found to have left, here or by the watcher. A keyed operation goes on when
 // its caller leaves, so that its outcome is known when the caller asks again.
 func (in *inbound) beginWork() context.CancelFunc {
+	parent := in.request.Context()
 	if in.rule.Once {
-		in.baseContext = context.WithoutCancel(in.request.Context())
-		return func() {}
+		parent = context.WithoutCancel(parent)
 	}
-	base, cancel := context.WithCancelCause(in.request.Context())
+	base, cancel := context.WithCancelCause(parent)
 	in.baseContext = base
 	in.caller.mutex.Lock()
-	in.caller.onLeft = func() { cancel(errCallerLeft) }
+	if !in.rule.Once {
+		in.caller.onLeft = func() { cancel(errCallerLeft) }
+	}
+	in.caller.onStop = func() { cancel(errStopping) }
 	in.caller.mutex.Unlock()
 	in.relay.watcher.add(&in.caller)
 	return func() {
@@ -172,6 +181,30 @@
 	delete(w.callers, c)
 }
 
+// endUnanswered ends the work on requests to whose callers no answer is on its way.
+func (w *watcher) endUnanswered() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for c := range w.callers {
+		c.mutex.Lock()
+		if c.stage != stageAnswer {
+			c.onStop()
+		}
+		c.mutex.Unlock()
+	}
+}
+
+// logCutOff logs what each request that outlasts the stop waits for.
+func (w *watcher) logCutOff() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for c := range w.callers {
+		c.mutex.Lock()
+		c.node.LogDecision(reducer.Decision{Code: reducer.CodeRequestsCutOff, Request: c.id, Outcome: string(c.stage)})
+		c.mutex.Unlock()
+	}
+}
+
 // run looks at all callers at each interval, until there are none.
 func (w *watcher) run() {
 	for {
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -195,6 +195,7 @@
 	l.awaitAnswers(ctx, guard)
 	if count := l.serving.Load(); count > 0 {
 		l.Node.LogError(reducer.CodeRequestsCutOff, fmt.Errorf("%d requests still ran: %w", count, ctx.Err()))
+		l.watcher.logCutOff()
 	}
 	closeContext, cancel := context.WithTimeout(ctx, closeTime)
 	defer cancel()
@@ -208,10 +209,18 @@
 	guard.AwaitDelivery(ctx)
 }
 
+// stopAnswerTime is how long before the end of a stop the requests without an answer are given one:
+// a caller that is told can go elsewhere, one whose connection ends may have to wait for its kernel.
+const stopAnswerTime = 300 * time.Millisecond
+
 // awaitAnswers waits until no request is served or the context ends. The connection of a request
 // is written to for some time after its handler has returned.
 func (l *Relay) awaitAnswers(ctx context.Context, guard *Guard) {
+	end, bounded := ctx.Deadline()
 	for ctx.Err() == nil && (l.serving.Load() > 0 || guard.countServing() > 0) {
+		if bounded && l.Node.Clock.Now().Add(stopAnswerTime).After(end) {
+			l.watcher.endUnanswered()
+		}
 		select {
 		case <-ctx.Done():
 		case <-l.Node.Clock.After(idleCheckInterval):
@@ -412,6 +421,7 @@
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		reason, detail = "deadline", "the deadline passed"
+	case errors.Is(context.Cause(ctx), errStopping):
 	case ctx.Err() != nil:
 		reason, detail = "cancelled", "the caller hung up"
 	}
--- a/internal/reducer/detour.go
+++ b/internal/reducer/detour.go
@@ -60,9 +60,10 @@
 }
 
 // helperWait returns how long a request waits for a VM that may serve it soon, where this one reaches
-// no server and all others that may are avoided; 0 if it does not.
+// no server and all others that may are avoided; 0 if it does not. One that stops sends the caller
+// to another VM at once.
 func (s *State) helperWait(r *relay.Request) time.Duration {
-	if !s.ways.AllLost() || !r.MayRepeat() || !r.MayDetour() || s.document == nil {
+	if s.leaving || !s.ways.AllLost() || !r.MayRepeat() || !r.MayDetour() || s.document == nil {
 		return 0
 	}
 	wait := s.detours.Wait(s.helpers(), s.detourNeed(r, ""), s.now)
