--- a/internal/tcp/linger.go
+++ b/internal/tcp/linger.go
@@ -15,11 +15,10 @@
 
 // Limits on how long a connection stays open after it was closed here.
 const (
-	lingerIdleTimeout = 5 * time.Second        // without a byte either way; one that is in transit arrives within it
+	lingerIdleTimeout = 5 * time.Second        // once all bytes were delivered; the other end's close is on its way
 	lingerTimeout     = 30 * time.Second       // for a slow reader to take the end of its answer
 	deliveryInterval  = 20 * time.Millisecond  // between two looks at whether all bytes were delivered
 	endInterval       = 100 * time.Millisecond // between two looks at whether the other end has closed
-	lingerBufferBytes = 4 << 10                // to discard into
 )
 
 // Lingerer closes connections without a reset. The kernel resets a connection that is closed
