Pass on what may have run when a VM stops

Cause: no server would answer before the stop, and what may have run can't be refused as not run.

Change: such a request, if it may be repeated, is passed on to a VM that does not stop.

--- a/internal/reducer/leave.go
+++ b/internal/reducer/leave.go
@@ -25,6 +25,19 @@
 	return true
 }
 
+// passOnAtStop passes a request on to a VM that does not stop, if servers here would answer too late and
+// it can't be refused as not run. It reports whether it did.
+func (s *State) passOnAtStop(call uint64, r *relay.Request, answer dispatch.Answer) bool {
+	if answer.Denial == nil || answer.Denial.Reason != dispatch.ReasonStopping || !r.MayHaveRun() || !r.MayRepeat() {
+		return false
+	}
+	h, found := s.chooseHelper(r, "")
+	if found {
+		s.passOn(call, r, relay.Step{}, h, "this VM stops")
+	}
+	return found
+}
+
 // boundByStop shortens the time that a request asks for to what is left before the VM stops,
 // and returns false if it is long enough anyway.
 func (s *State) boundByStop(request *dispatch.SlotRequest) bool {
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -81,7 +81,9 @@
 	if answer.Grant == nil && answer.Denial == nil {
 		return // it waits for a slot
 	}
-	s.runStep(call, r, r.HandleSlotAnswer(answer, nil, s.now))
+	if !s.passOnAtStop(call, r, answer) {
+		s.runStep(call, r, r.HandleSlotAnswer(answer, nil, s.now))
+	}
 }
 
 // chooseServer chooses a server for a request, or another VM to pass it on to if this one
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -129,7 +129,10 @@
 	}
 	byStop := step.SlotRequest != nil && s.boundByStop(step.SlotRequest)
 	if byStop && step.SlotRequest.Remaining <= 0 {
-		s.runStep(call, r, r.HandleSlotAnswer(dispatch.Answer{Denial: &dispatch.Denial{Reason: dispatch.ReasonStopping, RetryAfter: stoppingRetry}}, nil, s.now))
+		denied := dispatch.Answer{Denial: &dispatch.Denial{Reason: dispatch.ReasonStopping, RetryAfter: stoppingRetry}}
+		if !s.passOnAtStop(call, r, denied) {
+			s.runStep(call, r, r.HandleSlotAnswer(denied, nil, s.now))
+		}
 		return
 	}
 	if step.SlotRequest != nil && r.PlacedLocally {
--- a/internal/relay/detour.go
+++ b/internal/relay/detour.go
@@ -56,6 +56,9 @@
 // MayRepeat reports whether the request may be sent again after it may have run.
 func (r *Request) MayRepeat() bool { return r.repeatable() && r.Replayable }
 
+// MayHaveRun reports whether a server may have run the request, so that it can't be refused as not run.
+func (r *Request) MayHaveRun() bool { return r.mayHaveRun }
+
 // TriedHelpers returns the VMs that were asked to serve the request.
 func (r *Request) TriedHelpers() []string { return r.triedHelpers }
 
