Close a connection whose close was left to a request that nobody reads

Cause: LingeringConn leaves a close to net/http's goroutine when a request has arrived on an idle connection. Where a stop begins during an answer, that goroutine ends without another read, and the connection stayed open until the process ended.

Change: the end of the goroutine closes it.

Measured: TestConnectionEndsWhenAStopBeginsDuringAnAnswer failed before.

--- a/internal/callerhttp/closing_test.go
+++ b/internal/callerhttp/closing_test.go
@@ -215,3 +215,52 @@
 		})
 	}
 }
+
+// A connection whose next request was waiting when a stop began in the middle of an answer was never
+// closed: the close was left to a reader that had ended.
+func TestConnectionEndsWhenAStopBeginsDuringAnAnswer(t *testing.T) {
+	t.Parallel()
+	guard := &Guard{
+		Clock:   &manualClock{now: time.Now()},
+		Limits:  func() document.Limits { return document.Limits{} },
+		OnClose: func(CloseReason, string, time.Duration) {},
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	begun, finish := make(chan struct{}), make(chan struct{})
+	server := &http.Server{ConnState: guard.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "2")
+		io.WriteString(w, "a")
+		http.NewResponseController(w).Flush()
+		close(begun)
+		<-finish
+		io.WriteString(w, "b")
+	})}
+	go server.Serve(guard.WrapListener(listener))
+	defer server.Close()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	io.WriteString(conn, fullRequest)
+	<-begun
+	io.WriteString(conn, fullRequest)
+	time.Sleep(50 * time.Millisecond)
+	server.SetKeepAlivesEnabled(false)
+	close(finish)
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(response.Body); string(body) != "ab" || err != nil {
+		t.Errorf("answer %q, %v", body, err)
+	}
+	conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	if _, err := reader.ReadByte(); err != io.EOF {
+		t.Errorf("the connection did not end: %v", err)
+	}
+}
--- a/internal/callerhttp/guard.go
+++ b/internal/callerhttp/guard.go
@@ -112,6 +112,7 @@
 		c.serving = true
 	default:
 		delete(g.conns, c)
+		c.CloseNow() // nobody reads a request that a deferred close has left; an error means that it is closed
 	}
 }
 
@@ -196,7 +197,15 @@
 // TrackIdle tells a connection whether it serves a request; it is the ConnState of servers
 // without a Guard.
 func TrackIdle(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(interface{ SetIdle(bool) }); ok {
+	c, ok := conn.(interface {
+		SetIdle(bool)
+		CloseNow() error
+	})
+	switch {
+	case !ok:
+	case state == http.StateClosed:
+		c.CloseNow() // as in TrackState
+	default:
 		c.SetIdle(state == http.StateNew || state == http.StateIdle)
 	}
 }
