End the reads of a body before its handler returns

Change: a handler ends the reads of sends before it returns, and waits at most 0.5 s for one under way.

--- a/internal/callerhttp/body.go
+++ b/internal/callerhttp/body.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/http"
 	"sync"
+	"time"
 
 	"github.com/heatherwood/heatherwood/internal/routing"
 )
@@ -16,7 +18,8 @@
 	prefix []byte
 	rest   io.Reader // nil if the prefix is the whole body
 
-	mutex    sync.Mutex
+	reading  sync.Mutex // held while a send reads the rest
+	mutex    sync.Mutex // guards the fields below
 	latest   *sendBody
 	restUsed bool
 	awaited  bool // a send waits for bytes of the caller
@@ -65,6 +68,8 @@
 	if s.body.rest == nil {
 		return 0, io.EOF
 	}
+	s.body.reading.Lock()
+	defer s.body.reading.Unlock()
 	if !s.takeRest() {
 		return 0, errBodyTaken
 	}
@@ -74,6 +79,28 @@
 	return n, err
 }
 
+const bodyEndTime = 500 * time.Millisecond // for the caller's next bytes, where a send waits for them
+
+// finishBody ends the reads of sends. A send may go on reading after the answer; with full duplex,
+// net/http panics if one ends while it waits for the next request.
+func (in *inbound) finishBody() {
+	b := &in.body
+	if b.rest == nil {
+		return
+	}
+	b.mutex.Lock()
+	b.latest = nil
+	b.mutex.Unlock()
+	if !b.reading.TryLock() {
+		control := http.NewResponseController(in.writer)
+		// Errors mean that the connection has ended, and so does the read.
+		_ = control.Flush()
+		_ = control.SetReadDeadline(in.relay.Node.Clock.Now().Add(bodyEndTime))
+		b.reading.Lock()
+	}
+	b.reading.Unlock()
+}
+
 func (b *inboundBody) noteRead(awaited bool, err error) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
--- a/internal/callerhttp/earlyanswer_test.go
+++ b/internal/callerhttp/earlyanswer_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -39,11 +40,13 @@
 	if _, err := io.ReadFull(request.Body, got); err != nil {
 		return fmt.Errorf("read the start of the body: %w", err)
 	}
-	go func() {
+	var answering sync.WaitGroup
+	answering.Go(func() {
 		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", answerBytes)
 		conn.Write(make([]byte, answerBytes))
-	}()
+	})
 	rest, err := io.ReadAll(request.Body)
+	answering.Wait()
 	got = append(got, rest...)
 	if !bytes.HasPrefix(whole, got) || err == nil && len(got) < len(whole) {
 		return fmt.Errorf("%w: %d of %d bytes, end: %v", errChanged, len(got), len(whole), err)
@@ -93,6 +96,7 @@
 			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				in := &inbound{relay: relay, writer: w, request: r, view: &reducer.View{Document: &document.Document{}}, deadline: time.Now().Add(10 * time.Second)}
 				defer in.releaseShares()
+				defer in.finishBody()
 				if !in.readBody() {
 					return
 				}
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -145,6 +145,7 @@
 		decided:    decidedHere,
 	}
 	defer in.releaseShares()
+	defer in.finishBody()
 	in.assignID()
 	in.markAnswer(problem.DetourAnswerVM)
 	in.lookForCaller()
