--- a/internal/callerhttp/closing_test.go
+++ b/internal/callerhttp/closing_test.go
@@ -48,6 +48,7 @@
 		"stop, several requests":                      {request: fullRequest, next: strings.Repeat(fullRequest, 500), end: stop},
 		"stop, part of a request":                     {request: fullRequest, next: "GET / HT", end: stop},
 		"stop, idle connection":                       {request: fullRequest, next: fullRequest, end: stop, afterAnswer: true},
+		"stop, a request behind a POST":               {request: upload("Content-Length: 3") + "abc", next: fullRequest, end: stop},
 		"stop, rest of a body":                        {request: upload("Content-Length: 900000") + strings.Repeat("a", 1000), next: strings.Repeat("a", 500_000), end: stop},
 		"the caller asked for the close":              {request: "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", next: fullRequest, end: leaveOpen},
 		"rest of a body":                              {request: upload("Content-Length: 900000") + strings.Repeat("a", 1000), next: strings.Repeat("a", 500_000), end: leaveOpen},
