Let sends go on whose way seems lost

Cause: silence and late connections are the signs of a lost way and of a full link alike, and all repeatable sends to a failure domain were given up on them, even where the route or the retry budget allowed no further try.

Change: such a send goes on beside the next try, and the caller gets the first whole answer. Without a further try it is left alone.

--- a/internal/callerhttp/connecttimeout.go
+++ b/internal/callerhttp/connecttimeout.go
@@ -170,6 +170,9 @@
 	}
 }
 
+// mayHaveWritten reports whether the other end may have got a part of the request.
+func (c *connectAttempt) mayHaveWritten() bool { return c.headerWritten.Load() && !c.refused.Load() }
+
 func (c *connectAttempt) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
--- a/internal/callerhttp/detour.go
+++ b/internal/callerhttp/detour.go
@@ -153,7 +153,7 @@
 	request.Header.Set(problem.HeaderDetourRuns, strconv.Itoa(to.Runs))
 	request.Header.Set(problem.HeaderDetourDocument, strconv.FormatUint(in.view.Position.Index, 10))
 	in.setDetourIdentity(request.Header)
-	sent := in.roundTrip(ctx, in.relay.peers, &in.relay.peerConnectTimeout, choice{}, request)
+	sent := in.roundTrip(ctx, in.relay.peers, in.newConnectAttempt(&in.relay.peerConnectTimeout, in.mayWrite), request)
 	report := reducer.RequestDetoured{Cause: sent.Cause}
 	report.Result, report.Evidence = sent.Result, sent.Evidence
 	response := sent.response
@@ -176,6 +176,12 @@
 		report.Status = response.StatusCode
 	}
 	in.noteSend(to.VM, report.Evidence)
+	if in.stalledWon() && report.Result != routing.ResultOK {
+		if response != nil {
+			response.Body.Close()
+		}
+		return in.useStalled(ctx)
+	}
 	report.BodyUsed = in.body.used()
 	report.Latency = in.relay.Node.Clock.Now().Sub(sentAt)
 	in.relay.Node.Metrics.CountDetour(report.Result.String(), report.Latency)
@@ -187,6 +193,9 @@
 		return step, err, false
 	}
 	defer response.Body.Close()
+	if !in.outrunStalled() {
+		return in.useStalled(ctx)
+	}
 	in.outcome = "passed-on"
 	response.Header.Del(problem.HeaderDetourAnswer)
 	in.stream(response, report.Result, report.Latency)
--- a/internal/callerhttp/hedge.go
+++ b/internal/callerhttp/hedge.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/dispatch"
@@ -20,19 +21,30 @@
 	sentAt  time.Time
 	ctx     context.Context
 	abandon context.CancelCauseFunc
-	sent    sendResult    // valid once done is closed, where the attempt runs beside another
-	done    chan struct{} // nil for an attempt that runs alone
+	connect *connectAttempt
+	sent    sendResult    // valid once done is closed, where the attempt runs in the background
+	done    chan struct{} // nil for an attempt that does not
+	wayLost chan struct{} // closed when it is to go on beside another try; nil for one that never does
+	losing  sync.Once
 }
 
 // errHedged is the cause of the end of a try of which another one brought the answer.
 var errHedged = errors.New("the answer of another try came first")
 
 func (in *inbound) newAttempt(ctx context.Context, grant *dispatch.Grant, sentAt time.Time) *attempt {
-	a := &attempt{grant: grant, sentAt: sentAt}
+	a := &attempt{grant: grant, sentAt: sentAt, connect: in.newConnectAttempt(&in.relay.ConnectTimeout, in.mayWriteToServer)}
+	a.connect.chosen = choice{at: grant.ChosenAt, cold: grant.Cold}
+	if grant.MayStall {
+		a.wayLost = make(chan struct{})
+	}
 	a.ctx, a.abandon = context.WithCancelCause(withOpenOnly(ctx, grant.OpenOnly))
 	return a
 }
 
+func (in *inbound) newConnectAttempt(timeout *ConnectTimeout, mayWrite func() bool) *connectAttempt {
+	return &connectAttempt{id: in.id, now: in.relay.Node.Clock.Now, timeout: timeout, onConnected: func() { in.caller.enter(stageServer) }, mayWrite: mayWrite}
+}
+
 // countAttempt counts an attempt that has ended.
 func (in *inbound) countAttempt(a *attempt) {
 	in.relay.Node.Metrics.CountSend(string(a.sent.Evidence))
@@ -59,23 +71,47 @@
 				a.sent.Result, a.sent.Evidence, a.sent.Cause = routing.ResultBroken, relay.EvidenceWritten, "handler failed"
 			}
 		}()
-		a.sent = in.try(a.ctx, a.grant)
+		a.sent = in.try(a)
 	}()
 }
 
+// await waits until the attempt has ended, or its way is lost.
+func (a *attempt) await() {
+	select {
+	case <-a.done:
+	case <-a.wayLost:
+	}
+}
+
+// hasEnded reports whether the attempt has ended; one that runs alone has.
+func (a *attempt) hasEnded() bool {
+	if a.done == nil {
+		return true
+	}
+	select {
+	case <-a.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // tryHedged sends the request to the server of the first attempt and, once that is late, to a second
 // one if there is one worth it. It returns the attempt that counts once both have ended: the first one
-// with a whole answer, or else the last one. The connection of the other one is closed.
+// with a whole answer, or else the last one. The connection of the other one is closed. One is
+// returned before its end if its way is lost while no other is under way.
 func (in *inbound) tryHedged(ctx context.Context, first *attempt) *attempt {
 	in.start(first)
 	select {
 	case <-first.done:
 		return first
+	case <-first.wayLost:
+		return first
 	case <-in.relay.Node.Clock.After(first.grant.HedgeAfter):
 	}
 	grant, err := in.exchange.ReportLate(context.WithoutCancel(ctx))
 	if err != nil || grant == nil {
-		<-first.done
+		first.await()
 		return first
 	}
 	in.server, in.domain = grant.Server, grant.Domain
@@ -99,8 +135,8 @@
 	won := winner == second
 	in.relay.Node.Metrics.CountHedge(won)
 	in.exchange.ReportHedge(reducer.RequestHedged{Won: won, Late: won && loser.sent.Result == routing.ResultCancelled && ended == winner, Loser: loser.sent.RequestSent})
-	in.exchange.OnAbandon(func() { winner.abandon(errAbandoned) })
-	<-winner.done
+	in.exchange.OnAbandon(winner.loseWay)
+	winner.await()
 	in.server, in.domain = winner.grant.Server, winner.grant.Domain
 	return winner
 }
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -111,14 +111,15 @@
 	receivedAt  time.Time // when it arrived, as far as the kernel tells
 	body        inboundBody
 	exchange    *node.Exchange
-	outcome     string      // for metrics, audit trail and log
-	server      string      // of the last send
-	domain      string      // of that server
-	status      int         // answered to the caller
-	anySend     bool        // the request was sent to a server
-	sends       []endedSend // to servers and other VMs
-	decided     decider     // whose decision the answer is
-	detour      *detourInfo // nil for a request that the caller sent to this VM
+	stalled     *stalledSend // whose way was lost, beside the present step; nil for none
+	outcome     string       // for metrics, audit trail and log
+	server      string       // of the last send
+	domain      string       // of that server
+	status      int          // answered to the caller
+	anySend     bool         // the request was sent to a server
+	sends       []endedSend  // to servers and other VMs
+	decided     decider      // whose decision the answer is
+	detour      *detourInfo  // nil for a request that the caller sent to this VM
 	caller      callerWatch
 	shares      []*intake.Share // of what the request holds, until its end
 	sharesMutex sync.Mutex      // guards shares: two tries of a request may read their answers at a time
@@ -370,27 +371,34 @@
 			exchange.End(routing.ResultUnused, 0)
 		}
 	}()
+	defer in.endStalled()
 	for err == nil {
 		in.caller.enter(stageTurn)
 		in.recordClaim(step)
+		steps := in.contextOfSteps(ctx)
 		switch {
 		case step.Claim != nil:
-			step, err = exchange.Claim(ctx, step.Claim)
+			step, err = exchange.Claim(steps, step.Claim)
 		case step.Wait > 0:
-			step, err = exchange.Wait(ctx, step.Wait)
+			step, err = exchange.Wait(steps, step.Wait)
 		case step.SlotRequest != nil:
-			step, err = exchange.RequestSlot(ctx, *step.SlotRequest)
+			step, err = exchange.RequestSlot(steps, *step.SlotRequest)
 		case step.Send != nil:
 			in.server, in.domain = step.Send.Server, step.Send.Domain
 			in.anySend = true
 			in.countSend()
-			step, err, ended = in.send(ctx, step.Send)
+			step, err, ended = in.send(steps, step.Send)
 			if ended {
 				return
 			}
 		case step.Detour != nil:
 			in.anySend, in.server, in.domain = true, "", step.Detour.Domain
-			step, err, ended = in.sendDetour(ctx, *step.Detour)
+			step, err, ended = in.sendDetour(steps, *step.Detour)
+			if ended {
+				return
+			}
+		case step.AwaitStalled:
+			step, err, ended = in.awaitStalled(ctx)
 			if ended {
 				return
 			}
@@ -401,10 +409,23 @@
 			in.refuseProblem(step.Refuse)
 			return
 		}
+		if err != nil && in.stalledWon() {
+			if step, err, ended = in.useStalled(ctx); ended {
+				return
+			}
+		}
 	}
 	in.refuseAborted(ctx)
 }
 
+// contextOfSteps returns the context of the next step, which a stalled send may end.
+func (in *inbound) contextOfSteps(ctx context.Context) context.Context {
+	if in.stalled == nil {
+		return ctx
+	}
+	return in.stalled.others
+}
+
 // recordClaim settles or releases the claim, without waiting for the log.
 func (in *inbound) recordClaim(step relay.Step) {
 	if step.Settle != nil {
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -37,20 +37,28 @@
 		return step, err, false
 	}
 	a := in.newAttempt(ctx, grant, sentAt)
-	in.exchange.OnAbandon(func() { a.abandon(errAbandoned) })
-	if grant.HedgeAfter > 0 {
+	in.exchange.OnAbandon(a.loseWay)
+	switch {
+	case grant.HedgeAfter > 0:
 		a = in.tryHedged(ctx, a)
-	} else {
-		a.sent = in.try(a.ctx, grant)
+	case grant.MayStall:
+		in.start(a)
+		a.await()
+	default:
+		a.sent = in.try(a)
+	}
+	if !a.hasEnded() {
+		step, err := in.stall(ctx, a)
+		return step, err, false
 	}
 	defer a.abandon(nil)
 	return in.finishSend(ctx, a)
 }
 
 // try sends the request to one server, and checks and buffers the answer.
-func (in *inbound) try(sendCtx context.Context, grant *dispatch.Grant) sendResult {
-	chosen := choice{at: grant.ChosenAt, cold: grant.Cold}
-	sent := in.roundTrip(sendCtx, in.relay.Transport, &in.relay.ConnectTimeout, chosen, in.outbound(sendCtx, grant.Address, grant.Server))
+func (in *inbound) try(a *attempt) sendResult {
+	sendCtx := a.ctx
+	sent := in.roundTrip(sendCtx, in.relay.Transport, a.connect, in.outbound(sendCtx, a.grant.Address, a.grant.Server))
 	response, result := sent.response, sent.Result
 	if response != nil && in.relay.Dialect.isForeign(response, in.id) {
 		// Not even a refusal counts: it says nothing about this request.
@@ -84,6 +92,10 @@
 
 // finishSend reports the end of a send, and passes the answer on if that is the next step.
 func (in *inbound) finishSend(ctx context.Context, a *attempt) (relay.Step, error, bool) {
+	if in.stalledWon() && !a.hasAnswer() {
+		in.endLoser(a)
+		return in.useStalled(ctx)
+	}
 	grant, sendCtx, sent := a.grant, a.ctx, a.sent
 	response, result := sent.response, sent.Result
 	in.countAttempt(a)
@@ -103,6 +115,9 @@
 		return step, err, false
 	}
 	defer response.Body.Close()
+	if !in.outrunStalled() {
+		return in.useStalled(ctx)
+	}
 	in.stream(response, result, latency)
 	return relay.Step{}, nil, true
 }
@@ -165,17 +180,12 @@
 // roundTrip sends the request and waits for the header of the answer. The result says
 // whether anything reached the other end: once a byte of the request's header may have
 // been written, it is never ResultDialFailed or ResultDialTimeout.
-func (in *inbound) roundTrip(ctx context.Context, transport http.RoundTripper, timeout *ConnectTimeout, chosen choice, request *http.Request) sendResult {
+func (in *inbound) roundTrip(ctx context.Context, transport http.RoundTripper, connect *connectAttempt, request *http.Request) sendResult {
 	body, err := in.body.open()
 	if err != nil {
 		return sendResult{RequestSent: reducer.RequestSent{Result: routing.ResultUnused, Evidence: relay.EvidenceNothingWritten, Cause: err.Error()}}
 	}
 	request.Body = body
-	mayWrite := in.mayWrite
-	if transport == http.RoundTripper(in.relay.Transport) {
-		mayWrite = in.mayWriteToServer
-	}
-	connect := &connectAttempt{id: in.id, now: in.relay.Node.Clock.Now, timeout: timeout, onConnected: func() { in.caller.enter(stageServer) }, mayWrite: mayWrite, chosen: chosen}
 	in.caller.enter(stageConnect)
 	response, err := connect.roundTrip(transport, request)
 	sent := sendResult{response: response, connect: connect}
@@ -190,7 +200,7 @@
 	if err != nil {
 		sent.Cause = err.Error()
 	}
-	headerWritten := connect.headerWritten.Load() && !connect.refused.Load()
+	headerWritten := connect.mayHaveWritten()
 	switch {
 	case err == nil:
 		sent.Evidence, sent.Status = relay.EvidenceAnswered, response.StatusCode
--- a/internal/dispatch/message.go
+++ b/internal/dispatch/message.go
@@ -34,6 +34,7 @@
 	Limit routing.Limit // of the server, as the owner knows it
 
 	HedgeAfter time.Duration // after the send, a second try is due; 0 for never
+	MayStall   bool          // set by the entry: if its way is lost, the send goes on beside the next try
 }
 
 // Reason states why a request got no slot.
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -117,6 +117,11 @@
 	x.node.Apply(result)
 }
 
+// ReportStalled reports the end of a stalled send.
+func (x *Exchange) ReportStalled(ctx context.Context, sent reducer.RequestSent) (relay.Step, error) {
+	return x.applyAndAwait(ctx, reducer.RequestStalledEnded{Call: x.call, Sent: sent})
+}
+
 // End reports that the exchange is over. The result and latency matter only if an
 // answer was streamed.
 func (x *Exchange) End(result routing.Result, latency time.Duration) {
--- a/internal/reducer/code.go
+++ b/internal/reducer/code.go
@@ -62,6 +62,7 @@
 	CodeFairShareRefused      Code = 1061
 	CodeHedge                 Code = 1062
 	CodeSlotWait              Code = 1063
+	CodeStalledSend           Code = 1064
 )
 
 // CodeInfo is the catalogue entry of a code.
@@ -130,6 +131,7 @@
 	{CodeFairShareRefused, "info", "request refused: servers are short, and its customer had its share"},
 	{CodeHedge, "info", "late request was tried on a second server, or one of two tries ended"},
 	{CodeSlotWait, "info", "long request waits at this VM for a slot"},
+	{CodeStalledSend, "info", "send whose way was lost, and that went on beside other tries, brought the answer or ended"},
 }
 
 // Info returns the catalogue entry of a code.
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -130,6 +130,7 @@
 	Evidence       relay.Evidence // of whether the request ran
 	Status         int            // of the server's answer, 0 without one
 	Conn           string         // this VM's end of the connection, for the log; empty without one
+	Stalled        bool           // it goes on beside the next try, and its end is reported by RequestStalledEnded
 	routing.Notice                // of the server about itself
 }
 
@@ -146,6 +147,13 @@
 	Loser RequestSent
 }
 
+// RequestStalledEnded reports the end of a stalled send, if it brought an answer or no other try is under way;
+// answered by relay.Step.
+type RequestStalledEnded struct {
+	Call uint64
+	Sent RequestSent
+}
+
 // RequestDetoured reports the header of the answer of a VM that a request was passed on to,
 // or that this failed; answered by relay.Step.
 type RequestDetoured struct {
@@ -253,6 +261,7 @@
 func (RequestEnded) reducerEvent()          {}
 func (RequestLate) reducerEvent()           {}
 func (RequestHedged) reducerEvent()         {}
+func (RequestStalledEnded) reducerEvent()   {}
 func (RequestDetoured) reducerEvent()       {}
 func (ServerProbed) reducerEvent()          {}
 func (PeerUnreachable) reducerEvent()       {}
--- a/internal/reducer/hedge.go
+++ b/internal/reducer/hedge.go
@@ -58,6 +58,7 @@
 	grant := &dispatch.Grant{
 		Ticket: s.lastTicket, Server: server.ID, Address: server.Address, Domain: server.Domain,
 		Shifted: server.Domain != s.Settings.Domain, ChosenAt: s.now, Cold: cold, Word: string(word.Source),
+		MayStall: true,
 	}
 	s.hedges[call] = grant
 	s.emit(Decision{Code: CodeHedge, Request: r.ID, Outcome: "sent", Fields: []Field{
--- a/internal/reducer/place.go
+++ b/internal/reducer/place.go
@@ -274,9 +274,12 @@
 	if e.ServerDied && !cut {
 		phase = s.markSuspected(r, r.Grant.Ticket, run.server.ID)
 	}
+	if e.Stalled {
+		r.Stall()
+	}
 	step := r.HandleSendResult(relay.SendEnd{Result: e.Result, Status: e.Status, Suspicion: phase, BodyMissing: e.BodyMissing}, s.now, s.retryBudget(r))
-	s.logSend(r, e, step, Field{"expected", run.expected})
-	if result := e.Result; !step.Stream {
+	s.logSend(r, e, step, Field{"expected", run.expected}, Field{"stalled", e.Stalled})
+	if result := e.Result; !step.Stream && !e.Stalled {
 		if cut || e.BodyMissing {
 			result = blameless(result)
 		}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -89,6 +89,7 @@
 	placedRuns    map[uint64]placedRun       // by ticket
 	lastTicket    uint64                     // of placedRuns
 	hedges        map[uint64]*dispatch.Grant // of second tries that are under way, by call
+	stalledWaits  map[uint64]time.Time       // since when requests wait for their stalled sends, by call
 	loadQuestions map[uint64]loadQuestion    // by call of the request that waits, or was asked for
 	askBudget     placing.AskBudget          // of loadQuestions
 	entryWaits    map[uint64]entryWait       // by call
@@ -212,6 +213,7 @@
 		shares:           make(map[string]*serviceShares),
 		placedRuns:       make(map[uint64]placedRun),
 		hedges:           make(map[uint64]*dispatch.Grant),
+		stalledWaits:     make(map[uint64]time.Time),
 		loadQuestions:    make(map[uint64]loadQuestion),
 		entryWaits:       make(map[uint64]entryWait),
 		slotCounts:       make(map[string]*slotCounts),
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -37,6 +37,8 @@
 		s.handleLate(e)
 	case RequestHedged:
 		s.handleHedged(e)
+	case RequestStalledEnded:
+		s.handleStalledEnded(e)
 	case RequestDetoured:
 		s.handleDetoured(e)
 	case RequestEnded:
@@ -155,13 +157,18 @@
 		if !r.PlacedLocally && s.passOnGranted(call, r, step) {
 			return
 		}
+		step.Send.MayStall = r.MayRepeat()
 		s.beginFlight(call, r, step.Send)
 		s.recordSend(r, "sending")
 	}
+	s.endWait(call)
+	if r.DeferRefusal(step) {
+		s.awaitStalled(call)
+		return
+	}
 	if step.Refuse != nil {
 		s.countRefusal(r, step.Refuse)
 	}
-	s.endWait(call)
 	s.emit(Answer{Call: call, Value: step})
 }
 
@@ -241,7 +248,10 @@
 	s.noteToOwner(r, e)
 	answered := e.Result == routing.ResultOK || e.Result == routing.ResultError
 	phase := quarantine.Clear
-	if !answered {
+	switch {
+	case e.Stalled:
+		r.Stall()
+	case !answered:
 		result := e.Result
 		if s.ways.Way(r.Grant.Domain) != reach.Open || e.BodyMissing {
 			result = blameless(result) // the owner would eject the server for all VMs
@@ -359,6 +369,11 @@
 	finish := dispatch.Finish{Service: r.Service, Ticket: r.Grant.Ticket, Result: result, Latency: latency}
 	r.Grant.Ticket = 0
 	s.recordSend(r, "ended:"+result.String())
+	return s.finish(r, finish)
+}
+
+// finish ends a grant at the owner of its service. Its results are those of finishGrant.
+func (s *State) finish(r *relay.Request, finish dispatch.Finish) quarantine.Phase {
 	pool := s.pool(r.Service)
 	if pool == nil {
 		s.transmit(s.ownerOf(r.Service).Peer, Message{Finish: &finish})
@@ -386,6 +401,7 @@
 	s.countEnd(r, e.Result)
 	delete(s.loadQuestions, e.Call)
 	s.endHedge(e.Call, r)
+	s.endStalled(e.Call, r)
 	delete(s.takenOver, e.Call)
 	s.ways.End(e.Call)
 	s.endDetour(e.Call, false)
--- a/internal/reducer/slotwait.go
+++ b/internal/reducer/slotwait.go
@@ -33,7 +33,7 @@
 // answer meanwhile. A VM that stops holds none: another one takes the request. One that was sent before, or
 // that another VM passed on, does not wait: its allowance is not renewed here.
 func (s *State) holdForSlot(call uint64, r *relay.Request, slotRequest dispatch.SlotRequest, pool *placing.Pool, choice placing.Choice) bool {
-	if !choice.MayWait || s.leaving || r.Grant != nil || r.TakenOver {
+	if !choice.MayWait || s.leaving || r.Grant != nil || r.Stalled != nil || r.TakenOver {
 		return false
 	}
 	w, waited := s.entryWaits[call]
--- a/internal/reducer/ways.go
+++ b/internal/reducer/ways.go
@@ -70,6 +70,7 @@
 			s.abandonSends(c.Domain)
 		}
 	}
+	s.tickStalled()
 	cut := s.ways.Cut()
 	s.members.Self.Cut = cut
 	if len(cut) > 0 || len(changes) > 0 {
@@ -89,15 +90,16 @@
 	}
 }
 
-// abandonSends gives up the sends to a failure domain whose requests may be sent again. A VM that
-// stops keeps them: it gets fewer and fewer answers, so that their absence says little, and the
-// servers that it would ask instead must finish before the stop.
+// abandonSends has requests tried elsewhere that were sent to a failure domain, if they may be. One that
+// has a second try already is left alone. A VM that stops does none of this: it gets fewer and fewer
+// answers, so that their absence says little, and the servers that it would ask instead must finish
+// before the stop.
 func (s *State) abandonSends(domain string) {
 	if s.leaving {
 		return
 	}
 	for _, call := range s.ways.FlightsTo(domain) {
-		if r := s.requests[call]; r != nil && r.MayRepeat() {
+		if r := s.requests[call]; r != nil && s.hedges[call] == nil && r.MayTryElsewhere(s.now) {
 			r.LoseWay()
 			s.emit(AbandonSend{Call: call})
 		}
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -9,7 +9,7 @@
 // MayHedge reports whether the request may be sent to a second server while the first one still runs
 // it: it may be repeated, and no more servers than the route's tries may run it.
 func (r *Request) MayHedge(now time.Time) bool {
-	if r.Route == nil || r.TakenOver || r.hedged || !r.MayRepeat() || !now.Before(r.Deadline) {
+	if r.Route == nil || r.TakenOver || r.hedged || r.Stalled != nil || !r.MayRepeat() || !now.Before(r.Deadline) {
 		return false
 	}
 	const underWay = 1 // the try that is late
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -48,6 +48,9 @@
 	KeyDigest     document.KeyDigest // of that key, by which a revocation is found before each send
 
 	Grant          *dispatch.Grant // of the current send
+	Stalled        *dispatch.Grant // of an earlier one whose way is lost and that goes on; nil for none
+	deferred       Step            // a refusal that waits for the end of the stalled send
+	ranBeforeStall bool            // an earlier send than the stalled one may have run
 	claimStartedAt time.Time       // when the claim was first proposed; zero while another request holds the key
 	claimTries     int             // claims proposed
 	slotTries      int             // slot requests that the owner did not answer
@@ -84,16 +87,17 @@
 // Step is what the code that performs the I/O does next. Exactly one field is
 // set, except that Settle or Release may accompany Refuse.
 type Step struct {
-	Claim       *ledger.Claim         // propose it to the log, then call HandleClaimResult
-	Wait        time.Duration         // wait, then call ResumeAfterWait
-	SlotRequest *dispatch.SlotRequest // send it to the owner of the service, then call HandleSlotAnswer
-	Send        *dispatch.Grant       // send the request to the server, then call HandleSendResult
-	Detour      *Detour               // pass the request on to another VM, then call HandleDetourResult
-	Stream      bool                  // pass the server's answer on to the caller
-	Replay      *ledger.Outcome       // answer the caller with the stored outcome
-	Refuse      *Problem              // answer the caller with this
-	Settle      *ledger.Settle        // record the outcome in the log, without waiting for it
-	Release     *ledger.Release       // release the claim in the log, without waiting for it
+	Claim        *ledger.Claim         // propose it to the log, then call HandleClaimResult
+	Wait         time.Duration         // wait, then call ResumeAfterWait
+	SlotRequest  *dispatch.SlotRequest // send it to the owner of the service, then call HandleSlotAnswer
+	Send         *dispatch.Grant       // send the request to the server, then call HandleSendResult
+	Detour       *Detour               // pass the request on to another VM, then call HandleDetourResult
+	AwaitStalled bool                  // wait for the end of the stalled send, then call EndStalled or UseStalled
+	Stream       bool                  // pass the server's answer on to the caller
+	Replay       *ledger.Outcome       // answer the caller with the stored outcome
+	Refuse       *Problem              // answer the caller with this
+	Settle       *ledger.Settle        // record the outcome in the log, without waiting for it
+	Release      *ledger.Release       // release the claim in the log, without waiting for it
 }
 
 // Problem is a refusal or a failure that the caller is told of.
@@ -399,11 +403,15 @@
 func (r *Request) ForbidRepeat() { r.runsOnce = true }
 
 func (r *Request) mayRetry(now time.Time) bool {
-	maxRuns := maxTries
+	return r.sends < r.maxSends() && r.runs < r.maxRuns() && r.Replayable && now.Before(r.Deadline)
+}
+
+// maxRuns returns how many sends may have run.
+func (r *Request) maxRuns() int {
 	if r.Route != nil {
-		maxRuns = r.Route.Tries
+		return r.Route.Tries
 	}
-	return r.sends < r.maxSends() && r.runs < maxRuns && r.Replayable && now.Before(r.Deadline)
+	return maxTries
 }
 
 // retryElsewhere retries on another server within the deadline and the budget; a
