Answer requests that are read while idle connections close

Cause: whether a connection is idle was decided from its socket and from a state that the reader sets after its read. On a VM that loses the processor between the two, or between net/http's look at its own state and the close, a request that had just been taken was dropped.

Change: a read that has taken bytes undoes the close of an idle connection. While idle connections are closed, one that turned active stays open until its answer. At the end of a stop, first requests on new connections are answered; http.Server.Shutdown read and dropped them.

TestRequestThatIsReadDuringTheCloseIsAnswered failed in 3 of 4 shapes before.

--- a/internal/callerhttp/guard.go
+++ b/internal/callerhttp/guard.go
@@ -110,6 +110,7 @@
 	case http.StateActive:
 		c.SetIdle(false)
 		c.serving = true
+		g.conns[c] = struct{}{} // its idle timeout may have passed just before
 	default:
 		delete(g.conns, c)
 		c.CloseNow() // nobody reads a request that a deferred close has left; an error means that it is closed
@@ -157,10 +158,14 @@
 		if c.serving || waited <= allowed {
 			continue
 		}
+		closeConn := c.CloseNow
+		if !c.headerStarted {
+			closeConn = c.Close
+		}
 		// A request that has arrived in time may not have been read yet.
 		if c.headerStarted || !c.HasRequest() {
 			delete(g.conns, c)
-			c.CloseNow() // an error means that net/http closed it first
+			closeConn() // an error means that net/http closed it first
 			g.OnClose(reason, c.RemoteAddr().String(), waited)
 		}
 	}
@@ -170,6 +175,16 @@
 // these were closed, or the context ends.
 func (g *Guard) AwaitDelivery(ctx context.Context) { g.lingerer.AwaitDelivery(ctx) }
 
+// DisableKeepAlives is that of a Lingerer.
+func (g *Guard) DisableKeepAlives(server *http.Server) { g.lingerer.DisableKeepAlives(server) }
+
+// isEmpty reports whether no connection is open.
+func (g *Guard) isEmpty() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns) == 0
+}
+
 // countServing returns the number of connections with a request that is not answered yet.
 func (g *Guard) countServing() int {
 	g.mu.Lock()
--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -181,7 +181,7 @@
 
 const idleCheckInterval = 20 * time.Millisecond
 
-// closeTime is how long a server whose listener is closed waits for connections without a request.
+// closeTime is how long a server whose listener is closed waits for the request of a new connection.
 const closeTime = 200 * time.Millisecond
 
 // FinishServing ends the server of a listener for callers, once it serves no request and has
@@ -190,7 +190,7 @@
 // http.Server.Shutdown alone would read them and close the connection, which tells a caller
 // nothing.
 func (l *Relay) FinishServing(ctx context.Context, server *http.Server, listener net.Listener, guard *Guard) {
-	server.SetKeepAlivesEnabled(false)
+	guard.DisableKeepAlives(server)
 	if err := listener.Close(); err != nil {
 		l.Node.LogError(reducer.CodeListenerFailed, err)
 	}
@@ -199,11 +199,8 @@
 		l.Node.LogError(reducer.CodeRequestsCutOff, fmt.Errorf("%d requests still ran: %w", count, ctx.Err()))
 		l.watcher.logCutOff()
 	}
-	closeContext, cancel := context.WithTimeout(ctx, closeTime)
-	defer cancel()
-	if err := server.Shutdown(closeContext); err != nil {
-		guard.closeIdle()
-	}
+	l.awaitFirstRequests(ctx, guard)
+	guard.closeIdle()
 	l.awaitAnswers(ctx, guard)
 	if err := server.Close(); err != nil {
 		l.Node.LogError(reducer.CodeListenerFailed, err)
@@ -211,6 +208,18 @@
 	guard.AwaitDelivery(ctx)
 }
 
+// awaitFirstRequests gives the requests of new connections, of which none has come yet, a short time to
+// arrive.
+func (l *Relay) awaitFirstRequests(ctx context.Context, guard *Guard) {
+	end := l.Node.Clock.Now().Add(closeTime)
+	for ctx.Err() == nil && !guard.isEmpty() && l.Node.Clock.Now().Before(end) {
+		select {
+		case <-ctx.Done():
+		case <-l.Node.Clock.After(idleCheckInterval):
+		}
+	}
+}
+
 // stopAnswerTime is how long before the end of a stop the requests without an answer are given one:
 // a caller that is told can go elsewhere, one whose connection ends may have to wait for its kernel.
 const stopAnswerTime = 300 * time.Millisecond
--- a/internal/tcp/linger.go
+++ b/internal/tcp/linger.go
@@ -5,8 +5,10 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +31,8 @@
 type Lingerer struct {
 	Clock clock.Clock
 
+	closingIdle atomic.Int32 // calls under way that make net/http close idle connections
+
 	mutex sync.Mutex
 	conns map[*LingeringConn]struct{} // closed here, open at the other end
 }
@@ -55,6 +59,8 @@
 	readError error // of the last read
 	deferred  bool  // the connection was to be closed when a request had arrived
 	closed    bool
+	reopens   bool // it is open after all if the read under way has taken a request
+	reopened  int  // how often it was
 }
 
 // Wrap returns the connection with a Close that does not reset it; socket is the one beneath it.
@@ -81,6 +87,22 @@
 	return l.lingerer.Wrap(conn, conn), nil
 }
 
+// DisableKeepAlives closes the idle connections of a server, and has it close the others after their
+// requests. net/http looks whether a connection is idle before it closes it: one whose request it has read
+// meanwhile stays open.
+func (l *Lingerer) DisableKeepAlives(server *http.Server) {
+	l.closingIdle.Add(1)
+	defer l.closingIdle.Add(-1)
+	server.SetKeepAlivesEnabled(false)
+}
+
+// Shutdown shuts a server down. Requests that it reads meanwhile get no answer.
+func (l *Lingerer) Shutdown(ctx context.Context, server *http.Server) error {
+	l.closingIdle.Add(1)
+	defer l.closingIdle.Add(-1)
+	return server.Shutdown(ctx)
+}
+
 // AwaitDelivery waits until the other ends have received what was written to connections before
 // they were closed, or the context ends.
 func (l *Lingerer) AwaitDelivery(ctx context.Context) {
@@ -142,6 +164,9 @@
 	c.readError = err
 	if n > 0 && c.phase == phaseIdle {
 		c.phase = phaseStarted
+		if c.closed && c.reopens {
+			c.reopen()
+		}
 	}
 	if err != nil && c.closed {
 		err = net.ErrClosed
@@ -180,21 +205,33 @@
 
 // Close implements net.Conn. Reads and writes end at once; the connection itself is closed in the
 // background. The first call does nothing when a request has arrived on an idle connection:
-// net/http closes idle connections from another goroutine than the one that is about to read it.
+// net/http closes idle connections from another goroutine than the one that is about to read it, or has
+// just done so.
 func (c *LingeringConn) Close() error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.readError == nil && !c.deferred && !c.closed && c.hasRequest() {
+	wasIdle := c.phase == phaseActive && c.lingerer.closingIdle.Load() > 0
+	if !c.closed && (wasIdle || c.readError == nil && !c.deferred && c.hasRequest()) {
 		c.deferred = true
 		return nil
 	}
+	c.reopens = c.phase == phaseIdle
 	return c.close()
 }
 
+// reopen undoes the close of a connection whose request was being read.
+func (c *LingeringConn) reopen() {
+	c.closed, c.deferred, c.reopens = false, true, false
+	c.reopened++
+	c.Conn.SetDeadline(time.Time{}) // an error shows at the next use
+	c.lingerer.remove(c)
+}
+
 // CloseNow closes the connection also when a request has arrived.
 func (c *LingeringConn) CloseNow() error {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.reopens = false
 	return c.close()
 }
 
@@ -205,20 +242,24 @@
 	c.closed = true
 	atEnd := c.readError != nil && !errors.Is(c.readError, os.ErrDeadlineExceeded)
 	if atEnd || c.Conn.SetDeadline(time.Unix(1, 0)) != nil {
+		c.reopens = false
 		return c.Conn.Close()
 	}
 	c.lingerer.add(c)
-	go c.linger(c.phase == phaseActive)
+	go c.linger(c.phase == phaseActive, c.reopened)
 	return nil
 }
 
 // linger ends the sending side and closes the connection when the other end does, or a timeout
-// passes.
-func (c *LingeringConn) linger(discard bool) {
+// passes, unless it was reopened since.
+func (c *LingeringConn) linger(discard bool, reopened int) {
+	c.reading.Lock() // the deadline has ended a read that was under way
+	defer c.reading.Unlock()
+	if c.wasReopened(reopened) {
+		return
+	}
 	defer c.lingerer.remove(c)
 	defer c.Conn.Close() // an error means that the other end closed it first
-	c.reading.Lock()     // the deadline has ended a read that was under way
-	defer c.reading.Unlock()
 	if c.CloseWrite() != nil {
 		return
 	}
@@ -237,6 +278,13 @@
 	}
 }
 
+func (c *LingeringConn) wasReopened(since int) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.reopens = false
+	return c.reopened != since
+}
+
 // discard discards received bytes until the time, and reports whether the other end has closed.
 func (c *LingeringConn) discard(until time.Time) bool {
 	if err := c.Conn.SetReadDeadline(until); err != nil {
@@ -258,11 +306,11 @@
 	return false
 }
 
-// IsDeferred reports whether the connection is to be closed after the request that has arrived.
+// IsDeferred reports whether the connection is to be closed after a request that has arrived, or may have.
 func (c *LingeringConn) IsDeferred() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.deferred && !c.closed
+	return c.deferred && !c.closed || c.closed && c.reopens
 }
 
 // undelivered reports whether the other end has not received all that was written, as far as the
--- a/internal/tcp/linger_test.go
+++ b/internal/tcp/linger_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -133,3 +134,145 @@
 		t.Errorf("%d bytes do not count as delivered", written)
 	}
 }
+
+// hooks pause a connection in the middle of a read that has taken bytes, or before a close. Each is
+// used once.
+type hooks struct{ onTaken, onClose chan func() }
+
+func newHooks() hooks { return hooks{onTaken: make(chan func(), 1), onClose: make(chan func(), 1)} }
+
+func runHook(hook chan func()) {
+	select {
+	case run := <-hook:
+		run()
+	default:
+	}
+}
+
+type takingConn struct {
+	net.Conn
+	hooks
+}
+
+func (c takingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		runHook(c.onTaken)
+	}
+	return n, err
+}
+
+type closingConn struct {
+	*LingeringConn
+	hooks
+}
+
+func (c closingConn) Close() error {
+	runHook(c.onClose)
+	return c.LingeringConn.Close()
+}
+
+type hookedListener struct {
+	net.Listener
+	lingerer *Lingerer
+	hooks
+}
+
+func (l hookedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return closingConn{LingeringConn: l.lingerer.Wrap(takingConn{conn, l.hooks}, conn), hooks: l.hooks}, nil
+}
+
+// A request that was read while its idle connection was being closed got no answer.
+func TestRequestThatIsReadDuringTheCloseIsAnswered(t *testing.T) {
+	disableKeepAlives := func(l *Lingerer, s *http.Server, _ *LingeringConn) { l.DisableKeepAlives(s) }
+	tests := map[string]struct {
+		taken  bool // the close comes when bytes were taken from the socket, else when the whole request was read
+		close  func(*Lingerer, *http.Server, *LingeringConn)
+		answer bool
+	}{
+		"bytes taken, keep-alives disabled":  {taken: true, close: disableKeepAlives, answer: true},
+		"bytes taken, idle timeout":          {taken: true, close: func(_ *Lingerer, _ *http.Server, c *LingeringConn) { c.Close() }, answer: true},
+		"bytes taken, closed for good":       {taken: true, close: func(_ *Lingerer, _ *http.Server, c *LingeringConn) { c.CloseNow() }},
+		"request read, keep-alives disabled": {close: disableKeepAlives, answer: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			lingerer := &Lingerer{Clock: clock.System{}}
+			h := newHooks()
+			conns := make(chan *LingeringConn, 1)
+			finish := make(chan struct{})
+			server := &http.Server{
+				ConnState: func(conn net.Conn, state http.ConnState) {
+					c := conn.(closingConn).LingeringConn
+					switch state {
+					case http.StateNew:
+						c.SetIdle(true)
+						conns <- c
+					case http.StateClosed:
+						c.CloseNow()
+					default:
+						c.SetIdle(state == http.StateIdle)
+					}
+				},
+				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == "/second" {
+						<-finish
+					}
+					io.WriteString(w, "answer")
+				}),
+			}
+			go server.Serve(hookedListener{listener, lingerer, h})
+			defer server.Close()
+			client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxConnsPerHost: 1}}
+			get := func(path string) (string, error) {
+				request, _ := http.NewRequest(http.MethodPost, "http://"+listener.Addr().String()+path, nil) // not sent again by net/http
+				response, err := client.Do(request)
+				if err != nil {
+					return "", err
+				}
+				defer response.Body.Close()
+				body, err := io.ReadAll(response.Body)
+				return string(body), err
+			}
+			if answer, err := get("/first"); answer != "answer" || err != nil {
+				t.Fatal(answer, err)
+			}
+			conn := <-conns
+			closed := make(chan struct{})
+			if test.taken {
+				h.onTaken <- func() {
+					test.close(lingerer, server, conn)
+					close(closed)
+				}
+			} else {
+				waits, release := make(chan struct{}), make(chan struct{})
+				h.onClose <- func() {
+					close(waits)
+					<-release
+				}
+				go func() {
+					test.close(lingerer, server, conn)
+					close(closed)
+				}()
+				<-waits
+				time.AfterFunc(200*time.Millisecond, func() { close(release) }) // the request has been read
+			}
+			go func() {
+				<-closed
+				time.Sleep(20 * time.Millisecond) // for the goroutine that lingers
+				close(finish)
+			}()
+			if answer, err := get("/second"); (answer == "answer" && err == nil) != test.answer {
+				t.Errorf("answer %q (%v), want one: %v", answer, err, test.answer)
+			}
+		})
+	}
+}
