Bound the retries that all entries save together

Cause: each entry saved up to ten retries for each service and rank, however many entries there are, and a fault that all see makes them spend all.

Change: the entries together save 300 at most, each at least two; nothing changes up to 30 entries.

--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -103,9 +103,21 @@
 		budget = &relay.RetryBudget{Ratio: s.retryShare(r.Service)}
 		s.budgets[key] = budget
 	}
+	budget.Saved = s.savedRetries()
 	return budget
 }
 
+// Bounds on the retries that entries save up while few are needed. A fault that many entries see makes
+// all of them spend what they have saved at once.
+const (
+	maxSavedRetries = 300 // of all entries, for each service and rank
+	minSavedRetries = 2   // of each entry
+)
+
+func (s *State) savedRetries() float64 {
+	return max(minSavedRetries, min(relay.MaxRetryTokens, maxSavedRetries/float64(max(1, s.entryCount))))
+}
+
 // runStep passes the next step of a request to package node. A request for a
 // slot that this VM grants, as an entry or as the owner, is handled here instead.
 func (s *State) runStep(call uint64, r *relay.Request, step relay.Step) {
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -3,6 +3,7 @@
 // RetryBudget is a token bucket that limits retries to a share of first tries.
 type RetryBudget struct {
 	Ratio float64 // retries per first try; 0 means defaultRetryRatio
+	Saved float64 // retries that unused tokens can pay for; 0 means MaxRetryTokens
 
 	tokens  float64
 	started bool
@@ -10,12 +11,18 @@
 
 const (
 	defaultRetryRatio  = 0.1 // retries per first try
-	maxRetryTokens     = 10  // retries that unused tokens can pay for
 	initialRetryTokens = 3
 )
 
+// MaxRetryTokens is the number of retries that unused tokens can pay for.
+const MaxRetryTokens = 10
+
 // CountFirstTry counts a first try, which earns a share of a retry.
 func (b *RetryBudget) CountFirstTry() {
+	saved := b.Saved
+	if saved == 0 {
+		saved = MaxRetryTokens
+	}
 	if !b.started {
 		b.started = true
 		b.tokens = initialRetryTokens
@@ -24,7 +31,7 @@
 	if ratio == 0 {
 		ratio = defaultRetryRatio
 	}
-	b.tokens = min(b.tokens+ratio, maxRetryTokens)
+	b.tokens = min(b.tokens+ratio, saved)
 }
 
 // TakeRetry spends one token on a retry; it returns false when none is left.
