--- a/internal/callerhttp/closing_test.go
+++ b/internal/callerhttp/closing_test.go
@@ -265,3 +265,38 @@
 		t.Errorf("the connection did not end: %v", err)
 	}
 }
+
+// The first request on a connection was read at the end of a stop, and dropped.
+func TestFirstRequestDuringAStopIsAnswered(t *testing.T) {
+	t.Parallel()
+	for name, pause := range map[string]time.Duration{"at once": 0, "a little later": 100 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			relay := NewRelay(startControlVM(t), DefaultDialect())
+			guard := NewGuard(relay.Node)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			watched := guard.WrapListener(listener)
+			server := &http.Server{ConnState: guard.TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				io.WriteString(w, "answer")
+			})}
+			go server.Serve(watched)
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			time.Sleep(50 * time.Millisecond) // until it is accepted
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			go relay.FinishServing(ctx, server, watched, guard)
+			time.Sleep(pause)
+			io.WriteString(conn, fullRequest)
+			if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+				t.Errorf("no answer: %v", err)
+			}
+		})
+	}
+}
