Let a test of idle connections wait until one is idle

Cause: it closed the connection when the client had the first answer, and net/http, which had not looked yet whether keep-alives are on, ended it unread, as it may.

--- a/internal/tcp/linger_test.go
+++ b/internal/tcp/linger_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -137,9 +139,16 @@
 
 // hooks pause a connection in the middle of a read that has taken bytes, or before a close. Each is
 // used once.
-type hooks struct{ onTaken, onClose chan func() }
+type hooks struct {
+	onTaken, onClose chan func()
+	idle             atomic.Bool   // net/http has answered a request
+	waiting          chan struct{} // closed when it reads the next one then
+	once             sync.Once
+}
 
-func newHooks() hooks { return hooks{onTaken: make(chan func(), 1), onClose: make(chan func(), 1)} }
+func newHooks() *hooks {
+	return &hooks{onTaken: make(chan func(), 1), onClose: make(chan func(), 1), waiting: make(chan struct{})}
+}
 
 func runHook(hook chan func()) {
 	select {
@@ -151,10 +160,13 @@
 
 type takingConn struct {
 	net.Conn
-	hooks
+	*hooks
 }
 
 func (c takingConn) Read(b []byte) (int, error) {
+	if c.idle.Load() {
+		c.once.Do(func() { close(c.waiting) })
+	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		runHook(c.onTaken)
@@ -164,7 +176,7 @@
 
 type closingConn struct {
 	*LingeringConn
-	hooks
+	*hooks
 }
 
 func (c closingConn) Close() error {
@@ -175,7 +187,7 @@
 type hookedListener struct {
 	net.Listener
 	lingerer *Lingerer
-	hooks
+	*hooks
 }
 
 func (l hookedListener) Accept() (net.Conn, error) {
@@ -208,7 +220,7 @@
 			lingerer := &Lingerer{Clock: clock.System{}}
 			h := newHooks()
 			conns := make(chan *LingeringConn, 1)
-			finish := make(chan struct{})
+			began, finish := make(chan struct{}), make(chan struct{})
 			server := &http.Server{
 				ConnState: func(conn net.Conn, state http.ConnState) {
 					c := conn.(closingConn).LingeringConn
@@ -220,10 +232,12 @@
 						c.CloseNow()
 					default:
 						c.SetIdle(state == http.StateIdle)
+						h.idle.Store(state == http.StateIdle)
 					}
 				},
 				Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					if r.URL.Path == "/second" {
+						close(began)
 						<-finish
 					}
 					io.WriteString(w, "answer")
@@ -246,6 +260,7 @@
 				t.Fatal(answer, err)
 			}
 			conn := <-conns
+			<-h.waiting // before that, net/http may close the connection itself
 			closed := make(chan struct{})
 			if test.taken {
 				h.onTaken <- func() {
@@ -263,7 +278,10 @@
 					close(closed)
 				}()
 				<-waits
-				time.AfterFunc(200*time.Millisecond, func() { close(release) }) // the request has been read
+				go func() {
+					<-began
+					close(release)
+				}()
 			}
 			go func() {
 				<-closed
