Announce the end of a connection whose body is left unread

Cause: since streamed bodies ask for full duplex. net/http then reads the rest of the body after the handler, meets its end, begins to watch the connection, and panics when it reads the next request itself.

Change: an answer that begins before the end of a streamed body says Connection: close. Callers that send on lose no answer: the close lingers.

TestConnectionIsUsableAfterAnEarlyAnswer failed in two of four shapes before.

--- a/internal/callerhttp/body.go
+++ b/internal/callerhttp/body.go
@@ -24,6 +24,7 @@
 	restUsed bool
 	awaited  bool // a send waits for bytes of the caller
 	failed   bool // the caller's bytes did not come whole
+	ended    bool // all of the rest was read
 }
 
 var (
@@ -105,9 +106,36 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.awaited = awaited
+	b.ended = b.ended || errors.Is(err, io.EOF)
 	b.failed = b.failed || err != nil && !errors.Is(err, io.EOF)
 }
 
+// isUnread reports whether a part of the body was not read yet.
+func (b *inboundBody) isUnread() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.rest != nil && !b.ended
+}
+
+// streamWriter is the writer of an answer to a request whose body is streamed. An answer that begins
+// before the end of the body ends the connection: with full duplex, net/http panics at the next request
+// on it if it meets the end of the body itself, after the handler.
+type streamWriter struct {
+	http.ResponseWriter
+	body *inboundBody
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *streamWriter) WriteHeader(status int) {
+	if w.body.isUnread() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap serves http.ResponseController.
+func (w *streamWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // isMissing reports whether a send that ended so has no answer for want of the caller's bytes: they
 // did not come whole, or were still awaited at the deadline.
 func (b *inboundBody) isMissing(result routing.Result) bool {
--- a/internal/callerhttp/earlyanswer_test.go
+++ b/internal/callerhttp/earlyanswer_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -146,3 +147,71 @@
 		})
 	}
 }
+
+// After an answer to a request whose body was not read, net/http panicked and the connection ended at
+// the next request, though the answer had not said so.
+func TestConnectionIsUsableAfterAnEarlyAnswer(t *testing.T) {
+	t.Parallel()
+	const length = 150_000
+	withLength := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", length) + strings.Repeat("a", length)
+	inChunks := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", length) + strings.Repeat("a", length) + "\r\n0\r\n\r\n"
+	tests := map[string]struct {
+		request string
+		read    bool // the body is read before the answer
+		closes  bool // the answer announces that the connection ends
+	}{
+		"unread, with a length": {request: withLength, closes: true},
+		"unread, in chunks":     {request: inChunks, closes: true},
+		"read, with a length":   {request: withLength, read: true},
+		"read, in chunks":       {request: inChunks, read: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			relay := NewRelay(startControlVM(t), DefaultDialect())
+			entry, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				in := &inbound{relay: relay, writer: w, request: r, view: &reducer.View{Document: &document.Document{}}, deadline: time.Now().Add(10 * time.Second)}
+				defer in.releaseShares()
+				defer in.finishBody()
+				if !in.readBody() {
+					return
+				}
+				if body, err := in.body.open(); err != nil {
+					t.Error(err)
+				} else if test.read {
+					io.Copy(io.Discard, body)
+				}
+				in.writer.WriteHeader(http.StatusOK)
+				io.WriteString(in.writer, "answer")
+			})}
+			go server.Serve(entry)
+			defer server.Close()
+			conn, err := net.Dial("tcp", entry.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			for i := range 3 {
+				go io.WriteString(conn, test.request) // an error shows below
+				response, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					t.Fatalf("answer %d: %v", i, err)
+				}
+				if answer, err := io.ReadAll(response.Body); string(answer) != "answer" || err != nil {
+					t.Fatalf("answer %d: %q, %v", i, answer, err)
+				}
+				if response.Close != test.closes {
+					t.Errorf("the answer announces the end of the connection: %v, want %v", response.Close, test.closes)
+				}
+				if response.Close {
+					return
+				}
+			}
+		})
+	}
+}
--- a/internal/callerhttp/recognise.go
+++ b/internal/callerhttp/recognise.go
@@ -189,6 +189,7 @@
 		// those that the send reads. An error means that the connection does not do so.
 		_ = http.NewResponseController(in.writer).EnableFullDuplex()
 		in.body.prefix, in.body.rest = prefix, http.MaxBytesReader(in.writer, in.request.Body, in.maxBody()-int64(len(prefix)))
+		in.writer = &streamWriter{ResponseWriter: in.writer, body: &in.body}
 	}
 	return true
 }
