Take an answer whose connection was reset for broken

Cause: the kernel reports a reset once. A write of the upload and a read of the answer are under way; the one that comes first gets "connection reset", and the other one finds what follows an orderly close: a read the end of the stream. The transport takes that for the end of an answer without a length. Evidence: on a socket of the kernel, write first: "connection reset", then the read of 4 bytes, then EOF; read first: "connection reset", then "broken pipe". A connection that was closed before it was reset gives "broken pipe" and EOF in both orders. The same holds for a connection that timed out.

Change: serverConn, which all connections to servers and other VMs are, asks the kernel at the end of the stream whether the connection has hung up. If it has, a write that got the report is about to return: its error is the error of the read, unless it shows that the other end had closed before. A read does not wait for a write on a connection that is half closed.

--- a/internal/callerhttp/ask.go
+++ b/internal/callerhttp/ask.go
@@ -30,7 +30,7 @@
 		l.contacts.failedToConnect(address, err)
 		return nil, err
 	}
-	followed := &serverConn{Conn: conn}
+	followed := followConn(conn)
 	l.contacts.add(address, followed)
 	return followed, nil
 }
--- a/internal/callerhttp/contact.go
+++ b/internal/callerhttp/contact.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/clock"
-	"github.com/heatherwood/heatherwood/internal/tcp"
 )
 
 // A server that starts again at its address is cold, and nobody may know yet. What a VM can
@@ -82,7 +81,7 @@
 	k := c.find(address)
 	k.usedAt = c.clock.Now()
 	k.open[conn] = struct{}{}
-	conn.contacts, conn.contact, conn.socket = c, k, tcp.SocketOf(conn.Conn)
+	conn.contacts, conn.contact = c, k
 	conn.openedAt = k.usedAt
 	conn.noteByte(k.usedAt)
 }
--- a/internal/callerhttp/contact_test.go
+++ b/internal/callerhttp/contact_test.go
@@ -79,7 +79,7 @@
 		t.Fatal(err)
 	}
 	v.server.conns = append(v.server.conns, <-v.server.accepted)
-	c := &serverConn{Conn: conn}
+	c := followConn(conn)
 	v.add(v.server.address, c)
 	t.Cleanup(func() { c.Close() })
 	if reading {
--- a/internal/callerhttp/serverconn.go
+++ b/internal/callerhttp/serverconn.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/tcp"
@@ -19,10 +21,13 @@
 	net.Conn
 	attempt    atomic.Pointer[connectAttempt] // whose first byte is not written yet; nil for none
 	unanswered atomic.Bool                    // a request was given to it, and no byte of its answer has come
+	socket     tcp.Socket
+
+	writing    sync.Mutex // held during a write
+	writeError error      // of the first write that failed; guarded by writing
 
 	contacts    *contacts // that follow it; nil for a connection to another VM
 	contact     *contact
-	socket      tcp.Socket
 	openedAt    time.Time
 	used        bool         // a request was given to it; guarded by contacts
 	lastByteAt  atomic.Int64 // nanoseconds after the base of the contacts; the opening counts
@@ -66,7 +71,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &serverConn{Conn: conn}, nil
+	return followConn(conn), nil
+}
+
+func followConn(conn net.Conn) *serverConn {
+	return &serverConn{Conn: conn, socket: tcp.SocketOf(conn)}
 }
 
 // Write implements net.Conn.
@@ -76,21 +85,53 @@
 			return 0, err
 		}
 	}
-	n, err := c.Conn.Write(b)
+	n, err := c.write(b)
 	c.noteEnd(err)
 	return n, err
 }
 
+func (c *serverConn) write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if err != nil && c.writeError == nil {
+		c.writeError = err
+	}
+	return n, err
+}
+
 // Read implements net.Conn.
 func (c *serverConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 && c.contacts != nil {
 		c.noteByte(c.contacts.clock.Now())
 	}
+	if errors.Is(err, io.EOF) {
+		err = c.endOfStream()
+	}
 	c.noteEnd(err)
 	return n, err
 }
 
+// endOfStream returns the error of a read that found the end of the stream: io.EOF only if the
+// other end closed it. The kernel reports a reset once, and if a write gets the report, a
+// read finds the same end as after a close. An answer without a length would look complete.
+func (c *serverConn) endOfStream() error {
+	hungUp, err := c.socket.HungUp()
+	if err != nil {
+		return fmt.Errorf("look how the connection ended: %w", err)
+	}
+	if !hungUp {
+		return io.EOF // closed by the other end alone
+	}
+	c.writing.Lock() // does not wait for long: no write can block any more
+	defer c.writing.Unlock()
+	if c.writeError == nil || errors.Is(c.writeError, syscall.EPIPE) {
+		return io.EOF // closed by the other end before the reset
+	}
+	return fmt.Errorf("the connection broke off: %w", c.writeError)
+}
+
 // noteEnd tells the contacts if the error shows that the other end has ended the connection.
 func (c *serverConn) noteEnd(err error) {
 	if err != nil && c.contacts != nil && !errors.Is(err, net.ErrClosed) {
--- a/internal/callerhttp/serverconn_test.go
+++ b/internal/callerhttp/serverconn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -114,3 +115,81 @@
 		})
 	}
 }
+
+// Only an answer that its server ended is complete, whoever learns first that the connection is reset.
+func TestReadTellsAResetFromTheEndOfTheStream(t *testing.T) {
+	tests := map[string]struct {
+		closes, resets bool // what the server does, in this order
+		writeFirst     bool
+		complete       bool
+	}{
+		"reset, read first":              {resets: true},
+		"reset, write first":             {resets: true, writeFirst: true},
+		"closed, then reset, read first": {closes: true, resets: true, complete: true},
+		"closed, then reset, write first": {
+			closes: true, resets: true, writeFirst: true, complete: true,
+		},
+		"closed, read first":  {closes: true, complete: true},
+		"closed, write first": {closes: true, writeFirst: true, complete: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const wait = 50 * time.Millisecond // for the other end to learn of it
+			near, far := tcpPair(t)
+			conn := followConn(near)
+			far.Write([]byte("part"))
+			time.Sleep(wait)
+			if test.closes {
+				far.CloseWrite()
+				time.Sleep(wait)
+			}
+			if test.resets {
+				far.SetLinger(0)
+				far.Close()
+				time.Sleep(wait)
+			}
+			if test.writeFirst {
+				conn.Write([]byte("body"))
+			}
+			got, err := io.ReadAll(conn)
+			if string(got) != "part" || (err == nil) != test.complete {
+				t.Errorf("read %q, %v; complete: %v", got, err, test.complete)
+			}
+		})
+	}
+}
+
+// A read that finds the end of the stream does not wait for a write that goes on.
+func TestEndOfStreamDoesNotWaitForAWrite(t *testing.T) {
+	near, far := tcpPair(t)
+	conn := followConn(near)
+	go conn.Write(make([]byte, 64<<20)) // more than is buffered; the server reads nothing
+	time.Sleep(50 * time.Millisecond)
+	far.CloseWrite()
+	near.SetReadDeadline(time.Now().Add(5 * time.Second))
+	started := time.Now()
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, io.EOF) || time.Since(started) > time.Second {
+		t.Errorf("read ended with %v after %v", err, time.Since(started))
+	}
+}
+
+// tcpPair returns the two ends of a connection.
+func tcpPair(t *testing.T) (near, far *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close(); accepted.Close() })
+	return conn.(*net.TCPConn), accepted.(*net.TCPConn)
+}
--- /dev/null
+++ b/internal/demo/brokenanswer_test.go
@@ -0,0 +1,297 @@
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/heatherwood/heatherwood/internal/tcp"
+)
+
+// rawSite is a site whose connections to servers all lead to one stand-in, which writes its
+// answers byte by byte.
+type rawSite struct {
+	*Demo
+	mutex sync.Mutex
+	apart bool       // the first VM reaches no server, and passes requests on
+	conns []net.Conn // of the first VM, to servers
+}
+
+const firstVM = "brisbane-a-1"
+
+// startRawSite starts a site. The stand-in answers requests whose path begins with /raw/ by the
+// function, before it has read their body, and then closes the connection.
+func startRawSite(t *testing.T, answer func(conn *net.TCPConn, r *http.Request)) *rawSite {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go serveRaw(listener, answer)
+	s := &rawSite{}
+	s.Demo, err = Start(context.Background(), Options{
+		Site: "plaques", DataDir: t.TempDir(), StartServers: true, Logger: zerolog.Nop(),
+		DialServer: func(vm string) func(context.Context, string) (net.Conn, error) {
+			return func(ctx context.Context, _ string) (net.Conn, error) {
+				var dialer net.Dialer
+				conn, err := dialer.DialContext(ctx, "tcp", listener.Addr().String())
+				if err != nil {
+					return nil, err
+				}
+				if !s.keep(vm, conn) {
+					conn.Close()
+					return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+				}
+				return &orderedConn{TCPConn: conn.(*net.TCPConn), writeFailed: make(chan struct{}), readFailed: make(chan struct{})}, nil
+			}
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	for _, vm := range s.VMSettings {
+		sendUntilRun(t, "GET", vm.Entry, "proofs", "/warm-up", "", "")
+	}
+	return s
+}
+
+// keep keeps a new connection of a VM to a server, and returns false if the VM may have none.
+func (s *rawSite) keep(vm string, conn net.Conn) bool {
+	if vm != firstVM {
+		return true
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.conns = append(s.conns, conn)
+	return !s.apart
+}
+
+// passOn has the first VM pass its requests on.
+func (s *rawSite) passOn(t *testing.T) {
+	t.Helper()
+	s.mutex.Lock()
+	s.apart = true
+	for _, conn := range s.conns {
+		conn.Close()
+	}
+	s.mutex.Unlock()
+	waitUntil(t, "the VM passes requests on", func() bool {
+		got, err := send("GET", s.VMSettings[0].Entry, "proofs", "/draw", "", "")
+		return err == nil && got.status == http.StatusOK
+	})
+}
+
+func serveRaw(listener net.Listener, answer func(*net.TCPConn, *http.Request)) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			reader := bufio.NewReader(conn)
+			for {
+				r, err := http.ReadRequest(reader)
+				if err != nil {
+					return
+				}
+				if strings.HasPrefix(r.URL.Path, "/raw/") {
+					answer(conn.(*net.TCPConn), r)
+					return
+				}
+				io.Copy(io.Discard, r.Body)
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound")
+			}
+		}()
+	}
+}
+
+const (
+	writeLearnsFirst = "write-learns-first"
+	readLearnsFirst  = "read-learns-first"
+)
+
+// orderedConn is a connection on which the path of the request decides whether a write or a read
+// learns first that the other end reset it: the kernel reports a reset once.
+type orderedConn struct {
+	*net.TCPConn
+	order                   atomic.Pointer[string]
+	writeOnce, readOnce     sync.Once
+	writeFailed, readFailed chan struct{}
+}
+
+const orderTime = 5 * time.Second // for the other one to learn of the reset
+
+func awaitOrder(c chan struct{}) {
+	select {
+	case <-c:
+	case <-time.After(orderTime):
+	}
+}
+
+func (c *orderedConn) isReset() bool {
+	reset, err := tcp.SocketOf(c.TCPConn).WasReset()
+	return err == nil && reset
+}
+
+// Write implements net.Conn.
+func (c *orderedConn) Write(b []byte) (int, error) {
+	for _, order := range []string{writeLearnsFirst, readLearnsFirst} {
+		if bytes.Contains(b, []byte(order)) {
+			c.order.Store(&order)
+		}
+	}
+	order := c.order.Load()
+	if order != nil && *order == readLearnsFirst && c.isReset() {
+		awaitOrder(c.readFailed)
+	}
+	n, err := c.TCPConn.Write(b)
+	if err != nil && order != nil && *order == writeLearnsFirst {
+		c.writeOnce.Do(func() { close(c.writeFailed) })
+		awaitOrder(c.readFailed) // so that the end of the stream has been read when the transport learns of the error
+	}
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *orderedConn) Read(b []byte) (int, error) {
+	for {
+		order := c.order.Load()
+		if order == nil || *order != writeLearnsFirst {
+			break
+		}
+		// A read that waits in the kernel would learn of the reset first.
+		if c.isReset() {
+			awaitOrder(c.writeFailed)
+			break
+		}
+		if readable, err := tcp.SocketOf(c.TCPConn).Readable(); err != nil || readable {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	n, err := c.TCPConn.Read(b)
+	if err != nil {
+		c.readOnce.Do(func() { close(c.readFailed) })
+	}
+	return n, err
+}
+
+// A server answers an upload at once, without a length, and resets the connection while the upload is
+// being written. A write and a read of the entry are under way, and only one of them gets the reset as an
+// error: after a write, the read found the orderly end of a whole answer.
+func TestAnswerWhoseConnectionIsResetIsNotComplete(t *testing.T) {
+	const (
+		smallAnswer   = 1 << 10
+		largeAnswer   = 8 << 20 // beyond all buffers between server and caller
+		answerTime    = 300 * time.Millisecond
+		firstPart     = 70 << 10 // of the body, beyond what is read before a request is sent
+		secondPart    = 20 << 10
+		slowReadPause = time.Millisecond
+	)
+	var resets sync.Map // channels by path, closed once the server has reset the connection
+	s := startRawSite(t, func(conn *net.TCPConn, r *http.Request) {
+		size := smallAnswer
+		if strings.Contains(r.URL.Path, "large") {
+			size = largeAnswer
+		}
+		conn.SetWriteDeadline(time.Now().Add(answerTime))
+		conn.Write([]byte("HTTP/1.1 200 OK\r\n\r\n"))
+		conn.Write(make([]byte, size))
+		time.Sleep(answerTime / 3) // the answer is read, as far as the caller reads on
+		conn.SetLinger(0)
+		conn.Close()
+		if reset, ok := resets.Load(r.URL.Path); ok {
+			close(reset.(chan struct{}))
+		}
+	})
+	upload := func(t *testing.T, path string, chunked, slow bool) (int, int64, error) {
+		reset := make(chan struct{})
+		resets.Store(path, reset)
+		conn, err := net.Dial("tcp", s.VMSettings[0].Entry)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		framing, part := fmt.Sprintf("Content-Length: %d", firstPart+secondPart), func(n int) string { return strings.Repeat("x", n) }
+		if chunked {
+			framing, part = "Transfer-Encoding: chunked", func(n int) string { return fmt.Sprintf("%x\r\n%s\r\n", n, strings.Repeat("x", n)) }
+		}
+		fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: a\r\nHeatherwood-Service: proofs\r\nHeatherwood-Timeout: 20s\r\n%s\r\n\r\n%s", path, framing, part(firstPart))
+		go func() {
+			select {
+			case <-reset:
+				io.WriteString(conn, part(secondPart))
+				if chunked {
+					io.WriteString(conn, "0\r\n\r\n")
+				}
+			case <-time.After(orderTime):
+			}
+		}()
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			return 0, 0, err
+		}
+		body := io.Reader(response.Body)
+		if slow {
+			body = slowReader{Reader: body, pause: slowReadPause}
+		}
+		length, err := io.Copy(io.Discard, body)
+		return response.StatusCode, length, err
+	}
+	check := func(t *testing.T, way string) {
+		for _, order := range []string{writeLearnsFirst, readLearnsFirst} {
+			for _, size := range []string{"small", "large"} {
+				for _, chunked := range []bool{false, true} {
+					for _, slow := range []bool{false, true} {
+						name := fmt.Sprintf("%s/%s, chunked %v, slow caller %v", order, size, chunked, slow)
+						t.Run(name, func(t *testing.T) {
+							for i := 0; ; i++ {
+								path := fmt.Sprintf("/raw/%s/%s/%s-%v-%v-%d", order, size, way, chunked, slow, i)
+								status, length, err := upload(t, path, chunked, slow)
+								if status == http.StatusServiceUnavailable && i < 100 {
+									time.Sleep(100 * time.Millisecond) // servers that broke answers off are given a rest
+									continue
+								}
+								if err == nil && status != http.StatusBadGateway {
+									t.Errorf("status %d, complete with %d bytes", status, length)
+								}
+								return
+							}
+						})
+					}
+				}
+			}
+		}
+	}
+	t.Run("direct", func(t *testing.T) { check(t, "direct") })
+	s.passOn(t)
+	t.Run("through another VM", func(t *testing.T) { check(t, "passed-on") })
+}
+
+// slowReader pauses after each read.
+type slowReader struct {
+	io.Reader
+	pause time.Duration
+}
+
+// Read implements io.Reader.
+func (r slowReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	time.Sleep(r.pause)
+	return n, err
+}
--- a/internal/tcp/socket.go
+++ b/internal/tcp/socket.go
@@ -45,6 +45,13 @@
 	return events&unix.POLLERR != 0, err
 }
 
+// HungUp reports whether both directions have ended: the connection was reset, timed out or was
+// closed here. The close of the other end alone leaves one direction.
+func (s Socket) HungUp() (bool, error) {
+	events, err := s.poll()
+	return events&unix.POLLHUP != 0, err
+}
+
 // poll returns what has happened to the connection; one that was closed here counts as hung up.
 func (s Socket) poll() (int16, error) {
 	if s.raw == nil {
