Reset callers of HTTP/1.0 whose answers break off

Cause: such an answer has neither a length nor chunks, and ends with its connection. The handler aborts the connection, but the lingering close ends the sending side in order, which says that the answer is complete. So does the kernel when the process dies.

Change: a connection on which such an answer begins is abortive until the answer has been written whole: every close of it, also the kernel's, resets it. That the last bytes could not be flushed counts as a caller that is gone; that error was dropped. A recorded outcome that is replayed has a length. The line HW1031 of an answer that broke off says why.

TestAbortiveConnectionIsReset covers the closes.

--- a/internal/callerhttp/relay.go
+++ b/internal/callerhttp/relay.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -548,6 +549,9 @@
 		header.Set("Location", outcome.Location)
 	}
 	header.Set("Heatherwood-Replayed", "true")
+	if len(outcome.Body) > 0 {
+		header.Set("Content-Length", strconv.Itoa(len(outcome.Body))) // so that no caller takes a part of it for all
+	}
 	in.markAnswer(problem.DetourAnswerServer)
 	in.writer.WriteHeader(outcome.Status)
 	in.writer.Write(outcome.Body)
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -360,9 +360,16 @@
 	in.markAnswer(problem.DetourAnswerServer)
 	in.caller.enter(stageAnswer)
 	in.status, in.decided = response.StatusCode, decidedByServer
+	endsWithConn := in.answerEndsWithConnection()
+	if endsWithConn {
+		in.setAbortive(true)
+	}
 	in.writer.WriteHeader(response.StatusCode)
 	record := &bodyRecorder{limit: ledger.MaxOutcomeBytes, enabled: in.rule.Once}
 	length, err := in.copyBody(response, record)
+	if endsWithConn && err == nil {
+		in.setAbortive(false)
+	}
 	switch {
 	case err == nil:
 	case errors.Is(err, errCallerGone):
@@ -379,11 +386,31 @@
 	in.settle(response, record, length, err)
 	if err != nil {
 		in.recordMetrics()
-		in.logEnd()
+		in.logEnd(reducer.Field{Name: "why", Value: err.Error()})
+		// net/http would wait for the rest of the caller's body before it closes the connection. An error
+		// means that the connection has ended.
+		_ = http.NewResponseController(in.writer).SetReadDeadline(in.relay.Node.Clock.Now())
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// answerEndsWithConnection reports whether nothing but the end of the caller's connection will tell the
+// end of the answer, whose header is set: a caller of HTTP/1.0 knows no chunks.
+func (in *inbound) answerEndsWithConnection() bool {
+	return !in.request.ProtoAtLeast(1, 1) && in.request.Method != http.MethodHead && in.writer.Header().Get("Content-Length") == ""
+}
+
+// setAbortive sets whether the end of the caller's connection resets it.
+func (in *inbound) setAbortive(abortive bool) {
+	conn, ok := in.caller.conn.conn.(interface{ SetAbortive(bool) error })
+	if !ok {
+		return // not a connection of a listener of this package
+	}
+	if err := conn.SetAbortive(abortive); err != nil {
+		in.relay.Node.LogError(reducer.CodePanicRecovered, err)
+	}
+}
+
 // settle records the outcome of a `once` operation in the log; length and err are what
 // copyBody returned.
 func (in *inbound) settle(response *http.Response, record *bodyRecorder, length int64, err error) {
@@ -463,8 +490,11 @@
 	if _, err := in.writer.Write(data); err != nil {
 		return errCallerGone
 	}
-	if flush {
-		control.Flush()
+	if !flush {
+		return nil
+	}
+	if err := control.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return errCallerGone
 	}
 	return nil
 }
--- a/internal/demo/brokenanswer_test.go
+++ b/internal/demo/brokenanswer_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -295,3 +297,98 @@
 	time.Sleep(r.pause)
 	return n, err
 }
+
+// An answer to a caller that speaks HTTP/1.0 has neither chunks nor, if the server sent none, a length: an
+// orderly close says that it is complete, and came also where it had broken off.
+func TestBrokenAnswerLooksBrokenOverHTTP10(t *testing.T) {
+	const (
+		smallAnswer   = 1 << 10
+		largeAnswer   = 8 << 20
+		slowReadPause = time.Millisecond
+		callerTime    = 10 * time.Second // within it, a caller learns that its answer has ended
+	)
+	type ending struct {
+		head, tail string
+		resets     bool
+		complete   bool
+	}
+	endings := map[string]ending{
+		"reset":            {head: "HTTP/1.1 200 OK\r\n\r\n", resets: true},
+		"chunks-cut":       {head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", tail: "\r\n"},
+		"chunks-not-ended": {head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", tail: "\r\n0\r\n"},
+		"closed":           {head: "HTTP/1.1 200 OK\r\n\r\n", complete: true},
+		"chunks-ended":     {head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", tail: "\r\n0\r\n\r\n", complete: true},
+	}
+	sizes := map[string]int{"small": smallAnswer, "large": largeAnswer}
+	s := startRawSite(t, func(conn *net.TCPConn, r *http.Request) {
+		parts := strings.Split(r.URL.Path, "/")
+		e, size := endings[parts[2]], sizes[parts[3]]
+		head := e.head
+		if strings.Contains(head, "%x") {
+			head = fmt.Sprintf(head, size)
+		}
+		conn.Write(append([]byte(head), make([]byte, size)...))
+		io.WriteString(conn, e.tail)
+		if e.resets {
+			time.Sleep(100 * time.Millisecond) // the answer is read first
+			conn.SetLinger(0)
+			return
+		}
+		conn.CloseWrite()
+		conn.SetReadDeadline(time.Now().Add(callerTime))
+		io.Copy(io.Discard, conn) // the kernel resets a connection that is closed while bytes are unread
+	})
+	ask := func(t *testing.T, path, request string, pause time.Duration) (status string, length int64, err error) {
+		conn, err := net.Dial("tcp", s.VMSettings[0].Entry)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(callerTime))
+		fmt.Fprintf(conn, request, path)
+		reader := bufio.NewReader(slowReader{Reader: conn, pause: pause})
+		status, err = reader.ReadString('\n')
+		for line := ""; err == nil && line != "\r\n"; {
+			line, err = reader.ReadString('\n')
+		}
+		if err != nil {
+			return "", 0, err
+		}
+		length, err = io.Copy(io.Discard, reader)
+		return strings.TrimSpace(status), length, err
+	}
+	const header = " HTTP/1.0\r\nHeatherwood-Service: proofs\r\nHeatherwood-Timeout: 20s\r\n"
+	check := func(t *testing.T, way string) {
+		for name, e := range endings {
+			for size, bytes := range sizes {
+				for _, pause := range []time.Duration{0, slowReadPause}[:1+bytes/largeAnswer] {
+					for method, request := range map[string]string{
+						"GET":            "GET %s" + header + "Connection: keep-alive\r\n\r\n",
+						"stalled upload": "POST %s" + header + "Content-Length: 100000\r\n\r\n" + strings.Repeat("x", 70_000),
+					} {
+						t.Run(fmt.Sprintf("%s/%s, %s, pause %v", name, size, method, pause), func(t *testing.T) {
+							for i := range 100 {
+								path := fmt.Sprintf("/raw/%s/%s/%s-%v-%s-%d", name, size, strings.ReplaceAll(method, " ", "-"), pause, way, i)
+								status, length, err := ask(t, path, request, pause)
+								if strings.HasPrefix(status, "HTTP/1.0 503") {
+									time.Sleep(100 * time.Millisecond) // servers that broke answers off are given a rest
+									continue
+								}
+								isWhole := err == nil && length == int64(bytes)
+								timedOut := errors.Is(err, os.ErrDeadlineExceeded)
+								if strings.HasPrefix(status, "HTTP/1.0 200") && err == nil != e.complete || e.complete && !isWhole || timedOut {
+									t.Errorf("%s, %d of %d bytes, %v; want a complete answer: %v", status, length, bytes, err, e.complete)
+								}
+								return
+							}
+							t.Error("no server took the request")
+						})
+					}
+				}
+			}
+		}
+	}
+	t.Run("direct", func(t *testing.T) { check(t, "direct") })
+	s.passOn(t)
+	t.Run("through another VM", func(t *testing.T) { check(t, "passed-on") })
+}
--- a/internal/tcp/linger.go
+++ b/internal/tcp/linger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -59,6 +60,7 @@
 	readError error // of the last read
 	deferred  bool  // the connection was to be closed when a request had arrived
 	closed    bool
+	abortive  bool // it is closed with a reset
 	reopens   bool // it is open after all if the read under way has taken a request
 	reopened  int  // how often it was
 }
@@ -195,6 +197,27 @@
 	return err == nil && readable
 }
 
+// SetAbortive sets whether the end of the connection resets it, whoever ends it: a close here, or the
+// kernel when the process dies. An orderly end would tell the other end that an answer without length or
+// chunks is complete.
+func (c *LingeringConn) SetAbortive(abortive bool) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	socket, ok := c.socket.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return errNoSocket
+	}
+	seconds := -1 // the kernel's default: data is delivered in the background
+	if abortive {
+		seconds = 0
+	}
+	if err := socket.SetLinger(seconds); err != nil {
+		return fmt.Errorf("set how the connection ends: %w", err)
+	}
+	c.abortive = abortive
+	return nil
+}
+
 // CloseWrite ends the sending side.
 func (c *LingeringConn) CloseWrite() error {
 	if closer, ok := c.socket.(interface{ CloseWrite() error }); ok {
@@ -241,7 +264,7 @@
 	}
 	c.closed = true
 	atEnd := c.readError != nil && !errors.Is(c.readError, os.ErrDeadlineExceeded)
-	if atEnd || c.Conn.SetDeadline(time.Unix(1, 0)) != nil {
+	if atEnd || c.abortive || c.Conn.SetDeadline(time.Unix(1, 0)) != nil {
 		c.reopens = false
 		return c.Conn.Close()
 	}
--- a/internal/tcp/linger_test.go
+++ b/internal/tcp/linger_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -294,3 +295,42 @@
 		})
 	}
 }
+
+// A connection whose end may not look like that of a whole answer is reset, also by the kernel when the
+// process dies.
+func TestAbortiveConnectionIsReset(t *testing.T) {
+	tests := map[string]struct {
+		abortive, cleared bool
+		end               func(c *LingeringConn, socket net.Conn)
+		reset             bool
+	}{
+		"Close":              {abortive: true, end: func(c *LingeringConn, _ net.Conn) { c.Close() }, reset: true},
+		"CloseNow":           {abortive: true, end: func(c *LingeringConn, _ net.Conn) { c.CloseNow() }, reset: true},
+		"socket closed":      {abortive: true, end: func(_ *LingeringConn, s net.Conn) { s.Close() }, reset: true},
+		"not abortive":       {end: func(c *LingeringConn, _ net.Conn) { c.Close() }},
+		"not any more":       {abortive: true, cleared: true, end: func(c *LingeringConn, _ net.Conn) { c.Close() }},
+		"not, socket closed": {abortive: true, cleared: true, end: func(_ *LingeringConn, s net.Conn) { s.Close() }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			caller, accepted := connect(t)
+			conn := (&Lingerer{Clock: clock.System{}}).Wrap(accepted, accepted)
+			conn.SetIdle(false)
+			if test.abortive {
+				if err := conn.SetAbortive(true); err != nil {
+					t.Fatal(err)
+				}
+			}
+			io.WriteString(conn, "part")
+			if test.cleared {
+				if err := conn.SetAbortive(false); err != nil {
+					t.Fatal(err)
+				}
+			}
+			test.end(conn, accepted)
+			if _, err := io.ReadAll(caller); errors.Is(err, syscall.ECONNRESET) != test.reset {
+				t.Errorf("the other end read %v; want a reset: %v", err, test.reset)
+			}
+		})
+	}
+}
