Believe a health check once the whole answer has come

Cause: the head was read before the body, and how the body ended was not looked at. Change: the body is read first, as before for 0.5 s and 64 KiB at most, and an answer that breaks off says nothing.

The two new cases of TestHealthCheckThatIsNoHTTPSaysNothing failed before.

--- a/internal/callerhttp/answer_test.go
+++ b/internal/callerhttp/answer_test.go
@@ -16,6 +16,8 @@
 	"github.com/heatherwood/heatherwood/internal/reducer"
 )
 
+var errAny = errors.New("any error")
+
 const partInterval = 10 * time.Millisecond
 
 // startRawServer starts a server that answers each request by the parts, and keeps the connection.
@@ -52,7 +54,7 @@
 	return listener.Addr().String()
 }
 
-// A health check that is no answer by the grammar of HTTP/1.1 was believed.
+// A health check that is no whole answer by the grammar of HTTP/1.1 was believed.
 func TestHealthCheckThatIsNoHTTPSaysNothing(t *testing.T) {
 	const fields = "Instance-Id: s1\r\nContent-Length: 0\r\n\r\n"
 	tests := map[string]struct {
@@ -62,7 +64,9 @@
 		"good":            {answer: "HTTP/1.1 200 OK\r\n" + fields},
 		"status 000":      {answer: "HTTP/1.1 000 Odd\r\n" + fields, want: errBadStatus},
 		"blank in a name": {answer: "HTTP/1.1 200 OK\r\nOdd Name: x\r\n" + fields, want: errBadFieldName},
+		"trailer":         {answer: "HTTP/1.1 200 OK\r\nInstance-Id: s1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nOdd Name: x\r\n\r\n", want: errBadFieldName},
 		"interim answer":  {answer: "HTTP/1.1 103 Odd\r\nOdd Name: x\r\n\r\nHTTP/1.1 200 OK\r\n" + fields, want: errBadFieldName},
+		"body that is no chunk": {answer: "HTTP/1.1 200 OK\r\nInstance-Id: s1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nokmore", want: errAny},
 		"endless interim answers": {
 			answer: strings.Repeat("HTTP/1.1 103 Odd\r\nOdd: "+strings.Repeat("x", 1000)+"\r\n\r\n", 70) + "HTTP/1.1 200 OK\r\n" + fields, want: errEndlessHead,
 		},
@@ -75,7 +79,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			got, err := relay.checkHealth(reducer.ServerQuestion{Address: startRawServer(t, test.answer), Server: "s1", Path: "/health"})
-			if !errors.Is(err, test.want) || (got.id == "s1") != (test.want == nil) {
+			if err == nil != (test.want == nil) || test.want != errAny && !errors.Is(err, test.want) || (got.id == "s1") != (test.want == nil) {
 				t.Errorf("%+v, %v; want %v", got, err, test.want)
 			}
 		})
--- a/internal/callerhttp/ask.go
+++ b/internal/callerhttp/ask.go
@@ -105,7 +105,10 @@
 	if conn != nil {
 		conn.noteAnswer(response)
 	}
-	defer drain(response)
+	// What the head says counts once the answer is whole.
+	if err := drain(response); err != nil {
+		return health{}, fmt.Errorf("health check of %s: %w", q.Server, err)
+	}
 	id, coldFor, err := l.Dialect.ParseHealth(response)
 	if err != nil {
 		return health{}, fmt.Errorf("health check of %s: %w", q.Server, err)
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -122,17 +122,21 @@
 	return relay.Step{}, nil, true
 }
 
-// drain reads the rest of a short body, so that the connection can be reused. The
-// request does not wait for it: a faulty server may never end the body.
-func drain(response *http.Response) {
+// drain reads the rest of a short body, so that the connection can be reused, and returns an error
+// if the body breaks off. A request does not wait for it: a faulty server may never end the body.
+func drain(response *http.Response) error {
 	const (
 		maxBytes = 64 << 10
 		maxTime  = 500 * time.Millisecond
 	)
 	timer := time.AfterFunc(maxTime, func() { response.Body.Close() })
 	defer timer.Stop()
-	io.Copy(io.Discard, io.LimitReader(response.Body, maxBytes))
+	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBytes))
 	response.Body.Close()
+	if err != nil {
+		return fmt.Errorf("read the rest of the answer: %w", err)
+	}
+	return nil
 }
 
 const refusalCheckTimeout = 200 * time.Millisecond // several times the one-way latency to any server
