Flush all parts of answers that end with their connection

Where the header Connection of a server's answer lists Content-Length, that is not passed on, and a caller of HTTP/1.0 got the last part of the answer only after its connection was no longer abortive: had that write failed, the answer would have looked complete. Seen in the code, not in a run. Parts are now flushed wherever the caller's answer has no length. That a connection was closed before it could be made abortive is not logged any more.

--- a/internal/callerhttp/answer_test.go
+++ b/internal/callerhttp/answer_test.go
@@ -61,11 +61,11 @@
 		answer string
 		want   error // nil for one that is believed
 	}{
-		"good":            {answer: "HTTP/1.1 200 OK\r\n" + fields},
-		"status 000":      {answer: "HTTP/1.1 000 Odd\r\n" + fields, want: errBadStatus},
-		"blank in a name": {answer: "HTTP/1.1 200 OK\r\nOdd Name: x\r\n" + fields, want: errBadFieldName},
-		"trailer":         {answer: "HTTP/1.1 200 OK\r\nInstance-Id: s1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nOdd Name: x\r\n\r\n", want: errBadFieldName},
-		"interim answer":  {answer: "HTTP/1.1 103 Odd\r\nOdd Name: x\r\n\r\nHTTP/1.1 200 OK\r\n" + fields, want: errBadFieldName},
+		"good":                  {answer: "HTTP/1.1 200 OK\r\n" + fields},
+		"status 000":            {answer: "HTTP/1.1 000 Odd\r\n" + fields, want: errBadStatus},
+		"blank in a name":       {answer: "HTTP/1.1 200 OK\r\nOdd Name: x\r\n" + fields, want: errBadFieldName},
+		"trailer":               {answer: "HTTP/1.1 200 OK\r\nInstance-Id: s1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nOdd Name: x\r\n\r\n", want: errBadFieldName},
+		"interim answer":        {answer: "HTTP/1.1 103 Odd\r\nOdd Name: x\r\n\r\nHTTP/1.1 200 OK\r\n" + fields, want: errBadFieldName},
 		"body that is no chunk": {answer: "HTTP/1.1 200 OK\r\nInstance-Id: s1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nokmore", want: errAny},
 		"endless interim answers": {
 			answer: strings.Repeat("HTTP/1.1 103 Odd\r\nOdd: "+strings.Repeat("x", 1000)+"\r\n\r\n", 70) + "HTTP/1.1 200 OK\r\n" + fields, want: errEndlessHead,
--- a/internal/callerhttp/send.go
+++ b/internal/callerhttp/send.go
@@ -400,7 +400,7 @@
 	if !ok {
 		return // not a connection of a listener of this package
 	}
-	if err := conn.SetAbortive(abortive); err != nil {
+	if err := conn.SetAbortive(abortive); err != nil && !errors.Is(err, net.ErrClosed) {
 		in.relay.Node.LogError(reducer.CodePanicRecovered, err)
 	}
 }
@@ -450,7 +450,7 @@
 	pooled := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(pooled)
 	buffer := *pooled
-	flush := response.ContentLength < 0
+	flush := in.writer.Header().Get("Content-Length") == "" // the next part may come late, or never
 	control := http.NewResponseController(in.writer)
 	total := int64(0)
 	var callerErr error
