Test broken answers to callers that ask for a close

A field name of all letters that the grammar allows is passed on. The stand-in that writes answers byte by byte was there twice; it is standin.ServeRaw now.

--- a/internal/callerhttp/answer_test.go
+++ b/internal/callerhttp/answer_test.go
@@ -1,7 +1,6 @@
 package callerhttp
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -14,6 +13,7 @@
 	"time"
 
 	"github.com/heatherwood/heatherwood/internal/reducer"
+	"github.com/heatherwood/heatherwood/internal/standin"
 )
 
 var errAny = errors.New("any error")
@@ -28,29 +28,14 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				reader := bufio.NewReader(conn)
-				for {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					io.Copy(io.Discard, r.Body)
-					for _, part := range parts {
-						io.WriteString(conn, part)
-						time.Sleep(partInterval)
-					}
-				}
-			}()
+	go standin.ServeRaw(listener, func(conn *net.TCPConn, r *http.Request) bool {
+		io.Copy(io.Discard, r.Body)
+		for _, part := range parts {
+			io.WriteString(conn, part)
+			time.Sleep(partInterval)
 		}
-	}()
+		return true
+	})
 	return listener.Addr().String()
 }
 
--- a/internal/demo/brokenanswer_test.go
+++ b/internal/demo/brokenanswer_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/heatherwood/heatherwood/internal/standin"
 	"github.com/heatherwood/heatherwood/internal/tcp"
 )
 
@@ -43,7 +44,15 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	go serveRaw(listener, answer)
+	go standin.ServeRaw(listener, func(conn *net.TCPConn, r *http.Request) bool {
+		if strings.Contains(r.URL.Path, "/raw/") {
+			answer(conn, r)
+			return false
+		}
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound")
+		return true
+	})
 	s := &rawSite{}
 	s.Demo, err = Start(context.Background(), Options{
 		Site: "plaques", DataDir: t.TempDir(), StartServers: true, Logger: zerolog.Nop(),
@@ -98,31 +107,6 @@
 	})
 }
 
-func serveRaw(listener net.Listener, answer func(*net.TCPConn, *http.Request)) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer conn.Close()
-			reader := bufio.NewReader(conn)
-			for {
-				r, err := http.ReadRequest(reader)
-				if err != nil {
-					return
-				}
-				if strings.Contains(r.URL.Path, "/raw/") {
-					answer(conn.(*net.TCPConn), r)
-					return
-				}
-				io.Copy(io.Discard, r.Body)
-				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound")
-			}
-		}()
-	}
-}
-
 const (
 	writeLearnsFirst = "write-learns-first"
 	readLearnsFirst  = "read-learns-first"
@@ -300,8 +284,9 @@
 }
 
 // An answer to a caller that speaks HTTP/1.0 has neither chunks nor, if the server sent none, a length: an
-// orderly close says that it is complete, and came also where it had broken off.
-func TestBrokenAnswerLooksBrokenOverHTTP10(t *testing.T) {
+// orderly close says that it is complete, and came also where it had broken off. One over HTTP/1.1 has chunks
+// also where the caller wants the connection closed.
+func TestBrokenAnswerLooksBrokenToEachCaller(t *testing.T) {
 	const (
 		smallAnswer   = 1 << 10
 		largeAnswer   = 8 << 20
@@ -340,7 +325,7 @@
 		conn.SetReadDeadline(time.Now().Add(callerTime))
 		io.Copy(io.Discard, conn) // the kernel resets a connection that is closed while bytes are unread
 	})
-	ask := func(t *testing.T, path, request string, pause time.Duration) (status string, length int64, err error) {
+	ask := func(t *testing.T, path, request string, pause time.Duration) (status int, length int64, err error) {
 		conn, err := net.Dial("tcp", s.VMSettings[0].Entry)
 		if err != nil {
 			t.Fatal(err)
@@ -348,38 +333,35 @@
 		defer conn.Close()
 		conn.SetDeadline(time.Now().Add(callerTime))
 		fmt.Fprintf(conn, request, path)
-		reader := bufio.NewReaderSize(slowReader{Reader: conn, pause: pause}, readBytes)
-		status, err = reader.ReadString('\n')
-		for line := ""; err == nil && line != "\r\n"; {
-			line, err = reader.ReadString('\n')
-		}
+		response, err := http.ReadResponse(bufio.NewReaderSize(slowReader{Reader: conn, pause: pause}, readBytes), nil)
 		if err != nil {
-			return "", 0, err
+			return 0, 0, err
 		}
-		length, err = io.Copy(io.Discard, reader)
-		return strings.TrimSpace(status), length, err
+		length, err = io.Copy(io.Discard, response.Body)
+		return response.StatusCode, length, err
 	}
-	const header = " HTTP/1.0\r\nHeatherwood-Service: proofs\r\nHeatherwood-Timeout: 20s\r\n"
+	const header = "Host: a\r\nHeatherwood-Service: proofs\r\nHeatherwood-Timeout: 20s\r\n"
 	check := func(t *testing.T, way string) {
 		for name, e := range endings {
 			for size, bytes := range sizes {
 				for _, pause := range []time.Duration{0, slowReadPause}[:1+bytes/largeAnswer] {
 					for method, request := range map[string]string{
-						"GET":            "GET %s" + header + "Connection: keep-alive\r\n\r\n",
-						"stalled upload": "POST %s" + header + "Content-Length: 100000\r\n\r\n" + strings.Repeat("x", 70_000),
+						"GET":               "GET %s HTTP/1.0\r\n" + header + "Connection: keep-alive\r\n\r\n",
+						"stalled upload":    "POST %s HTTP/1.0\r\n" + header + "Content-Length: 100000\r\n\r\n" + strings.Repeat("x", 70_000),
+						"Connection: close": "GET %s HTTP/1.1\r\n" + header + "Connection: close\r\n\r\n",
 					} {
 						t.Run(fmt.Sprintf("%s/%s, %s, pause %v", name, size, method, pause), func(t *testing.T) {
 							for i := range 100 {
 								path := fmt.Sprintf("/raw/%s/%s/%s-%v-%s-%d", name, size, strings.ReplaceAll(method, " ", "-"), pause, way, i)
 								status, length, err := ask(t, path, request, pause)
-								if strings.HasPrefix(status, "HTTP/1.0 503") {
+								if status == http.StatusServiceUnavailable {
 									time.Sleep(100 * time.Millisecond) // servers that broke answers off are given a rest
 									continue
 								}
 								isWhole := err == nil && length == int64(bytes)
 								timedOut := errors.Is(err, os.ErrDeadlineExceeded)
-								if strings.HasPrefix(status, "HTTP/1.0 200") && err == nil != e.complete || e.complete && !isWhole || timedOut {
-									t.Errorf("%s, %d of %d bytes, %v; want a complete answer: %v", status, length, bytes, err, e.complete)
+								if status == http.StatusOK && err == nil != e.complete || e.complete && !isWhole || timedOut {
+									t.Errorf("status %d, %d of %d bytes, %v; want a complete answer: %v", status, length, bytes, err, e.complete)
 								}
 								return
 							}
@@ -424,6 +406,7 @@
 		"good":                good,
 		"good-interim":        "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + good,
 		"good-trailer":        inChunks + "Odd-Name: x\r\n\r\n",
+		"good-letters":        "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09Az: \xff\r\nContent-Length: 4\r\n\r\nbody",
 		"good-without-reason": "HTTP/1.1 200\r\nContent-Length: 4\r\n\r\nbody",
 	}
 	var mutex sync.Mutex
