Keep the connection after a whole answer in tests of broken ones

Cause: the stand-in of the test closed the connection behind a whole answer in chunks without announcing it, so that the entry could send the next case's request on it before it saw the close. That request may have run, and 502 is right.

The stand-in now serves on after a whole answer that says where it ends, also in TestAnswerThatIsNoHTTPIsRefused, which had the same race behind its good answers. No check has changed.

--- a/internal/demo/brokenanswer_test.go
+++ b/internal/demo/brokenanswer_test.go
@@ -36,8 +36,9 @@
 const firstVM = "brisbane-a-1"
 
 // startRawSite starts a site. The stand-in answers requests with /raw/ in their path by the function,
-// before it has read their body, and then closes the connection.
-func startRawSite(t *testing.T, answer func(conn *net.TCPConn, r *http.Request)) *rawSite {
+// before it has read their body. The function returns whether the connection stays open: closed after
+// a whole answer that did not announce it, it may have been given the next request by then.
+func startRawSite(t *testing.T, answer func(conn *net.TCPConn, r *http.Request) bool) *rawSite {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -46,8 +47,7 @@
 	t.Cleanup(func() { listener.Close() })
 	go standin.ServeRaw(listener, func(conn *net.TCPConn, r *http.Request) bool {
 		if strings.Contains(r.URL.Path, "/raw/") {
-			answer(conn, r)
-			return false
+			return answer(conn, r)
 		}
 		io.Copy(io.Discard, r.Body)
 		io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound")
@@ -191,7 +191,7 @@
 		slowReadPause = time.Millisecond
 	)
 	var resets sync.Map // channels by path, closed once the server has reset the connection
-	s := startRawSite(t, func(conn *net.TCPConn, r *http.Request) {
+	s := startRawSite(t, func(conn *net.TCPConn, r *http.Request) bool {
 		size := smallAnswer
 		if strings.Contains(r.URL.Path, "large") {
 			size = largeAnswer
@@ -205,6 +205,7 @@
 		if reset, ok := resets.Load(r.URL.Path); ok {
 			close(reset.(chan struct{}))
 		}
+		return false
 	})
 	upload := func(t *testing.T, path string, chunked, slow bool) (int, int64, error) {
 		reset := make(chan struct{})
@@ -298,16 +299,17 @@
 		head, tail string
 		resets     bool
 		complete   bool
+		keepsConn  bool // after a request without a body
 	}
 	endings := map[string]ending{
 		"reset":            {head: "HTTP/1.1 200 OK\r\n\r\n", resets: true},
 		"chunks-cut":       {head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", tail: "\r\n"},
 		"chunks-not-ended": {head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", tail: "\r\n0\r\n"},
 		"closed":           {head: "HTTP/1.1 200 OK\r\n\r\n", complete: true},
-		"chunks-ended":     {head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", tail: "\r\n0\r\n\r\n", complete: true},
+		"chunks-ended":     {head: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", tail: "\r\n0\r\n\r\n", complete: true, keepsConn: true},
 	}
 	sizes := map[string]int{"small": smallAnswer, "large": largeAnswer}
-	s := startRawSite(t, func(conn *net.TCPConn, r *http.Request) {
+	s := startRawSite(t, func(conn *net.TCPConn, r *http.Request) bool {
 		parts := strings.Split(r.URL.Path, "/")
 		e, size := endings[parts[2]], sizes[parts[3]]
 		head := e.head
@@ -319,11 +321,15 @@
 		if e.resets {
 			time.Sleep(100 * time.Millisecond) // the answer is read first
 			conn.SetLinger(0)
-			return
+			return false
+		}
+		if e.keepsConn && r.ContentLength == 0 {
+			return true
 		}
 		conn.CloseWrite()
 		conn.SetReadDeadline(time.Now().Add(callerTime))
 		io.Copy(io.Discard, conn) // the kernel resets a connection that is closed while bytes are unread
+		return false
 	})
 	ask := func(t *testing.T, path, request string, pause time.Duration) (status int, length int64, err error) {
 		conn, err := net.Dial("tcp", s.VMSettings[0].Entry)
@@ -411,14 +417,19 @@
 	}
 	var mutex sync.Mutex
 	counts := make(map[string]int)
-	s := startRawSite(t, func(conn *net.TCPConn, r *http.Request) {
+	s := startRawSite(t, func(conn *net.TCPConn, r *http.Request) bool {
 		io.Copy(io.Discard, r.Body)
 		mutex.Lock()
 		counts[r.URL.Path]++
 		mutex.Unlock()
-		io.WriteString(conn, answers[path.Base(r.URL.Path)])
+		name := path.Base(r.URL.Path)
+		io.WriteString(conn, answers[name])
+		if strings.HasPrefix(name, "good") {
+			return true
+		}
 		conn.CloseWrite()
 		io.Copy(io.Discard, conn)
+		return false
 	})
 	check := func(t *testing.T, way string) {
 		for name := range answers {
