--- a/review/harness3/client.go
+++ b/review/harness3/client.go
@@ -31,6 +31,9 @@
 	return &client{site: s, http: &http.Client{}, name: name, patience: clientPatience, ended: make(map[int]int)}
 }
 
+// openEach makes the client open a new connection for each request, to an address that is picked anew.
+func (c *client) openEach() { c.http.Transport = &http.Transport{DisableKeepAlives: true} }
+
 // send sends one request to the next edge machine; its results are those of sendTo.
 func (c *client) send(method, path, object string) (string, int) {
 	c.mutex.Lock()
--- a/review/harness3/denied.go
+++ b/review/harness3/denied.go
@@ -11,6 +11,7 @@
 // Limits of the case.
 const (
 	cutTime     = 5500 * time.Millisecond // for_s of node_cut
+	servesOn    = 3 * time.Second         // of an upstream after its DELETE: drain_s and a little longer
 	deniedLimit = 10                      // answers with 404 by machines out of touch
 )
 
@@ -29,11 +30,12 @@
 	}
 	time.Sleep(time.Second)
 	leaving := upstreams[0]
-	leaving.end()
+	leaving.stopHeartbeats()
 	if err := s.order(http.MethodDelete, "/api/instances/"+leaving.id, nil); err != nil {
 		return nil, err
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(servesOn)
+	leaving.end()
 	if trouble {
 		cut := s.machinesOf(false)[0]
 		s.setCut(cut)
@@ -45,6 +47,7 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	c := s.newClient("pay")
+	c.openEach()
 	var group sync.WaitGroup
 	var told []string
 	var askedAt time.Time
--- a/review/harness3/homes.go
+++ b/review/harness3/homes.go
@@ -37,6 +37,7 @@
 	}
 	time.Sleep(8 * time.Second)
 	c := s.newClient("pay")
+	c.openEach()
 	var told []string
 	var askedAt time.Time
 	stray, total := 0, 0
@@ -62,7 +63,11 @@
 	})
 	time.Sleep(4 * time.Second)
 	for _, m := range s.machinesOf(false) {
-		if m.region != "region-0" || !trouble {
+		if m.region != "region-0" {
+			continue
+		}
+		if !trouble {
+			time.Sleep(11 * time.Second)
 			continue
 		}
 		s.record.note("SIGTERM to %s", m.name)
--- a/review/harness3/upstream.go
+++ b/review/harness3/upstream.go
@@ -29,7 +29,7 @@
 	work          time.Duration
 	slots         int
 	server        *http.Server
-	stop          chan struct{}
+	stop          chan struct{} // closed when it sends no more heartbeats
 	stopOnce      sync.Once
 
 	crashes func(*http.Request) bool // whether a request crashes the upstream that runs it; nil for none
@@ -97,11 +97,13 @@
 // coldFor returns how long the upstream stays cold.
 func (u *upstream) coldFor() time.Duration { return max(0, time.Until(u.coldUntil)) }
 
+// stopHeartbeats lets the upstream serve on without telling the registry of itself.
+func (u *upstream) stopHeartbeats() { u.stopOnce.Do(func() { close(u.stop) }) }
+
+// end ends the upstream at once.
 func (u *upstream) end() {
-	u.stopOnce.Do(func() {
-		close(u.stop)
-		u.server.Close()
-	})
+	u.stopHeartbeats()
+	u.server.Close()
 }
 
 // ServeHTTP answers a request or a health check.
